Build: Add the skeleton, the shared interfaces and the design page

Cause: the repository was empty; modules can be written side by side only against agreed interfaces and messages. Before: nothing.

--- /dev/null
+++ b/src/libs/carobfall/entry/claim_store.cpp
@@ -0,0 +1,69 @@
+#include "carobfall/entry/claim_store.h"
+
+#include "carobfall/base/clock.h"
+
+#include <algorithm>
+
+namespace carobfall {
+namespace {
+
+bool contains_agent(const rpc::claim& claim, const rpc::agent_ref& agent)
+{
+    return std::any_of(claim.planned_agents().begin(), claim.planned_agents().end(),
+                       [&](const rpc::agent_ref& planned) {
+                           return planned.name() == agent.name() &&
+                                  planned.incarnation() == agent.incarnation();
+                       });
+}
+
+} // namespace
+
+void claim_store::put(const rpc::claim& claim)
+{
+    const absl::MutexLock lock(&mutex_);
+    const auto [held, inserted] = claims_.try_emplace(from_message(claim.submission()), claim);
+    if (inserted) {
+        return;
+    }
+    for (const rpc::agent_ref& agent : claim.planned_agents()) {
+        if (!contains_agent(held->second, agent)) {
+            *held->second.add_planned_agents() = agent;
+        }
+    }
+    *held->second.mutable_coordinator() = claim.coordinator();
+    held->second.set_answered(held->second.answered() || claim.answered());
+}
+
+std::optional<rpc::claim> claim_store::find(const submission_key& key) const
+{
+    const absl::MutexLock lock(&mutex_);
+    const auto found = claims_.find(key);
+    return found == claims_.end() ? std::nullopt : std::optional(found->second);
+}
+
+std::vector<rpc::claim> claim_store::all() const
+{
+    const absl::MutexLock lock(&mutex_);
+    std::vector<rpc::claim> claims;
+    claims.reserve(claims_.size());
+    for (const auto& [key, claim] : claims_) {
+        claims.push_back(claim);
+    }
+    return claims;
+}
+
+std::size_t claim_store::size() const
+{
+    const absl::MutexLock lock(&mutex_);
+    return claims_.size();
+}
+
+void claim_store::expire(absl::Time now)
+{
+    const absl::MutexLock lock(&mutex_);
+    absl::erase_if(claims_, [&](const auto& entry) {
+        return from_unix_ms(entry.second.deadline_unix_ms()) + record_retention < now;
+    });
+}
+
+} // namespace carobfall
--- /dev/null
+++ b/tests/auto/main.cpp
@@ -0,0 +1,3 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+#include <doctest/trompeloeil.hpp>
