--- /dev/null
+++ b/src/libs/carobfall/config/entry_settings.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "carobfall/config/settings_sources.h"
+
+#include <absl/time/time.h>
+
+#include <cstddef>
+#include <cstdint>
+
+namespace carobfall {
+
+/// Prefix of the environment variables that override settings of carobfall-entry.
+inline constexpr std::string_view entry_variable_prefix = "CAROBFALL_ENTRY_";
+
+/// Bounds of an entry's use of memory and threads.
+struct entry_limit_settings {
+    std::uint64_t max_body_bytes{16ULL << 20U};     ///< body of a caller's request
+    std::uint64_t max_answer_bytes{16ULL << 20U};   ///< results of one submission together
+    std::uint64_t held_answer_bytes{256ULL << 20U}; ///< recorded answers of all submissions
+    std::uint32_t caller_threads{256}; ///< requests served at once; a waiting one holds a thread
+};
+
+struct entry_interval_settings {
+    absl::Duration heartbeat{absl::Milliseconds(500)}; ///< to the other entries
+    absl::Duration poll{absl::Seconds(1)};             ///< of the configuration head
+};
+
+/// Settings of carobfall-entry. Addresses are "ip:port"; port 0 lets the kernel choose.
+struct entry_settings {
+    std::string name;
+    std::string region;
+    std::string data_centre;
+    std::string caller_address;
+    std::string operator_address;
+    std::string rpc_address; ///< bound, and announced to other entries and agents
+    std::string platform_address;
+    std::vector<std::string> operator_tokens;
+    entry_limit_settings limits;
+    entry_interval_settings intervals;
+    absl::Duration max_deadline{absl::Seconds(300)}; ///< the same at all entries of a region
+};
+
+/// Errors: `invalid_request` with line, variable or flag, key and remedy.
+[[nodiscard]] result<entry_settings> load_entry_settings(const settings_sources& sources);
+
+} // namespace carobfall
