--- /dev/null
+++ b/src/libs/carobfall/agent/agent_daemon.cpp
@@ -0,0 +1,280 @@
+#include "carobfall/agent/agent_daemon.h"
+
+#include "carobfall/agent/state_dump.h"
+#include "carobfall/backend/http_task_runner.h"
+#include "carobfall/base/ids.h"
+#include "carobfall/base/log_fields.h"
+#include "carobfall/config/ip_endpoint.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/time/clock.h>
+#include <glog/logging.h>
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace carobfall {
+namespace {
+
+/// Interval of the search for queued tasks that can't start any more.
+constexpr absl::Duration sweep_interval = absl::Milliseconds(50);
+
+/// Interval of dropping expired records.
+constexpr absl::Duration expire_interval = absl::Seconds(1);
+
+/// Interval at which a shutdown looks whether tasks and reports are done.
+constexpr absl::Duration drain_poll = absl::Milliseconds(10);
+
+bool is_loopback(const std::string& ip)
+{
+    return ip.starts_with("127.") || ip == "::1";
+}
+
+std::string with_port(const std::string& address, std::uint16_t port)
+{
+    return absl::StrCat(address.substr(0, address.rfind(':')), ":", port);
+}
+
+} // namespace
+
+agent_daemon::agent_daemon(agent_settings settings, agent_limits limits,
+                           entry_link_factory make_link, clock_function clock)
+    : settings_(std::move(settings)),
+      limits_(limits),
+      clock_(std::move(clock)),
+      incarnation_(random_id()),
+      ledger_({.agent_incarnation = incarnation_,
+               .data_centre = settings_.data_centre,
+               .queue_per_slot = static_cast<double>(settings_.queue_per_slot),
+               .max_records = settings_.ledger.max_records,
+               .max_result_bytes = settings_.ledger.max_result_bytes},
+              lease_),
+      registration_(limits_.backend_validity,
+                    {.announced = [this](const announcement& backend,
+                                         absl::Time until) { take_announcement(backend, until); },
+                     .left = [this] { ledger_.remove_backend(); }}),
+      announcement_server_(registration_, clock_),
+      environment_(make_environment()),
+      sessions_(settings_.entry_addresses, std::move(make_link), environment_),
+      executor_(
+          ledger_,
+          [this] {
+              return std::make_unique<http_task_runner>([this] { return registration_.port(); },
+                                                        limits_.max_task_result_bytes, clock_);
+          },
+          [this](pending_report report) { post(std::move(report)); }, metrics_, clock_),
+      server_(ledger_, {.tasks_queued = [this](std::size_t tasks) { executor_.notify(tasks); }},
+              metrics_, clock_),
+      operator_server_({.state_json = [this] { return state_json(); },
+                        .metrics_text = [this] { return metrics_.to_text(); },
+                        .not_ready_reason = [this] { return not_ready_reason(); }})
+{}
+
+agent_daemon::~agent_daemon()
+{
+    operator_server_.stop();
+    announcement_server_.stop();
+    server_.stop();
+    executor_.stop();
+    sessions_.stop();
+    if (maintenance_.joinable()) {
+        stopped_.Notify();
+        maintenance_.join();
+    }
+}
+
+session_environment agent_daemon::make_environment()
+{
+    return {.agent = [this] { return agent_info(); },
+            .beat = [this] { return make_beat(); },
+            .beat_answered = [this](const rpc::beat_reply& reply,
+                                    absl::Time send_time) { take_beat_reply(reply, send_time); },
+            .view_received = [this](const rpc::entry_view& view) { take_view(view); },
+            .report =
+                [this](const pending_report& report) {
+                    return ledger_.report_of(report.key, report.attempt);
+                },
+            .clock = clock_,
+            .beat_interval = settings_.heartbeat};
+}
+
+result<void> agent_daemon::start()
+{
+    const std::optional<ip_endpoint> announce = parse_ip_endpoint(settings_.announce_address);
+    const std::optional<ip_endpoint> operators = parse_ip_endpoint(settings_.operator_address);
+    if (!announce || !operators || !is_loopback(announce->ip)) {
+        return failure(error_kind::invalid_request,
+                       "the operator address is malformed, or the announce address isn't on the "
+                       "loopback interface",
+                       "give operator_address as ip:port and announce_address as 127.0.0.1:port");
+    }
+    BOOST_OUTCOME_TRY(server_.listen(settings_.rpc_address));
+    BOOST_OUTCOME_TRY(announcement_server_.start(announce->ip, announce->port));
+    BOOST_OUTCOME_TRY(operator_server_.start(operators->ip, operators->port));
+    maintenance_ = std::thread([this] { maintain(); });
+    sessions_.start();
+    LOG(INFO) << log_fields("agent_started")
+                     .add("name", settings_.name)
+                     .add("incarnation", incarnation_)
+                     .add("grpc_port", grpc_port())
+                     .add("operator_port", operator_port())
+                     .add("announcement_port", announcement_port());
+    return success();
+}
+
+std::optional<rpc::agent_info> agent_daemon::agent_info() const
+{
+    const std::optional<announcement> backend = registration_.current();
+    if (!backend) {
+        return std::nullopt;
+    }
+    rpc::agent_info info;
+    info.set_name(settings_.name);
+    info.set_incarnation(incarnation_);
+    info.set_address(with_port(settings_.rpc_address, grpc_port()));
+    info.set_region(settings_.region);
+    info.set_data_centre(settings_.data_centre);
+    info.set_rack(settings_.rack);
+    *info.mutable_backend_server() = backend->info;
+    return info;
+}
+
+rpc::beat_request agent_daemon::make_beat() const
+{
+    rpc::beat_request beat;
+    beat.mutable_agent()->set_name(settings_.name);
+    beat.mutable_agent()->set_incarnation(incarnation_);
+    *beat.mutable_load() = ledger_.load();
+    beat.set_leaving(ledger_.leaving());
+    beat.set_backend_available(ledger_.backend_available(clock_()));
+    beat.set_view_number(ledger_.view_number());
+    beat.set_configuration_version(lease_.configuration_version());
+    if (beat.leaving()) {
+        // An entry records a clean leave when the load is empty. Undelivered results count, so
+        // that the records of this agent are still asked for until they are known elsewhere.
+        beat.mutable_load()->set_running(beat.load().running() +
+                                         static_cast<std::uint32_t>(sessions_.pending_reports()));
+    }
+    return beat;
+}
+
+void agent_daemon::take_beat_reply(const rpc::beat_reply& reply, absl::Time send_time)
+{
+    const bool was_valid = lease_.is_valid(clock_());
+    const bool renewed = lease_.renew(reply, send_time);
+    if (renewed && !was_valid) {
+        executor_.notify(ledger_.load().queued());
+    }
+}
+
+void agent_daemon::take_view(const rpc::entry_view& view)
+{
+    if (view.region() != settings_.region) {
+        LOG_EVERY_N(WARNING, 100)
+            << log_fields("view_of_another_region").add("region", view.region());
+        return;
+    }
+    ledger_.observe_view(view.number());
+    sessions_.adopt_view(view);
+}
+
+void agent_daemon::take_announcement(const announcement& backend, absl::Time valid_until)
+{
+    const bool was_available = ledger_.backend_available(clock_());
+    ledger_.announce_backend(backend.info.slots(), valid_until);
+    executor_.provide_slots(backend.info.slots());
+    if (!was_available) {
+        LOG(INFO) << log_fields("backend_announced")
+                         .add("name", backend.info.name())
+                         .add("port", backend.port)
+                         .add("slots", backend.info.slots());
+        sessions_.beat_now();
+    }
+}
+
+void agent_daemon::post(pending_report report)
+{
+    metrics_.add("reports_total");
+    sessions_.post(std::move(report));
+}
+
+/// The lock makes a shutdown wait for reports that the maintenance thread is about to post.
+void agent_daemon::sweep()
+{
+    const absl::MutexLock lock(&sweep_mutex_);
+    for (pending_report& report : ledger_.sweep(clock_())) {
+        metrics_.add("tasks_handed_back_total");
+        post(std::move(report));
+    }
+}
+
+void agent_daemon::maintain()
+{
+    absl::Time next_expire = clock_() + expire_interval;
+    while (!stopped_.WaitForNotificationWithTimeout(sweep_interval)) {
+        const absl::Time now = clock_();
+        sweep();
+        sessions_.collect(now);
+        if (now >= next_expire) {
+            ledger_.expire(now);
+            next_expire = now + expire_interval;
+        }
+    }
+}
+
+std::string agent_daemon::state_json() const
+{
+    agent_state state;
+    state.agent = agent_info().value_or(rpc::agent_info());
+    state.totals = ledger_.totals();
+    state.records = ledger_.dump();
+    state.sessions = sessions_.states();
+    return to_json(state, lease_, clock_()).dump();
+}
+
+std::string agent_daemon::not_ready_reason() const
+{
+    const absl::Time now = clock_();
+    if (ledger_.leaving()) {
+        return "the agent is leaving";
+    }
+    if (!ledger_.backend_available(now)) {
+        return "no backend server has announced itself in time";
+    }
+    return lease_.is_valid(now) ? "" : "no entry has granted a lease; check the entries' /readyz";
+}
+
+void agent_daemon::drain()
+{
+    LOG(INFO) << log_fields("agent_leaving").add("name", settings_.name);
+    ledger_.begin_leaving();
+    sweep();
+    sessions_.beat_now();
+    wait_for_idle();
+    wait_for_reports();
+    sessions_.beat_now();
+    absl::SleepFor(settings_.heartbeat);
+    LOG(INFO) << log_fields("agent_left")
+                     .add("name", settings_.name)
+                     .add("undelivered_reports", sessions_.pending_reports());
+}
+
+/// Ends by itself, because no task runs beyond its deadline.
+void agent_daemon::wait_for_idle()
+{
+    while (ledger_.load().running() + ledger_.load().queued() > 0) {
+        absl::SleepFor(drain_poll);
+    }
+    executor_.stop();
+    sweep();
+}
+
+void agent_daemon::wait_for_reports()
+{
+    const absl::Time limit = clock_() + limits_.report_limit;
+    while (sessions_.pending_reports() > 0 && clock_() < limit) {
+        absl::SleepFor(drain_poll);
+    }
+}
+
+} // namespace carobfall
--- /dev/null
+++ b/src/libs/carobfall/agent/agent_daemon.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "carobfall/agent/agent_server.h"
+#include "carobfall/agent/entry_session_set.h"
+#include "carobfall/agent/operator_server.h"
+#include "carobfall/agent/start_lease.h"
+#include "carobfall/agent/task_executor.h"
+#include "carobfall/agent/task_ledger.h"
+#include "carobfall/backend/announcement_server.h"
+#include "carobfall/backend/backend_registration.h"
+#include "carobfall/base/clock.h"
+#include "carobfall/base/histogram.h"
+#include "carobfall/config/agent_settings.h"
+
+#include <absl/synchronization/mutex.h>
+#include <absl/synchronization/notification.h>
+#include <absl/time/time.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <thread>
+
+namespace carobfall {
+
+/// Limits of an agent that operators don't set.
+struct agent_limits {
+    /// Validity of an announcement of the backend server: new work ends this long after a crash.
+    absl::Duration backend_validity{absl::Seconds(3)};
+    /// A report call carries at least one result, and gRPC receivers accept 4 MiB by default.
+    std::size_t max_task_result_bytes{std::size_t{1024} * 1024};
+    /// After the last task has finished, a shutdown waits this long for the reports.
+    absl::Duration report_limit{absl::Seconds(10)};
+};
+
+/// All parts of one agent, connected.
+class agent_daemon {
+public:
+    agent_daemon(agent_settings settings, agent_limits limits, entry_link_factory make_link,
+                 clock_function clock);
+    ~agent_daemon();
+    agent_daemon(const agent_daemon&) = delete;
+    agent_daemon& operator=(const agent_daemon&) = delete;
+
+    /// Opens the ports and begins to contact the entries. Errors: `unavailable` if a port is taken,
+    /// `invalid_request` if the address for announcements isn't on the loopback interface.
+    result<void> start();
+
+    /// Leaves: refuses new work, hands back the queue, waits for the running tasks and for the
+    /// delivery of all reports, and tells the entries.
+    void drain();
+
+    [[nodiscard]] std::uint16_t grpc_port() const { return server_.port(); }
+    [[nodiscard]] std::uint16_t operator_port() const { return operator_server_.port(); }
+    [[nodiscard]] std::uint16_t announcement_port() const { return announcement_server_.port(); }
+    [[nodiscard]] task_ledger& ledger() { return ledger_; }
+
+private:
+    session_environment make_environment();
+    std::optional<rpc::agent_info> agent_info() const;
+    rpc::beat_request make_beat() const;
+    void take_beat_reply(const rpc::beat_reply& reply, absl::Time send_time);
+    void take_view(const rpc::entry_view& view);
+    void take_announcement(const announcement& backend, absl::Time valid_until);
+    void post(pending_report report);
+    void maintain();
+    void sweep();
+    std::string state_json() const;
+    std::string not_ready_reason() const;
+    void wait_for_idle();
+    void wait_for_reports();
+
+    const agent_settings settings_;
+    const agent_limits limits_;
+    const clock_function clock_;
+    const std::string incarnation_;
+
+    metrics_registry metrics_;
+    start_lease lease_;
+    task_ledger ledger_;
+    backend_registration registration_;
+    announcement_server announcement_server_;
+    const session_environment environment_;
+    entry_session_set sessions_;
+    task_executor executor_;
+    agent_server server_;
+    agent_operator_server operator_server_;
+    absl::Notification stopped_;
+    absl::Mutex sweep_mutex_;
+    std::thread maintenance_;
+};
+
+} // namespace carobfall
--- /dev/null
+++ b/src/libs/carobfall/agent/agent_server.cpp
@@ -0,0 +1,137 @@
+#include "carobfall/agent/agent_server.h"
+
+#include <absl/strings/str_cat.h>
+#include <grpcpp/grpcpp.h>
+
+#include <chrono>
+#include <utility>
+
+namespace carobfall {
+namespace {
+
+/// Bounds a request: a batch holds at most the slots and the queue of one agent.
+constexpr int max_request_bytes = 16 * 1024 * 1024;
+
+/// Bounds the threads that serve calls, each of which takes well under a millisecond.
+constexpr int max_server_threads = 32;
+
+/// Calls in progress at a stop are cancelled after this time.
+constexpr std::chrono::milliseconds stop_limit{1000};
+
+/// Requests without the fields that every client sets come from a defect or a stranger.
+bool is_valid(const rpc::submission_key& submission, std::int64_t deadline_unix_ms)
+{
+    return !submission.client_account().empty() && !submission.submission_id().empty() &&
+           submission.client_account().size() <= max_name_bytes &&
+           submission.submission_id().size() <= max_name_bytes && deadline_unix_ms > 0;
+}
+
+template <typename Tasks>
+bool has_valid_indexes(const Tasks& tasks)
+{
+    for (const auto& task : tasks) {
+        if (task.index() >= max_tasks_per_submission) {
+            return false;
+        }
+    }
+    return true;
+}
+
+grpc::Status invalid_request()
+{
+    return {grpc::StatusCode::INVALID_ARGUMENT,
+            "the submission key, the deadline or a task index is missing or out of bounds; "
+            "nothing was changed"};
+}
+
+} // namespace
+
+agent_server::agent_server(task_ledger& ledger, agent_server_events events,
+                           metrics_registry& metrics, clock_function clock)
+    : ledger_(ledger), events_(std::move(events)), metrics_(metrics), clock_(std::move(clock))
+{}
+
+agent_server::~agent_server()
+{
+    stop();
+}
+
+result<void> agent_server::listen(const std::string& address)
+{
+    grpc::ResourceQuota quota;
+    quota.SetMaxThreads(max_server_threads);
+    int port = 0;
+    grpc::ServerBuilder builder;
+    builder.SetResourceQuota(quota);
+    builder.SetMaxReceiveMessageSize(max_request_bytes);
+    builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+    builder.AddListeningPort(address, grpc::InsecureServerCredentials(), &port);
+    builder.RegisterService(this);
+    server_ = builder.BuildAndStart();
+    if (!server_ || port == 0) {
+        return failure(error_kind::unavailable, absl::StrCat("cannot listen on ", address),
+                       "choose a free port and an address of this machine");
+    }
+    port_ = static_cast<std::uint16_t>(port);
+    return success();
+}
+
+void agent_server::stop()
+{
+    if (server_) {
+        server_->Shutdown(std::chrono::system_clock::now() + stop_limit);
+        server_->Wait();
+        server_.reset();
+    }
+}
+
+grpc::Status agent_server::start(grpc::ServerContext* /*context*/,
+                                 const rpc::start_request* request, rpc::start_reply* reply)
+{
+    if (!is_valid(request->submission(), request->deadline_unix_ms()) ||
+        !has_valid_indexes(request->tasks())) {
+        return invalid_request();
+    }
+    *reply = ledger_.start(*request, clock_());
+    count(*reply);
+    return grpc::Status::OK;
+}
+
+void agent_server::count(const rpc::start_reply& reply)
+{
+    std::size_t queued = 0;
+    for (const rpc::task_status& task : reply.tasks()) {
+        if (task.state() == rpc::task_state_queued) {
+            ++queued;
+        } else if (task.reason() != rpc::refusal_none) {
+            metrics_.add(absl::StrCat("tasks_refused_total{reason=\"",
+                                      rpc::refusal_reason_Name(task.reason()), "\"}"));
+        }
+    }
+    if (queued > 0) {
+        metrics_.add("tasks_queued_total", queued);
+        events_.tasks_queued(queued);
+    }
+}
+
+grpc::Status agent_server::revoke(grpc::ServerContext* /*context*/,
+                                  const rpc::revoke_request* request, rpc::revoke_reply* reply)
+{
+    if (!is_valid(request->submission(), request->deadline_unix_ms()) ||
+        !has_valid_indexes(request->tasks())) {
+        return invalid_request();
+    }
+    *reply = ledger_.revoke(*request, clock_());
+    metrics_.add("tasks_revoke_requests_total", static_cast<std::uint64_t>(request->tasks_size()));
+    return grpc::Status::OK;
+}
+
+grpc::Status agent_server::fence(grpc::ServerContext* /*context*/,
+                                 const rpc::fence_request* request, rpc::fence_reply* reply)
+{
+    *reply = ledger_.fence(*request);
+    metrics_.add("fence_requests_total");
+    return grpc::Status::OK;
+}
+
+} // namespace carobfall
--- /dev/null
+++ b/src/libs/carobfall/agent/entry_session.cpp
@@ -0,0 +1,268 @@
+#include "carobfall/agent/entry_session.h"
+
+#include "carobfall/base/log_fields.h"
+
+#include <glog/logging.h>
+#include <google/protobuf/util/message_differencer.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace carobfall {
+namespace {
+
+/// Bounds of one report call. gRPC receivers accept 4 MiB by default.
+constexpr std::size_t max_batch_reports = 64;
+constexpr std::size_t max_batch_bytes = std::size_t{2} * 1024 * 1024;
+
+constexpr absl::Duration min_delivery_backoff = absl::Milliseconds(50);
+constexpr absl::Duration max_delivery_backoff = absl::Seconds(2);
+
+bool is_same(const std::optional<rpc::agent_info>& left, const rpc::agent_info& right)
+{
+    return left && google::protobuf::util::MessageDifferencer::Equals(*left, right);
+}
+
+} // namespace
+
+entry_session::entry_session(std::string address, std::unique_ptr<entry_link> link,
+                             const session_environment& environment, bool report_only)
+    : address_(std::move(address)),
+      link_(std::move(link)),
+      environment_(environment),
+      last_post_(environment.clock())
+{
+    state_.address = address_;
+    state_.report_only = report_only;
+    thread_ = std::thread([this] { run(); });
+}
+
+entry_session::~entry_session()
+{
+    request_stop();
+    thread_.join();
+}
+
+void entry_session::post(pending_report report)
+{
+    const absl::Time now = environment_.clock();
+    const absl::MutexLock lock(&mutex_);
+    last_post_ = now;
+    outbox_.push_back(std::move(report));
+    changed_.Signal();
+}
+
+void entry_session::promote()
+{
+    const absl::MutexLock lock(&mutex_);
+    state_.report_only = false;
+    changed_.Signal();
+}
+
+void entry_session::beat_now()
+{
+    const absl::MutexLock lock(&mutex_);
+    beat_requested_ = true;
+    changed_.Signal();
+}
+
+void entry_session::request_stop()
+{
+    const absl::MutexLock lock(&mutex_);
+    stopping_ = true;
+    changed_.Signal();
+}
+
+std::size_t entry_session::pending_reports() const
+{
+    const absl::MutexLock lock(&mutex_);
+    return outbox_.size();
+}
+
+session_state entry_session::state() const
+{
+    const absl::MutexLock lock(&mutex_);
+    session_state state = state_;
+    state.pending_reports = outbox_.size();
+    return state;
+}
+
+absl::Time entry_session::last_post() const
+{
+    const absl::MutexLock lock(&mutex_);
+    return last_post_;
+}
+
+bool entry_session::stopping() const
+{
+    const absl::MutexLock lock(&mutex_);
+    return stopping_;
+}
+
+void entry_session::run()
+{
+    while (!stopping()) {
+        keep_contact(environment_.clock());
+        deliver_reports(environment_.clock());
+        wait_until_due();
+    }
+}
+
+void entry_session::keep_contact(absl::Time now)
+{
+    {
+        const absl::MutexLock lock(&mutex_);
+        const bool requested = std::exchange(beat_requested_, false);
+        if (state_.report_only || (now < next_contact_ && !requested)) {
+            return;
+        }
+    }
+    next_contact_ = now + environment_.beat_interval;
+    if (keep_registered(now)) {
+        send_beat(environment_.clock());
+    }
+}
+
+bool entry_session::keep_registered(absl::Time now)
+{
+    const std::optional<rpc::agent_info> agent = environment_.agent();
+    if (!agent) {
+        return false;
+    }
+    if (is_same(registered_as_, *agent)) {
+        return true;
+    }
+    rpc::register_request request;
+    *request.mutable_agent() = *agent;
+    const result<rpc::register_reply> reply =
+        link_->register_agent(request, environment_.call_limit);
+    if (!reply) {
+        note_failure(reply.error());
+        return false;
+    }
+    note_success(now);
+    if (reply.value().view().number() != 0) {
+        environment_.view_received(reply.value().view());
+    }
+    if (!reply.value().registered()) {
+        return false;
+    }
+    registered_as_ = agent;
+    LOG(INFO) << log_fields("registered").add("entry", address_);
+    return true;
+}
+
+void entry_session::send_beat(absl::Time now)
+{
+    rpc::beat_request request = environment_.beat();
+    request.set_send_time_us(absl::ToUnixMicros(now));
+    const result<rpc::beat_reply> reply = link_->beat(request, environment_.call_limit);
+    if (!reply) {
+        note_failure(reply.error());
+        return;
+    }
+    note_success(now);
+    environment_.beat_answered(reply.value(), now);
+    if (reply.value().view().number() != 0) {
+        environment_.view_received(reply.value().view());
+    }
+    if (!reply.value().registered()) {
+        registered_as_.reset();
+    }
+}
+
+void entry_session::deliver_reports(absl::Time now)
+{
+    if (now < next_delivery_) {
+        return;
+    }
+    std::size_t taken = 0;
+    const rpc::report_request request = next_batch(now, taken);
+    if (request.reports().empty()) {
+        remove_front(taken);
+        return;
+    }
+    const result<rpc::report_reply> reply = link_->report(request, environment_.call_limit);
+    if (reply) {
+        remove_front(taken);
+        delivery_backoff_ = absl::ZeroDuration();
+        note_success(now);
+        return;
+    }
+    note_failure(reply.error());
+    delivery_backoff_ =
+        std::clamp(delivery_backoff_ * 2, min_delivery_backoff, max_delivery_backoff);
+    next_delivery_ = environment_.clock() + delivery_backoff_;
+}
+
+/// Only this thread removes reports, so that the first `taken` stay in place during the call.
+rpc::report_request entry_session::next_batch(absl::Time now, std::size_t& taken)
+{
+    std::deque<pending_report> candidates;
+    {
+        const absl::MutexLock lock(&mutex_);
+        const std::size_t count = std::min(outbox_.size(), max_batch_reports);
+        candidates.assign(outbox_.begin(), outbox_.begin() + static_cast<std::ptrdiff_t>(count));
+    }
+    rpc::report_request request;
+    std::size_t bytes = 0;
+    for (const pending_report& candidate : candidates) {
+        if (bytes >= max_batch_bytes) {
+            break;
+        }
+        ++taken;
+        std::optional<rpc::task_report> report =
+            now < candidate.expires_at ? environment_.report(candidate) : std::nullopt;
+        if (report) {
+            bytes += report->ByteSizeLong();
+            *request.add_reports() = std::move(*report);
+        }
+    }
+    if (!request.reports().empty()) {
+        rpc::beat_request beat = environment_.beat();
+        request.mutable_agent()->Swap(beat.mutable_agent());
+        request.mutable_load()->Swap(beat.mutable_load());
+    }
+    return request;
+}
+
+void entry_session::remove_front(std::size_t count)
+{
+    const absl::MutexLock lock(&mutex_);
+    outbox_.erase(outbox_.begin(), outbox_.begin() + static_cast<std::ptrdiff_t>(count));
+}
+
+void entry_session::wait_until_due()
+{
+    const absl::Time now = environment_.clock();
+    const absl::MutexLock lock(&mutex_);
+    absl::Time due = state_.report_only ? absl::InfiniteFuture() : next_contact_;
+    if (!outbox_.empty()) {
+        due = std::min(due, next_delivery_);
+    }
+    if (!stopping_ && !beat_requested_ && due > now) {
+        changed_.WaitWithTimeout(&mutex_, due - now);
+    }
+}
+
+void entry_session::note_success(absl::Time now)
+{
+    const absl::MutexLock lock(&mutex_);
+    state_.last_contact = now;
+    state_.registered = registered_as_.has_value();
+    state_.last_error.clear();
+}
+
+void entry_session::note_failure(const error& problem)
+{
+    const absl::MutexLock lock(&mutex_);
+    ++state_.failed_calls;
+    if (state_.last_error.empty()) {
+        LOG(WARNING) << log_fields("entry_call_failed")
+                            .add("entry", address_)
+                            .add("error", to_string(problem));
+    }
+    state_.last_error = to_string(problem);
+}
+
+} // namespace carobfall
--- /dev/null
+++ b/src/libs/carobfall/agent/entry_session_set.cpp
@@ -0,0 +1,159 @@
+#include "carobfall/agent/entry_session_set.h"
+
+#include "carobfall/base/log_fields.h"
+
+#include <glog/logging.h>
+
+#include <utility>
+
+namespace carobfall {
+namespace {
+
+/// A report-only session without a new report for this long is ended.
+constexpr absl::Duration report_only_idle = absl::Seconds(10);
+
+} // namespace
+
+entry_session_set::entry_session_set(std::vector<std::string> seed_addresses,
+                                     entry_link_factory make_link,
+                                     const session_environment& environment)
+    : seeds_(seed_addresses.begin(), seed_addresses.end()),
+      make_link_(std::move(make_link)),
+      environment_(environment)
+{}
+
+entry_session_set::~entry_session_set()
+{
+    stop();
+}
+
+void entry_session_set::start()
+{
+    const absl::MutexLock lock(&mutex_);
+    for (const std::string& address : seeds_) {
+        add(address, false);
+    }
+}
+
+void entry_session_set::add(const std::string& address, bool report_only)
+{
+    if (stopped_) {
+        return;
+    }
+    sessions_[address] =
+        std::make_unique<entry_session>(address, make_link_(address), environment_, report_only);
+}
+
+entry_session_set::session_map::iterator entry_session_set::retire(session_map::iterator session)
+{
+    session->second->request_stop();
+    retired_.push_back(std::move(session->second));
+    return sessions_.erase(session);
+}
+
+bool entry_session_set::adopt_view(const rpc::entry_view& view)
+{
+    const absl::MutexLock lock(&mutex_);
+    if (view.number() <= view_number_) {
+        return false;
+    }
+    view_number_ = view.number();
+    std::set<std::string> wanted = seeds_;
+    for (const rpc::entry_member& member : view.members()) {
+        wanted.insert(member.address());
+    }
+    for (auto session = sessions_.begin(); session != sessions_.end();) {
+        const bool is_wanted = wanted.contains(session->first);
+        if (is_wanted) {
+            session->second->promote();
+        }
+        // The coordinator of a report-only session may be in a view that is still to come.
+        const bool keep = is_wanted || session->second->state().report_only;
+        session = keep ? std::next(session) : retire(session);
+    }
+    for (const std::string& address : wanted) {
+        if (!sessions_.contains(address)) {
+            add(address, false);
+        }
+    }
+    LOG(INFO) << log_fields("view_adopted").add("view", view.number());
+    return true;
+}
+
+void entry_session_set::post(pending_report report)
+{
+    const std::string address = report.coordinator.address();
+    const absl::MutexLock lock(&mutex_);
+    if (!sessions_.contains(address)) {
+        add(address, true);
+    }
+    if (const auto session = sessions_.find(address); session != sessions_.end()) {
+        session->second->post(std::move(report));
+    }
+}
+
+void entry_session_set::collect(absl::Time now)
+{
+    std::vector<std::unique_ptr<entry_session>> ended;
+    {
+        const absl::MutexLock lock(&mutex_);
+        for (auto session = sessions_.begin(); session != sessions_.end();) {
+            const session_state state = session->second->state();
+            const bool idle = state.report_only && state.pending_reports == 0 &&
+                              now - session->second->last_post() > report_only_idle;
+            session = idle ? retire(session) : std::next(session);
+        }
+        ended.swap(retired_);
+    }
+}
+
+void entry_session_set::beat_now()
+{
+    const absl::MutexLock lock(&mutex_);
+    for (const auto& [address, session] : sessions_) {
+        session->beat_now();
+    }
+}
+
+void entry_session_set::stop()
+{
+    session_map sessions;
+    std::vector<std::unique_ptr<entry_session>> retired;
+    {
+        const absl::MutexLock lock(&mutex_);
+        stopped_ = true;
+        for (const auto& [address, session] : sessions_) {
+            session->request_stop();
+        }
+        sessions.swap(sessions_);
+        retired.swap(retired_);
+    }
+}
+
+std::size_t entry_session_set::pending_reports() const
+{
+    const absl::MutexLock lock(&mutex_);
+    std::size_t count = 0;
+    for (const auto& [address, session] : sessions_) {
+        count += session->pending_reports();
+    }
+    return count;
+}
+
+std::vector<session_state> entry_session_set::states() const
+{
+    const absl::MutexLock lock(&mutex_);
+    std::vector<session_state> states;
+    for (const auto& [address, session] : sessions_) {
+        states.push_back(session->state());
+    }
+    return states;
+}
+
+std::uint64_t entry_session_set::view_number() const
+{
+    const absl::MutexLock lock(&mutex_);
+    return view_number_;
+}
+
+} // namespace carobfall
--- /dev/null
+++ b/src/libs/carobfall/agent/entry_session_set.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "carobfall/agent/entry_session.h"
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+
+#include <cstddef>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace carobfall {
+
+/// The sessions with the entries of the settings and of the current view, one per address.
+/// Thread-safe.
+class entry_session_set {
+public:
+    /// `environment` has to outlive the set.
+    entry_session_set(std::vector<std::string> seed_addresses, entry_link_factory make_link,
+                      const session_environment& environment);
+    ~entry_session_set();
+    entry_session_set(const entry_session_set&) = delete;
+    entry_session_set& operator=(const entry_session_set&) = delete;
+
+    void start();
+
+    /// Starts and stops sessions for a view that is higher than the one known. True if it is.
+    /// Undelivered reports to an entry that is no longer a member are dropped: its successor
+    /// fetches the states.
+    bool adopt_view(const rpc::entry_view& view);
+
+    /// Hands the report to the session of its coordinator. A coordinator that isn't known yet gets
+    /// a report-only session.
+    void post(pending_report report);
+
+    /// Joins the threads of sessions that have ended, and ends idle report-only sessions.
+    void collect(absl::Time now);
+
+    void beat_now();
+    void stop();
+
+    [[nodiscard]] std::size_t pending_reports() const;
+    [[nodiscard]] std::vector<session_state> states() const;
+    [[nodiscard]] std::uint64_t view_number() const;
+
+private:
+    using session_map = std::map<std::string, std::unique_ptr<entry_session>, std::less<>>;
+
+    void add(const std::string& address, bool report_only) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    session_map::iterator retire(session_map::iterator session)
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+
+    const std::set<std::string> seeds_;
+    const entry_link_factory make_link_;
+    const session_environment& environment_;
+
+    mutable absl::Mutex mutex_;
+    std::uint64_t view_number_ ABSL_GUARDED_BY(mutex_){0};
+    session_map sessions_ ABSL_GUARDED_BY(mutex_);
+    /// A session can be retired by its own thread, which can't join itself.
+    std::vector<std::unique_ptr<entry_session>> retired_ ABSL_GUARDED_BY(mutex_);
+    bool stopped_ ABSL_GUARDED_BY(mutex_){false};
+};
+
+} // namespace carobfall
--- /dev/null
+++ b/src/libs/carobfall/agent/grpc_entry_link.cpp
@@ -0,0 +1,73 @@
+#include "carobfall/agent/grpc_entry_link.h"
+
+#include <grpcpp/grpcpp.h>
+
+#include <chrono>
+
+namespace carobfall {
+namespace {
+
+/// A restarted entry is to be found again within the validity of a lease; the library's default
+/// grows to two minutes.
+constexpr int max_reconnect_backoff_ms = 1000;
+constexpr int min_reconnect_backoff_ms = 100;
+
+std::shared_ptr<grpc::Channel> channel_to(const std::string& address)
+{
+    grpc::ChannelArguments arguments;
+    arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, min_reconnect_backoff_ms);
+    arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, min_reconnect_backoff_ms);
+    arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, max_reconnect_backoff_ms);
+    // Proxies from the environment don't apply between our own processes.
+    arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
+    return grpc::CreateCustomChannel(address, grpc::InsecureChannelCredentials(), arguments);
+}
+
+error error_of(const grpc::Status& status)
+{
+    return {error_kind::outcome_unknown, "the entry did not answer: " + status.error_message(),
+            "check that the entry runs and can be reached; the agent tries again by itself"};
+}
+
+template <typename Reply, typename Call>
+result<Reply> call(absl::Duration limit, const Call& invoke)
+{
+    grpc::ClientContext context;
+    context.set_deadline(std::chrono::system_clock::now() + absl::ToChronoMicroseconds(limit));
+    Reply reply;
+    const grpc::Status status = invoke(&context, &reply);
+    if (!status.ok()) {
+        return boost::outcome_v2::failure(error_of(status));
+    }
+    return reply;
+}
+
+} // namespace
+
+grpc_entry_link::grpc_entry_link(const std::string& address)
+    : stub_(rpc::entry_service::NewStub(channel_to(address)))
+{}
+
+result<rpc::register_reply> grpc_entry_link::register_agent(const rpc::register_request& request,
+                                                            absl::Duration limit)
+{
+    return call<rpc::register_reply>(limit, [&](auto* context, auto* reply) {
+        return stub_->register_agent(context, request, reply);
+    });
+}
+
+result<rpc::beat_reply> grpc_entry_link::beat(const rpc::beat_request& request,
+                                              absl::Duration limit)
+{
+    return call<rpc::beat_reply>(
+        limit, [&](auto* context, auto* reply) { return stub_->beat(context, request, reply); });
+}
+
+result<rpc::report_reply> grpc_entry_link::report(const rpc::report_request& request,
+                                                  absl::Duration limit)
+{
+    return call<rpc::report_reply>(
+        limit, [&](auto* context, auto* reply) { return stub_->report(context, request, reply); });
+}
+
+} // namespace carobfall
--- /dev/null
+++ b/src/libs/carobfall/agent/grpc_entry_link.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "carobfall/agent/entry_link.h"
+#include "carobfall/rpc/carobfall.grpc.pb.h"
+
+#include <memory>
+#include <string>
+
+namespace carobfall {
+
+/// Calls to an entry over gRPC.
+class grpc_entry_link : public entry_link {
+public:
+    explicit grpc_entry_link(const std::string& address);
+
+    result<rpc::register_reply> register_agent(const rpc::register_request& request,
+                                               absl::Duration limit) override;
+    result<rpc::beat_reply> beat(const rpc::beat_request& request, absl::Duration limit) override;
+    result<rpc::report_reply> report(const rpc::report_request& request,
+                                     absl::Duration limit) override;
+
+private:
+    std::unique_ptr<rpc::entry_service::Stub> stub_;
+};
+
+} // namespace carobfall
--- /dev/null
+++ b/src/libs/carobfall/agent/start_lease.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "carobfall/rpc/carobfall.pb.h"
+
+#include <absl/base/thread_annotations.h>
+#include <absl/container/flat_hash_set.h>
+#include <absl/synchronization/mutex.h>
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace carobfall {
+
+/// Longest validity that an agent accepts from one heartbeat, whatever the entry grants.
+inline constexpr absl::Duration max_start_lease = absl::Seconds(2);
+
+/// Permission to start tasks, renewed by the replies to heartbeats, together with the
+/// configuration version and the data centres out that came with it. Thread-safe.
+class start_lease {
+public:
+    /// Takes up the reply to a heartbeat sent at `send_time`. The validity counts from the sending,
+    /// so that a reply that waited in a paused process grants nothing. A reply with a lower
+    /// configuration version than the one held, for another heartbeat, or for an agent that isn't
+    /// registered is ignored. True if starts are permitted for longer than before.
+    bool renew(const rpc::beat_reply& reply, absl::Time send_time);
+
+    [[nodiscard]] bool is_valid(absl::Time now) const;
+    [[nodiscard]] bool is_out(std::string_view data_centre) const;
+
+    [[nodiscard]] absl::Time valid_until() const;
+    [[nodiscard]] std::uint64_t configuration_version() const;
+    [[nodiscard]] std::vector<std::string> data_centres_out() const;
+
+private:
+    mutable absl::Mutex mutex_;
+    absl::Time valid_until_ ABSL_GUARDED_BY(mutex_){absl::InfinitePast()};
+    std::uint64_t configuration_version_ ABSL_GUARDED_BY(mutex_){0};
+    absl::flat_hash_set<std::string> out_ ABSL_GUARDED_BY(mutex_);
+};
+
+} // namespace carobfall
--- /dev/null
+++ b/src/libs/carobfall/agent/task_executor.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "carobfall/agent/task_ledger.h"
+#include "carobfall/backend/task_runner.h"
+#include "carobfall/base/clock.h"
+#include "carobfall/base/histogram.h"
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+
+#include <cstddef>
+#include <functional>
+#include <thread>
+#include <vector>
+
+namespace carobfall {
+
+/// Hands a report to the session of its coordinator. Called without a lock; must not block.
+using report_sink = std::function<void(pending_report report)>;
+
+/// Runs the startable tasks of a ledger on one thread per slot, each with its own task runner.
+class task_executor {
+public:
+    /// `ledger` and `metrics` have to outlive the executor.
+    task_executor(task_ledger& ledger, task_runner_factory make_runner, report_sink report,
+                  metrics_registry& metrics, clock_function clock);
+    ~task_executor();
+    task_executor(const task_executor&) = delete;
+    task_executor& operator=(const task_executor&) = delete;
+
+    /// Provides threads for this many slots. The number of threads never falls; the ledger limits
+    /// the tasks that run at a time.
+    void provide_slots(std::size_t slots);
+
+    /// Wakes up to `tasks` threads that wait for work.
+    void notify(std::size_t tasks);
+
+    /// Waits for the running tasks; queued ones stay in the ledger. Idempotent.
+    void stop();
+
+private:
+    void work();
+    void run_task(startable_task task, task_runner& runner);
+    void wait_for_work();
+    [[nodiscard]] bool stopping() const;
+
+    task_ledger& ledger_;
+    const task_runner_factory make_runner_;
+    const report_sink report_;
+    metrics_registry& metrics_;
+    const clock_function clock_;
+
+    mutable absl::Mutex mutex_;
+    absl::CondVar work_available_;
+    std::size_t wakeups_ ABSL_GUARDED_BY(mutex_){0};
+    bool stopping_ ABSL_GUARDED_BY(mutex_){false};
+    std::vector<std::thread> threads_ ABSL_GUARDED_BY(mutex_);
+};
+
+} // namespace carobfall
--- /dev/null
+++ b/src/libs/carobfall/agent/task_ledger.h
@@ -0,0 +1,175 @@
+#pragma once
+
+#include "carobfall/agent/record_table.h"
+#include "carobfall/agent/start_lease.h"
+#include "carobfall/agent/task_record.h"
+#include "carobfall/rpc/carobfall.pb.h"
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+#include <absl/time/time.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace carobfall {
+
+/// Identity and bounds of a task ledger.
+struct ledger_options {
+    std::string agent_incarnation;
+    std::string data_centre;
+    /// Bound on queued tasks as a multiple of the slots of the backend server.
+    double queue_per_slot{2.0};
+    /// Bound on records. New work is refused beyond it; tombstones may take up as many again.
+    std::size_t max_records{65'536};
+    /// Bound on the bytes of results held for late requests.
+    std::size_t max_result_bytes{std::size_t{32} * 1024 * 1024};
+};
+
+/// One record as shown in a state dump.
+struct ledger_dump_entry {
+    rpc::record_summary summary;
+    rpc::refusal_reason reason{rpc::refusal_none};
+    std::size_t result_bytes{0};
+};
+
+/// Counters and bounds of a ledger for dumps and metrics.
+struct ledger_totals {
+    rpc::agent_load load;
+    std::uint64_t view_number{0};
+    std::size_t records{0};
+    std::size_t result_bytes{0};
+    std::uint64_t results_dropped{0};
+    std::uint32_t slots{0};
+    absl::Time backend_valid_until;
+    absl::Duration mean_run;
+    bool leaving{false};
+};
+
+/// Decides finally whether a task starts, at most once per task. Thread-safe; does no I/O.
+///
+/// A task is accepted if it has no record, or a tombstone (`refused`, `revoked`) of a lower
+/// attempt. Any other request is answered with the recorded state and changes nothing. Refusals
+/// are recorded, so that a delayed duplicate of a refused request cannot run.
+class task_ledger {
+public:
+    /// `lease` has to outlive the ledger.
+    task_ledger(ledger_options options, const start_lease& lease);
+
+    /// Decides about each task of the request. A request for another incarnation of the agent is
+    /// refused as stale without a record. State `unknown` with reason `ledger_full` means that not
+    /// even a tombstone could be stored: the task hasn't run, but a delayed duplicate may.
+    rpc::start_reply start(const rpc::start_request& request, absl::Time now);
+
+    /// Stores a tombstone for every task that has not started and has no higher attempt. From a
+    /// view older than the highest one, or for another incarnation, it only reports the states.
+    rpc::revoke_reply revoke(const rpc::revoke_request& request, absl::Time now);
+
+    /// Raises the highest view and lists the records if the request asks for them.
+    rpc::fence_reply fence(const rpc::fence_request& request);
+    void observe_view(std::uint64_t number);
+
+    /// The next task to run, recorded as started. Nothing without a valid lease, a free slot and
+    /// a backend server, or while the data centre is out.
+    std::optional<startable_task> take_startable(absl::Time now);
+
+    /// Repeats the checks for a task just taken, with a time read afterwards, in case the process
+    /// was paused in between. If false, the task was put back or refused and must not be run.
+    bool confirm_start(const startable_task& task, absl::Time now);
+
+    /// Records the result of a started task. Nothing if the task isn't started in this attempt.
+    std::optional<pending_report> finish(const task_key& key, std::uint32_t attempt,
+                                         rpc::task_result result, absl::Time now);
+
+    /// Refuses a started task that was never sent to the backend server, for example because no
+    /// connection could be made.
+    std::optional<pending_report> refuse_unsent(const task_key& key, std::uint32_t attempt,
+                                                rpc::refusal_reason reason, absl::Time now);
+
+    /// Refuses the queued tasks that can't start any more (deadline, leaving, data centre out,
+    /// backend server gone). Returns everything refused from the queue since the last call.
+    std::vector<pending_report> sweep(absl::Time now);
+
+    /// Takes up an announcement of the backend server, in force until `valid_until`.
+    void announce_backend(std::uint32_t slots, absl::Time valid_until);
+    void remove_backend();
+    [[nodiscard]] bool backend_available(absl::Time now) const;
+
+    /// From now on all new work is refused, and the next sweep hands back the queue.
+    void begin_leaving();
+    [[nodiscard]] bool leaving() const;
+
+    /// Drops records whose deadline and retention have passed; returns how many.
+    std::size_t expire(absl::Time now);
+
+    [[nodiscard]] rpc::agent_load load() const;
+    [[nodiscard]] std::uint64_t view_number() const;
+
+    /// Content of a report; nothing if the record is gone or has a higher attempt.
+    [[nodiscard]] std::optional<rpc::task_report> report_of(const task_key& key,
+                                                            std::uint32_t attempt) const;
+
+    [[nodiscard]] ledger_totals totals() const;
+    [[nodiscard]] std::vector<ledger_dump_entry> dump() const;
+
+private:
+    struct queue_entry {
+        task_key key;
+        std::uint32_t attempt{0};
+    };
+
+    using context_ptr = std::shared_ptr<const start_context>;
+
+    absl::Time advance(absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    rpc::task_status decide(const rpc::start_request& request, const rpc::start_task& task,
+                            const context_ptr& context, absl::Time now)
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    rpc::task_status revoke_task(const rpc::revoke_request& request, const rpc::task_attempt& task)
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    [[nodiscard]] rpc::refusal_reason refusal_for(const rpc::start_request& request,
+                                                  absl::Time now) const
+        ABSL_SHARED_LOCKS_REQUIRED(mutex_);
+    [[nodiscard]] rpc::refusal_reason start_obstacle(absl::Time now) const
+        ABSL_SHARED_LOCKS_REQUIRED(mutex_);
+    [[nodiscard]] rpc::refusal_reason queue_obstacle(const task_record& record,
+                                                     absl::Time now) const
+        ABSL_SHARED_LOCKS_REQUIRED(mutex_);
+    [[nodiscard]] bool is_reachable(std::int64_t deadline_unix_ms, absl::Time now) const
+        ABSL_SHARED_LOCKS_REQUIRED(mutex_);
+    [[nodiscard]] std::size_t queue_bound() const ABSL_SHARED_LOCKS_REQUIRED(mutex_);
+
+    void sweep_queue(absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    void enqueue(const task_key& key, task_record& record, const rpc::start_task& task,
+                 const context_ptr& context) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    void refuse_queued(const task_key& key, task_record& record, rpc::refusal_reason reason)
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    task_record* queued_record(const queue_entry& entry) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    task_record* started_record(const task_key& key, std::uint32_t attempt)
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    [[nodiscard]] pending_report report_for(const task_key& key, const task_record& record) const
+        ABSL_SHARED_LOCKS_REQUIRED(mutex_);
+    [[nodiscard]] rpc::agent_load load_locked() const ABSL_SHARED_LOCKS_REQUIRED(mutex_);
+
+    const ledger_options options_;
+    const start_lease& lease_;
+
+    mutable absl::Mutex mutex_;
+    absl::Time latest_ ABSL_GUARDED_BY(mutex_){absl::InfinitePast()};
+    record_table records_ ABSL_GUARDED_BY(mutex_);
+    /// First in, first out. An entry whose record has changed since is skipped.
+    std::deque<queue_entry> queue_ ABSL_GUARDED_BY(mutex_);
+    std::vector<pending_report> refused_from_queue_ ABSL_GUARDED_BY(mutex_);
+    std::uint32_t queued_ ABSL_GUARDED_BY(mutex_){0};
+    std::uint32_t running_ ABSL_GUARDED_BY(mutex_){0};
+    std::uint32_t slots_ ABSL_GUARDED_BY(mutex_){0};
+    std::uint64_t view_number_ ABSL_GUARDED_BY(mutex_){0};
+    absl::Time backend_valid_until_ ABSL_GUARDED_BY(mutex_){absl::InfinitePast()};
+    absl::Duration mean_run_ ABSL_GUARDED_BY(mutex_){absl::ZeroDuration()};
+    bool leaving_ ABSL_GUARDED_BY(mutex_){false};
+};
+
+} // namespace carobfall
--- /dev/null
+++ b/src/libs/carobfall/backend/backend_registration.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "carobfall/backend/announcement.h"
+#include "carobfall/base/error.h"
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+#include <absl/time/time.h>
+
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace carobfall {
+
+/// What the agent does when its backend server announces itself or leaves.
+struct backend_events {
+    std::function<void(const announcement& backend, absl::Time valid_until)> announced;
+    std::function<void()> left;
+};
+
+/// The one backend server beside the agent. Thread-safe; the events are called without a lock.
+class backend_registration {
+public:
+    /// An announcement is in force for `validity` and has to be renewed within it.
+    backend_registration(absl::Duration validity, backend_events events);
+
+    /// `conflict` while a backend server of another name is in force.
+    result<void> announce(const announcement& backend, absl::Time now);
+    /// `not_found` if no backend server of this name has announced itself.
+    result<void> leave(const std::string& name, absl::Time now);
+
+    /// The backend server last announced, also after it has expired or left.
+    [[nodiscard]] std::optional<announcement> current() const;
+    /// Port of `current`, or 0.
+    [[nodiscard]] std::uint16_t port() const;
+    [[nodiscard]] absl::Duration validity() const { return validity_; }
+
+private:
+    const absl::Duration validity_;
+    const backend_events events_;
+    mutable absl::Mutex mutex_;
+    std::optional<announcement> current_ ABSL_GUARDED_BY(mutex_);
+    absl::Time valid_until_ ABSL_GUARDED_BY(mutex_){absl::InfinitePast()};
+};
+
+} // namespace carobfall
--- /dev/null
+++ b/tests/standins/backend/backend_standin.cpp
@@ -0,0 +1,223 @@
+#include "backend_standin.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/time/clock.h>
+#include <nlohmann/json.hpp>
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace carobfall {
+namespace {
+
+using nlohmann::json;
+
+constexpr const char* loopback = "127.0.0.1";
+constexpr absl::Duration first_announce_retry = absl::Milliseconds(100);
+constexpr absl::Duration hang_poll = absl::Milliseconds(10);
+constexpr absl::Duration leave_grace = absl::Milliseconds(200);
+constexpr int control_connections = 8;
+
+json parse_object(const std::string& text)
+{
+    json document = json::parse(text, nullptr, false);
+    return document.is_object() ? document : json::object();
+}
+
+} // namespace
+
+backend_standin::backend_standin(standin_options options)
+    : options_(std::move(options)),
+      random_(options_.seed),
+      fail_(options_.fail),
+      hang_(options_.hang)
+{
+    server_.new_task_queue = [this] {
+        return new httplib::ThreadPool(options_.slots + control_connections);
+    };
+    server_.set_tcp_nodelay(true);
+    server_.set_socket_options([](socket_t socket) {
+        const int yes = 1;
+        setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
+    });
+    server_.Get("/starts", [this](const httplib::Request&, httplib::Response& response) {
+        response.set_content(starts(), "application/x-ndjson");
+    });
+    server_.Post("/control", [this](const httplib::Request& request, httplib::Response& response) {
+        control(request, response);
+    });
+    server_.Post("/.*", [this](const httplib::Request& request, httplib::Response& response) {
+        run_task(request, response);
+    });
+}
+
+backend_standin::~backend_standin()
+{
+    {
+        const absl::MutexLock lock(&mutex_);
+        stopping_ = true;
+        hang_ = false;
+    }
+    if (announcer_.joinable()) {
+        announcer_.join();
+    }
+    if (server_thread_.joinable()) {
+        server_.stop();
+        server_thread_.join();
+    }
+}
+
+bool backend_standin::start()
+{
+    const int port = options_.port == 0
+                         ? server_.bind_to_any_port(loopback)
+                         : (server_.bind_to_port(loopback, options_.port) ? options_.port : -1);
+    if (port <= 0) {
+        return false;
+    }
+    port_ = static_cast<std::uint16_t>(port);
+    server_thread_ = std::thread([this] { server_.listen_after_bind(); });
+    while (!server_.is_running()) {
+        absl::SleepFor(absl::Milliseconds(1));
+    }
+    if (!options_.agent.empty()) {
+        announcer_ = std::thread([this] { announce_repeatedly(); });
+    }
+    return true;
+}
+
+void backend_standin::leave()
+{
+    {
+        const absl::MutexLock lock(&mutex_);
+        announcing_ = false;
+    }
+    send_leave();
+    // A task that the agent took just before arrives on an open connection.
+    absl::SleepFor(leave_grace);
+}
+
+std::string backend_standin::starts() const
+{
+    const absl::MutexLock lock(&mutex_);
+    return starts_;
+}
+
+bool backend_standin::hanging() const
+{
+    const absl::MutexLock lock(&mutex_);
+    return hang_;
+}
+
+void backend_standin::run_task(const httplib::Request& request, httplib::Response& response)
+{
+    log_start(request);
+    const json body = parse_object(request.body);
+    absl::SleepFor(absl::Milliseconds(choose_run_ms(body)));
+    while (hanging()) {
+        absl::SleepFor(hang_poll);
+    }
+    const absl::MutexLock lock(&mutex_);
+    if (fail_) {
+        response.status = 500;
+        response.set_content("{\"failed\":true}", "application/json");
+        return;
+    }
+    const json task = body.contains("task") ? body["task"] : json();
+    response.set_content(json{{"backend", options_.name}, {"echo", task}}.dump(),
+                         "application/json");
+}
+
+void backend_standin::log_start(const httplib::Request& request)
+{
+    const json line = {
+        {"account", request.get_header_value("X-Carobfall-Account")},
+        {"submission", request.get_header_value("X-Carobfall-Submission")},
+        {"task", std::atoi(request.get_header_value("X-Carobfall-Task").c_str())},
+        {"attempt", std::atoi(request.get_header_value("X-Carobfall-Attempt").c_str())},
+        {"time_unix_ms", absl::ToUnixMillis(absl::Now())}};
+    const absl::MutexLock lock(&mutex_);
+    absl::StrAppend(&starts_, line.dump(), "\n");
+}
+
+std::uint32_t backend_standin::choose_run_ms(const json& body)
+{
+    const auto task = body.find("task");
+    if (task != body.end() && task->is_object() && task->contains("run_ms") &&
+        (*task)["run_ms"].is_number_unsigned()) {
+        return (*task)["run_ms"].get<std::uint32_t>();
+    }
+    const absl::MutexLock lock(&mutex_);
+    if (std::uniform_real_distribution<double>()(random_) < options_.straggler_share) {
+        return options_.straggler_ms;
+    }
+    return std::uniform_int_distribution<std::uint32_t>(
+        options_.run_ms, std::max(options_.run_ms, options_.run_max_ms))(random_);
+}
+
+void backend_standin::control(const httplib::Request& request, httplib::Response& response)
+{
+    const json body = parse_object(request.body);
+    bool leaving = false;
+    {
+        const absl::MutexLock lock(&mutex_);
+        fail_ = body.value("fail", fail_);
+        hang_ = body.value("hang", hang_);
+        announcing_ = body.value("announce", announcing_);
+        leaving = body.value("leave", false);
+    }
+    if (leaving) {
+        leave();
+    }
+    response.set_content("{}", "application/json");
+}
+
+void backend_standin::announce_repeatedly()
+{
+    absl::Duration wait = absl::ZeroDuration();
+    absl::Time last = absl::InfinitePast();
+    while (true) {
+        {
+            const absl::MutexLock lock(&mutex_);
+            if (stopping_) {
+                return;
+            }
+            if (!announcing_) {
+                last = absl::Now();
+            }
+        }
+        if (absl::Now() - last >= wait) {
+            wait = announce();
+            last = absl::Now();
+        }
+        absl::SleepFor(hang_poll);
+    }
+}
+
+absl::Duration backend_standin::announce()
+{
+    httplib::Client client("http://" + options_.agent);
+    const json body = {{"name", options_.name},
+                       {"port", port_},
+                       {"slots", options_.slots},
+                       {"processors", options_.processors},
+                       {"memory_mib", options_.memory_mib}};
+    const httplib::Result reply = client.Post("/v1/announce", body.dump(), "application/json");
+    if (!reply || reply->status != 200) {
+        return first_announce_retry;
+    }
+    return absl::Milliseconds(parse_object(reply->body).value("interval_ms", 1000));
+}
+
+void backend_standin::send_leave()
+{
+    if (options_.agent.empty()) {
+        return;
+    }
+    httplib::Client client("http://" + options_.agent);
+    client.Post("/v1/leave", json{{"name", options_.name}}.dump(), "application/json");
+}
+
+} // namespace carobfall
--- /dev/null
+++ b/tests/standins/backend/backend_standin.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+#include <absl/time/time.h>
+#include <httplib.h>
+#include <nlohmann/json_fwd.hpp>
+
+#include <cstdint>
+#include <random>
+#include <string>
+#include <thread>
+
+namespace carobfall {
+
+/// Behaviour of a `backend_standin`.
+struct standin_options {
+    std::string name{"backend-1"};
+    std::string agent; ///< ip:port of the agent's announcement server; empty: none
+    std::uint16_t port{0};
+    std::uint32_t slots{8};
+    std::uint32_t processors{64};
+    std::uint64_t memory_mib{262'144};
+    std::uint32_t run_ms{50};     ///< shortest run, unless the task names `run_ms`
+    std::uint32_t run_max_ms{50}; ///< longest run; uniform in between
+    double straggler_share{0};    ///< share of the tasks that run for `straggler_ms`
+    std::uint32_t straggler_ms{5000};
+    bool fail{false}; ///< answer every task with status 500
+    bool hang{false}; ///< don't answer while set
+    std::uint64_t seed{1};
+};
+
+/// A backend server for tests. It announces itself to an agent, runs tasks by sleeping, and logs
+/// each start; the log, JSON lines at GET /starts, is the witness of what ran.
+/// POST /control takes {"fail": bool, "hang": bool, "leave": bool, "announce": bool}.
+class backend_standin {
+public:
+    explicit backend_standin(standin_options options);
+    ~backend_standin();
+    backend_standin(const backend_standin&) = delete;
+    backend_standin& operator=(const backend_standin&) = delete;
+
+    /// False if the port is taken.
+    bool start();
+    /// Tells the agent, finishes the tasks in progress, and stops.
+    void leave();
+    [[nodiscard]] std::uint16_t port() const { return port_; }
+    [[nodiscard]] std::string starts() const;
+
+private:
+    void run_task(const httplib::Request& request, httplib::Response& response);
+    void log_start(const httplib::Request& request);
+    std::uint32_t choose_run_ms(const nlohmann::json& body);
+    void control(const httplib::Request& request, httplib::Response& response);
+    void announce_repeatedly();
+    absl::Duration announce();
+    void send_leave();
+    bool hanging() const;
+
+    const standin_options options_;
+    httplib::Server server_;
+    std::uint16_t port_{0};
+    std::thread server_thread_;
+    std::thread announcer_;
+
+    mutable absl::Mutex mutex_;
+    std::mt19937_64 random_ ABSL_GUARDED_BY(mutex_);
+    std::string starts_ ABSL_GUARDED_BY(mutex_);
+    bool fail_ ABSL_GUARDED_BY(mutex_);
+    bool hang_ ABSL_GUARDED_BY(mutex_);
+    bool announcing_ ABSL_GUARDED_BY(mutex_){true};
+    bool stopping_ ABSL_GUARDED_BY(mutex_){false};
+};
+
+} // namespace carobfall
