Config: Add declarations in YAML and the configuration builder

Cause: operators keep client accounts and templates in version control, and every instance builds the same configuration from the stored changes. Ruled out: yaml-cpp's own conversion of plain scalars for parameters: it reads `yes` as true and 007 as 7; and its emitter, whose text depends on how a node was written. Aliases are followed up to 10,000 values only.

--- /dev/null
+++ b/src/libs/carobfall/config/configuration_builder.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "carobfall/config/configuration.h"
+#include "carobfall/rpc/carobfall.pb.h"
+
+#include <map>
+
+namespace carobfall {
+
+/// Values of a row "data_centre/<name>". A deleted row means the same as `data_centre_in`.
+inline constexpr std::string_view data_centre_out = "out";
+inline constexpr std::string_view data_centre_in = "in";
+
+/// Change that takes a data centre out or brings it back, without version and change id.
+[[nodiscard]] rpc::configuration_change data_centre_change(const std::string& name, bool out);
+
+/// Checks key and value of a change. Errors: `invalid_request`.
+[[nodiscard]] result<void> validate_change(const rpc::configuration_change& change);
+
+/// Builds configurations from the rows and changes of the table service. The version never goes
+/// back: older changes and snapshots are ignored. Not thread-safe.
+class configuration_builder {
+public:
+    [[nodiscard]] std::uint64_t version() const { return current_.version; }
+
+    /// Applies a snapshot or the changes that follow the version held. Errors: `conflict` if
+    /// changes in between are missing, `invalid_request` for a row that can't be read; nothing is
+    /// applied then.
+    result<void> apply(const rpc::push_configuration_request& update);
+
+    /// The configuration at the version held.
+    [[nodiscard]] configuration_ptr build() const;
+
+    /// Everything held, for an instance that is further behind than the log.
+    [[nodiscard]] rpc::push_configuration_request snapshot() const;
+
+private:
+    result<void> apply_change(const rpc::configuration_change& change);
+
+    configuration current_;
+    std::map<std::string, rpc::configuration_change> rows_;
+};
+
+} // namespace carobfall
--- a/src/libs/carobfall/config/yaml_values.cpp
+++ b/src/libs/carobfall/config/yaml_values.cpp
@@ -3,6 +3,7 @@
 #include "carobfall/base/strings.h"
 
 #include <absl/strings/ascii.h>
+#include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
 
@@ -99,30 +100,87 @@
     std::vector<yaml_value> values_;
 };
 
-/// Type that a plain scalar stands for in YAML's core schema.
-ordered_json plain_scalar(const YAML::Node& node)
+/// yaml-cpp reads a leading zero as octal, which would change the digits of a quantity.
+bool has_leading_zero(std::string_view text)
 {
-    const std::string& text = node.Scalar();
-    bool boolean = false;
+    text.remove_prefix(text.starts_with('-') || text.starts_with('+') ? 1 : 0);
+    return text.size() > 1 && text[0] == '0' &&
+           absl::ascii_isdigit(static_cast<unsigned char>(text[1]));
+}
+
+/// Type that a plain scalar stands for in YAML's core schema. `yes`, `no` and the like are texts.
+ordered_json plain_scalar(const std::string& text)
+{
+    const YAML::Node node(text);
     std::int64_t integer = 0;
+    std::uint64_t large = 0;
     double number = 0;
-    if (YAML::convert<bool>::decode(node, boolean)) {
-        return boolean;
+    if (text == "true" || text == "false") {
+        return text == "true";
     }
-    // yaml-cpp reads a leading zero as octal, which would change the digits of a quantity.
-    const bool has_leading_zero = text.size() > 1 && text[0] == '0' && absl::ascii_isdigit(text[1]);
-    if (has_leading_zero) {
+    if (has_leading_zero(text)) {
         return text;
     }
     if (YAML::convert<std::int64_t>::decode(node, integer)) {
         return integer;
     }
+    if (YAML::convert<std::uint64_t>::decode(node, large)) {
+        return large;
+    }
     if (YAML::convert<double>::decode(node, number) && std::isfinite(number)) {
         return number;
     }
     return text;
 }
 
+class json_builder {
+public:
+    std::optional<ordered_json> build(const YAML::Node& node)
+    {
+        ordered_json value = convert(node);
+        return valid_ ? std::optional(std::move(value)) : std::nullopt;
+    }
+
+private:
+    static constexpr std::size_t max_values = 10'000;
+
+    ordered_json convert(const YAML::Node& node)
+    {
+        valid_ = valid_ && ++values_ <= max_values;
+        if (!valid_ || node.IsNull() || !node.IsDefined()) {
+            return nullptr;
+        }
+        if (node.IsScalar()) {
+            return node.Tag() == quoted_tag ? ordered_json(node.Scalar())
+                                            : plain_scalar(node.Scalar());
+        }
+        return node.IsMap() ? convert_mapping(node) : convert_sequence(node);
+    }
+
+    ordered_json convert_mapping(const YAML::Node& node)
+    {
+        ordered_json object = ordered_json::object();
+        for (const auto& member : node) {
+            const std::string key = member.first.IsScalar() ? member.first.Scalar() : "";
+            valid_ = valid_ && !object.contains(key);
+            object[key] = convert(member.second);
+        }
+        return object;
+    }
+
+    ordered_json convert_sequence(const YAML::Node& node)
+    {
+        ordered_json array = ordered_json::array();
+        for (const YAML::Node& item : node) {
+            array.push_back(convert(item));
+        }
+        return array;
+    }
+
+    std::size_t values_{0};
+    bool valid_{true};
+};
+
 bool is_plain_text(const std::string& text)
 {
     const bool safe = !text.empty() && absl::ascii_isalpha(static_cast<unsigned char>(text[0])) &&
@@ -130,8 +188,10 @@
                           return absl::ascii_isalnum(character) || character == '_' ||
                                  character == '-' || character == '.' || character == '/';
                       });
-    return safe && to_json(YAML::Node(text)) == ordered_json(text) && text != "null" &&
-           text != "Null" && text != "NULL";
+    // Other YAML readers take words such as `yes` and `null` for values of another type.
+    bool boolean = false;
+    return safe && !YAML::convert<bool>::decode(YAML::Node(text), boolean) &&
+           !absl::EqualsIgnoreCase(text, "null") && plain_scalar(text) == ordered_json(text);
 }
 
 std::string scalar_text(const ordered_json& value)
@@ -209,26 +269,9 @@
     return text;
 }
 
-ordered_json to_json(const YAML::Node& node)
+std::optional<ordered_json> to_json(const YAML::Node& node)
 {
-    if (node.IsMap()) {
-        ordered_json object = ordered_json::object();
-        for (const auto& member : node) {
-            object[member.first.as<std::string>("")] = to_json(member.second);
-        }
-        return object;
-    }
-    if (node.IsSequence()) {
-        ordered_json array = ordered_json::array();
-        for (const YAML::Node& item : node) {
-            array.push_back(to_json(item));
-        }
-        return array;
-    }
-    if (!node.IsScalar()) {
-        return nullptr;
-    }
-    return node.Tag() == quoted_tag ? ordered_json(node.Scalar()) : plain_scalar(node);
+    return json_builder().build(node);
 }
 
 } // namespace carobfall
--- a/src/libs/carobfall/config/yaml_values.h
+++ b/src/libs/carobfall/config/yaml_values.h
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 #include <yaml-cpp/yaml.h>
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -35,7 +36,9 @@
 /// equal text.
 [[nodiscard]] std::string to_yaml_text(const nlohmann::ordered_json& object);
 
-/// JSON value of a node: quoted scalars are strings, plain ones take the type they look like.
-[[nodiscard]] nlohmann::ordered_json to_json(const YAML::Node& node);
+/// JSON value of a node: quoted scalars are strings, plain ones have the type of YAML's core
+/// schema. Nothing if a mapping repeats a key, or if there are more than 10,000 values, which a
+/// short text with aliases can stand for.
+[[nodiscard]] std::optional<nlohmann::ordered_json> to_json(const YAML::Node& node);
 
 } // namespace carobfall
