Entry: Add views, claim transfer, configuration freshness and the gRPC server

Cause: the entries had only the interfaces of ownership, claims and channels; nothing agreed on the region's view.

Ruled out: letting a removed incarnation join again. Copies of claims that still name it as coordinator would become valid again beside those of the entry that took the submissions over. It ends instead and is started anew. Also ruled out: counting the reply of a process that replaced a member at the same address; calls between entries carry the incarnation they are meant for.

Before: no code between entries apart from rendezvous order and the claim store.

After: `membership` (view by compare-and-set on `view/<region>`, acknowledgement by majority or evidence of death), `claim_transfer` (completeness by delivery or by fencing all agents), `agent_membership_table`, `configuration_keeper`, `entry_server` and `grpc_entry_channel`, and a simulation of a region without threads for the tests.

--- a/src/libs/carobfall/entry/claim_store.cpp
+++ b/src/libs/carobfall/entry/claim_store.cpp
@@ -1,6 +1,7 @@
 #include "carobfall/entry/claim_store.h"
 
 #include "carobfall/base/clock.h"
+#include "carobfall/entry/rendezvous.h"
 
 #include <algorithm>
 
@@ -21,6 +22,17 @@
 void claim_store::put(const rpc::claim& claim)
 {
     const absl::MutexLock lock(&mutex_);
+    put_locked(claim, nullptr);
+}
+
+void claim_store::merge(const rpc::claim& copy, const rpc::entry_view& view)
+{
+    const absl::MutexLock lock(&mutex_);
+    put_locked(copy, &view);
+}
+
+void claim_store::put_locked(const rpc::claim& claim, const rpc::entry_view* view)
+{
     const auto [held, inserted] = claims_.try_emplace(from_message(claim.submission()), claim);
     if (inserted) {
         return;
@@ -30,7 +42,9 @@
             *held->second.add_planned_agents() = agent;
         }
     }
-    *held->second.mutable_coordinator() = claim.coordinator();
+    if (view == nullptr || find_member(*view, held->second.coordinator()) == nullptr) {
+        *held->second.mutable_coordinator() = claim.coordinator();
+    }
     held->second.set_answered(held->second.answered() || claim.answered());
 }
 
--- a/src/libs/carobfall/entry/claim_store.h
+++ b/src/libs/carobfall/entry/claim_store.h
@@ -17,12 +17,19 @@
 /// between the clocks of the instances.
 inline constexpr absl::Duration record_retention = absl::Seconds(60);
 
+/// Longest time that the deadline of a submission may be ahead when it is accepted.
+inline constexpr absl::Duration max_deadline = absl::Seconds(300);
+
 /// Claims that this entry holds as coordinator or as witness. Thread-safe.
 class claim_store {
 public:
     /// Adds the claim, or extends the one held: planned agents are united and `answered` stays
     /// set. The body hash of a held claim never changes.
     void put(const rpc::claim& claim);
+    /// Adds a copy that another entry delivered for `view`, or unites it with the one held. The
+    /// coordinator named by the held claim stays if it is a member of the view; otherwise the
+    /// claim has been taken over and the copy may name the successor.
+    void merge(const rpc::claim& copy, const rpc::entry_view& view);
     [[nodiscard]] std::optional<rpc::claim> find(const submission_key& key) const;
     [[nodiscard]] std::vector<rpc::claim> all() const;
     [[nodiscard]] std::size_t size() const;
@@ -30,6 +37,9 @@
     void expire(absl::Time now);
 
 private:
+    void put_locked(const rpc::claim& claim, const rpc::entry_view* view)
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+
     mutable absl::Mutex mutex_;
     absl::flat_hash_map<submission_key, rpc::claim> claims_ ABSL_GUARDED_BY(mutex_);
 };
--- /dev/null
+++ b/src/libs/carobfall/entry/claim_transfer.cpp
@@ -0,0 +1,215 @@
+#include "carobfall/entry/claim_transfer.h"
+
+#include "carobfall/base/log_fields.h"
+#include "carobfall/entry/agent_record.h"
+#include "carobfall/entry/rendezvous.h"
+#include "carobfall/entry/view_rules.h"
+
+#include <absl/strings/str_cat.h>
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <atomic>
+
+namespace carobfall {
+namespace {
+
+// Asking all agents is expensive at 2,100 of them, so that a member that misses one call is asked
+// again before.
+constexpr int fetch_attempts_before_agents = 3;
+
+std::string agent_id(const rpc::agent_info& agent)
+{
+    return absl::StrCat(agent.name(), "/", agent.incarnation());
+}
+
+} // namespace
+
+claim_transfer::claim_transfer(claim_transfer_settings settings, view_state& views,
+                               claim_store& claims, agent_membership& agents,
+                               claim_transfer_hooks hooks)
+    : settings_(settings), views_(views), claims_(claims), agents_(agents), hooks_(std::move(hooks))
+{}
+
+void claim_transfer::tick(absl::Time now)
+{
+    const ownership_snapshot snapshot = views_.snapshot();
+    if (!snapshot.is_member || snapshot.complete) {
+        return;
+    }
+    const rpc::view_proposal proposal = views_.effective();
+    const std::uint64_t number = proposal.view().number();
+    begin(proposal);
+    fetch_missing(proposal);
+    bool complete =
+        is_covered(proposal) || now > snapshot.effective_since + max_deadline + record_retention;
+    if (!complete) {
+        int attempts = 0;
+        {
+            const absl::MutexLock lock(&mutex_);
+            attempts = ++attempts_;
+        }
+        complete = attempts >= fetch_attempts_before_agents && ask_agents(proposal.view(), now);
+    }
+    if (complete) {
+        views_.set_complete(number);
+        LOG(INFO) << log_fields("view_complete").add("number", number);
+    }
+}
+
+void claim_transfer::begin(const rpc::view_proposal& proposal)
+{
+    const absl::MutexLock lock(&mutex_);
+    if (number_ != proposal.view().number()) {
+        number_ = proposal.view().number();
+        attempts_ = 0;
+        delivered_.clear();
+        fenced_.clear();
+    }
+}
+
+void claim_transfer::fetch_missing(const rpc::view_proposal& proposal)
+{
+    rpc::fetch_claims_request request;
+    request.set_view_number(proposal.view().number());
+    *request.mutable_requester() = views_.self();
+    rpc::view_proposal previous;
+    *previous.mutable_history() = proposal.history();
+    std::vector<std::function<void()>> calls;
+    for (const rpc::entry_member& member : all_members(previous)) {
+        if (has_delivered(member, false, 0)) {
+            continue;
+        }
+        calls.emplace_back([this, member, &request, &proposal] {
+            const auto reply = hooks_.entries(member)->fetch_claims(request, settings_.fetch_limit);
+            if (reply && reply.value().view_number() >= request.view_number()) {
+                accept_delivery(proposal, member, reply.value());
+            }
+        });
+    }
+    hooks_.run_parallel(calls);
+}
+
+void claim_transfer::accept_delivery(const rpc::view_proposal& proposal,
+                                     const rpc::entry_member& sender,
+                                     const rpc::fetch_claims_reply& reply)
+{
+    for (const rpc::claim& claim : reply.claims()) {
+        if (is_wanted(proposal.view(), claim)) {
+            claims_.merge(claim, proposal.view());
+        }
+    }
+    const absl::MutexLock lock(&mutex_);
+    if (number_ == proposal.view().number()) {
+        delivered_[member_id(sender)] = reply.complete();
+    }
+}
+
+bool claim_transfer::is_wanted(const rpc::entry_view& view, const rpc::claim& claim) const
+{
+    const submission_key key = from_message(claim.submission());
+    const rpc::entry_member& self = views_.self();
+    const auto is_self = [&](const rpc::entry_member* member) {
+        return member != nullptr && same_incarnation(*member, self);
+    };
+    if (is_self(coordinator_of(view, key)) || is_self(witness_of(view, key))) {
+        return true;
+    }
+    return find_member(view, claim.coordinator()) != nullptr &&
+           (is_self(&claim.coordinator()) || is_self(witness_of(view, key, claim.coordinator())));
+}
+
+bool claim_transfer::has_delivered(const rpc::entry_member& member, bool as_complete,
+                                   std::uint64_t base) const
+{
+    if (same_incarnation(member, views_.self())) {
+        return !as_complete || views_.was_complete_in(base);
+    }
+    const absl::MutexLock lock(&mutex_);
+    const auto delivery = delivered_.find(member_id(member));
+    return delivery != delivered_.end() && (delivery->second || !as_complete);
+}
+
+bool claim_transfer::is_covered(const rpc::view_proposal& proposal) const
+{
+    const std::uint64_t base = proposal.history(0).number();
+    return std::all_of(
+        proposal.history().begin(), proposal.history().end(), [&](const rpc::entry_view& view) {
+            const auto missing = std::count_if(
+                view.members().begin(), view.members().end(), [&](const auto& member) {
+                    return !has_delivered(member, view.number() == base, base);
+                });
+            return missing <= tolerated_missing(view);
+        });
+}
+
+bool claim_transfer::ask_agents(const rpc::entry_view& view, absl::Time now)
+{
+    const auto members = agents_.members(now);
+    if (!members) {
+        return false;
+    }
+    std::vector<rpc::agent_info> unfenced;
+    bool lost_records = false;
+    {
+        const absl::MutexLock lock(&mutex_);
+        for (const agent_member& member : members.value()) {
+            if (fenced_.contains(agent_id(member.info))) {
+                continue;
+            }
+            if (!member.lost) {
+                unfenced.push_back(member.info);
+            } else if (!is_expired_loss(member.lost_at, now)) {
+                lost_records = true;
+            }
+        }
+    }
+    return fence(unfenced, view) && !lost_records;
+}
+
+bool claim_transfer::fence(const std::vector<rpc::agent_info>& agents, const rpc::entry_view& view)
+{
+    rpc::fence_request request;
+    *request.mutable_view() = view;
+    request.set_with_records(true);
+    std::atomic<bool> all_answered{true};
+    std::vector<std::function<void()>> calls;
+    calls.reserve(agents.size());
+    for (const rpc::agent_info& agent : agents) {
+        calls.emplace_back([&, this] {
+            const auto reply = hooks_.agents(agent)->fence(request, settings_.fence_limit);
+            // Another incarnation at the same address knows nothing of this one's records.
+            if (!reply || reply.value().incarnation() != agent.incarnation() ||
+                reply.value().view_number() < view.number()) {
+                all_answered = false;
+                return;
+            }
+            hooks_.on_agent_records(reply.value());
+            const absl::MutexLock lock(&mutex_);
+            fenced_.insert(agent_id(agent));
+        });
+    }
+    hooks_.run_parallel_agents(calls);
+    return all_answered;
+}
+
+rpc::fetch_claims_reply claim_transfer::serve(const rpc::fetch_claims_request& request) const
+{
+    rpc::fetch_claims_reply reply;
+    // Read before the claims: nothing is accepted in an older view once a later one is
+    // acknowledged, so that the claims read afterwards are all of them.
+    const rpc::view_proposal acknowledged = views_.acknowledged_proposal();
+    reply.set_view_number(acknowledged.view().number());
+    if (acknowledged.view().number() < request.view_number()) {
+        return reply;
+    }
+    const bool same = acknowledged.view().number() == request.view_number();
+    reply.set_complete(same && !acknowledged.history().empty() &&
+                       views_.was_complete_in(acknowledged.history(0).number()));
+    for (rpc::claim& claim : claims_.all()) {
+        *reply.add_claims() = std::move(claim);
+    }
+    return reply;
+}
+
+} // namespace carobfall
--- /dev/null
+++ b/src/libs/carobfall/entry/configuration_keeper.cpp
@@ -0,0 +1,247 @@
+#include "carobfall/entry/configuration_keeper.h"
+
+#include "carobfall/base/log_fields.h"
+#include "carobfall/entry/rendezvous.h"
+#include "carobfall/entry/view_rules.h"
+
+#include <absl/container/flat_hash_set.h>
+#include <absl/strings/str_cat.h>
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <atomic>
+
+namespace carobfall {
+namespace {
+
+constexpr absl::Duration push_limit = absl::Seconds(2);
+constexpr absl::Duration beat_limit = absl::Milliseconds(400);
+constexpr absl::Duration publish_interval = absl::Milliseconds(100);
+
+} // namespace
+
+configuration_keeper::configuration_keeper(const ownership& views, configuration_keeper_hooks hooks)
+    : views_(views), hooks_(std::move(hooks)), current_(std::make_shared<const configuration>())
+{}
+
+configuration_ptr configuration_keeper::current() const
+{
+    const absl::MutexLock lock(&mutex_);
+    return current_;
+}
+
+absl::Duration configuration_keeper::fresh_for(absl::Time now) const
+{
+    const absl::MutexLock lock(&mutex_);
+    return std::max(confirmed_at_ + configuration_freshness - now, absl::ZeroDuration());
+}
+
+void configuration_keeper::poll(absl::Time now)
+{
+    const ownership_snapshot snapshot = views_.snapshot();
+    const std::uint64_t version = current()->version;
+    const auto changes = hooks_.read_changes(version);
+    if (!changes) {
+        LOG_EVERY_N(WARNING, 60)
+            << log_fields("configuration_unread").add("error", to_string(changes.error()));
+        return;
+    }
+    if (!take_up(changes.value())) {
+        return;
+    }
+    const absl::MutexLock lock(&mutex_);
+    confirmed_at_ = std::max(confirmed_at_, now);
+    confirmed_view_ = std::max(confirmed_view_, snapshot.view.number());
+}
+
+// True if the version of `push` or a higher one is held afterwards.
+bool configuration_keeper::take_up(const rpc::push_configuration_request& push)
+{
+    const absl::MutexLock apply_lock(&apply_mutex_);
+    rpc::push_configuration_request news;
+    configuration_ptr base;
+    {
+        const absl::MutexLock lock(&mutex_);
+        if (push.version() <= log_.version()) {
+            return true;
+        }
+        news = log_.news(push);
+        base = current_;
+    }
+    if (news.version() == 0) {
+        return false;
+    }
+    auto applied = hooks_.apply(base, news);
+    if (!applied) {
+        LOG(ERROR) << log_fields("configuration_not_applied")
+                          .add("version", push.version())
+                          .add("error", to_string(applied.error()));
+        return false;
+    }
+    const absl::MutexLock lock(&mutex_);
+    current_ = std::move(applied).value();
+    log_.append(news);
+    return log_.version() >= push.version();
+}
+
+rpc::push_configuration_reply
+configuration_keeper::receive(const rpc::push_configuration_request& request)
+{
+    take_up(request);
+    rpc::push_configuration_reply reply;
+    reply.set_version(current()->version);
+    return reply;
+}
+
+std::uint64_t configuration_keeper::reported_version() const
+{
+    const ownership_snapshot snapshot = views_.snapshot();
+    const absl::MutexLock lock(&mutex_);
+    const bool confirmed = snapshot.usable() && confirmed_view_ == snapshot.view.number();
+    return confirmed ? current_->version : unconfirmed_version;
+}
+
+bool configuration_keeper::counts_in(std::uint64_t view_number) const
+{
+    const ownership_snapshot snapshot = views_.snapshot();
+    const absl::MutexLock lock(&mutex_);
+    return snapshot.usable() && snapshot.view.number() == view_number &&
+           confirmed_view_ == view_number;
+}
+
+void configuration_keeper::on_answers(absl::Time sent, const rpc::entry_view& view,
+                                      const std::vector<peer_answer>& answers)
+{
+    forget_former_members(view);
+    for (const peer_answer& answer : answers) {
+        note_version(answer.member, answer.configuration_version);
+    }
+    if (!counts_in(view.number())) {
+        return;
+    }
+    const absl::MutexLock lock(&mutex_);
+    const auto confirming =
+        1 + std::count_if(answers.begin(), answers.end(), [&](const peer_answer& answer) {
+            return find_member(view, answer.member) != nullptr &&
+                   answer.view_number == view.number() &&
+                   answer.configuration_version <= current_->version;
+        });
+    if (2 * confirming > view.members_size()) {
+        confirmed_at_ = std::max(confirmed_at_, sent);
+    }
+}
+
+void configuration_keeper::forget_former_members(const rpc::entry_view& view)
+{
+    absl::flat_hash_set<std::string> members;
+    for (const rpc::entry_member& member : view.members()) {
+        members.insert(member_id(member));
+    }
+    const absl::MutexLock lock(&mutex_);
+    absl::erase_if(versions_, [&](const auto& held) { return !members.contains(held.first); });
+}
+
+void configuration_keeper::note_version(const rpc::entry_member& member, std::uint64_t version)
+{
+    const absl::MutexLock lock(&mutex_);
+    versions_[member_id(member)] = version;
+}
+
+std::uint64_t configuration_keeper::version_at(const rpc::entry_member& member) const
+{
+    const absl::MutexLock lock(&mutex_);
+    const auto known = versions_.find(member_id(member));
+    return known == versions_.end() ? 0 : known->second;
+}
+
+std::vector<rpc::entry_member> configuration_keeper::members_behind() const
+{
+    const rpc::entry_view view = views_.snapshot().view;
+    const std::uint64_t version = current()->version;
+    std::vector<rpc::entry_member> behind;
+    for (const rpc::entry_member& member : view.members()) {
+        if (!same_incarnation(member, views_.self()) && version_at(member) < version) {
+            behind.push_back(member);
+        }
+    }
+    return behind;
+}
+
+void configuration_keeper::push_to_others()
+{
+    push_to(members_behind());
+}
+
+void configuration_keeper::push_to(const std::vector<rpc::entry_member>& members)
+{
+    std::vector<std::function<void()>> calls;
+    calls.reserve(members.size());
+    for (const rpc::entry_member& member : members) {
+        calls.emplace_back([this, &member] {
+            rpc::push_configuration_request request;
+            {
+                const std::uint64_t version = version_at(member);
+                const absl::MutexLock lock(&mutex_);
+                request = log_.since(version);
+            }
+            const auto reply = hooks_.channels(member)->push_configuration(request, push_limit);
+            if (reply) {
+                note_version(member, reply.value().version());
+            }
+        });
+    }
+    hooks_.run_parallel(calls);
+}
+
+result<void> configuration_keeper::publish(std::uint64_t version, absl::Duration limit)
+{
+    const absl::Time end = hooks_.clock() + limit;
+    for (;;) {
+        if (current()->version < version) {
+            poll(hooks_.clock());
+        }
+        if (current()->version >= version) {
+            push_to_others();
+            if (is_held_by_majority(version)) {
+                return success();
+            }
+        }
+        if (hooks_.clock() >= end) {
+            return failure(
+                error_kind::outcome_unknown,
+                absl::StrCat("version ", version,
+                             " is committed, but a majority of the entries has not confirmed it"),
+                "don't repeat the change; look whether the entries report this version");
+        }
+        hooks_.sleep(publish_interval);
+    }
+}
+
+bool configuration_keeper::is_held_by_majority(std::uint64_t version)
+{
+    const rpc::entry_view view = views_.snapshot().view;
+    rpc::entry_beat_request request;
+    *request.mutable_member() = views_.self();
+    request.set_view_number(view.number());
+    request.set_configuration_version(reported_version());
+    std::atomic<int> holders{0};
+    std::vector<std::function<void()>> calls;
+    for (const rpc::entry_member& member : view.members()) {
+        if (same_incarnation(member, views_.self())) {
+            continue;
+        }
+        calls.emplace_back([&, this] {
+            const auto reply = hooks_.channels(member)->entry_beat(request, beat_limit);
+            if (reply && same_incarnation(reply.value().member(), member) &&
+                reply.value().view_number() == view.number() &&
+                reply.value().configuration_version() != unconfirmed_version &&
+                reply.value().configuration_version() >= version) {
+                ++holders;
+            }
+        });
+    }
+    hooks_.run_parallel(calls);
+    return counts_in(view.number()) && 2 * (holders + 1) > view.members_size();
+}
+
+} // namespace carobfall
--- /dev/null
+++ b/src/libs/carobfall/entry/configuration_keeper.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "carobfall/base/clock.h"
+#include "carobfall/config/configuration.h"
+#include "carobfall/entry/configuration_log.h"
+#include "carobfall/entry/entry_channel.h"
+#include "carobfall/entry/ownership.h"
+#include "carobfall/entry/parallel.h"
+#include "carobfall/entry/peer_monitor.h"
+
+#include <absl/base/thread_annotations.h>
+#include <absl/container/flat_hash_map.h>
+#include <absl/synchronization/mutex.h>
+
+#include <cstdint>
+#include <functional>
+#include <limits>
+#include <string>
+#include <vector>
+
+namespace carobfall {
+
+/// How long a configuration counts as current after the send time of what confirmed it.
+inline constexpr absl::Duration configuration_freshness = absl::Seconds(2);
+
+/// Reported in heartbeats by an entry whose version doesn't count for freshness: it has
+/// acknowledged a view that is not in effect yet, or has not read the store since its view took
+/// effect.
+inline constexpr std::uint64_t unconfirmed_version = std::numeric_limits<std::uint64_t>::max();
+
+/// What the keeper needs from its surroundings; tests replace all of it.
+struct configuration_keeper_hooks {
+    /// Reads the store: the changes after `version`, or a snapshot, up to the present head.
+    /// Without changes if `version` is the head.
+    std::function<result<rpc::push_configuration_request>(std::uint64_t version)> read_changes;
+    /// Applies changes to `base`, or builds a configuration from a snapshot.
+    std::function<result<configuration_ptr>(configuration_ptr base,
+                                            const rpc::push_configuration_request& changes)>
+        apply;
+    entry_channel_factory channels;
+    parallel_runner run_parallel{[](const auto& calls) { run_in_threads(calls); }};
+    clock_function clock;
+    std::function<void(absl::Duration)> sleep;
+};
+
+/// Holds the newest configuration known, never goes back to a lower version, and passes changes on
+/// to the other entries.
+///
+/// Freshness. A version is accepted once it is committed and a majority of a view holds it, each
+/// member of that majority not having acknowledged a later view. The configuration is current for
+/// 2 s after the send time of a store read that found nothing newer. It is also current for 2 s
+/// after the send time of heartbeats by which a majority of the view, this entry included, reports
+/// no higher version: two majorities of one view have a member in common. A version accepted in an
+/// earlier view is known to every member that has read the store since its view took effect; the
+/// others report `unconfirmed_version` and are not counted. Thread-safe.
+class configuration_keeper : public configuration_source {
+public:
+    configuration_keeper(const ownership& views, configuration_keeper_hooks hooks);
+
+    [[nodiscard]] configuration_ptr current() const override;
+    [[nodiscard]] absl::Duration fresh_for(absl::Time now) const override;
+
+    /// Reads the store; called every second by a thread of its own with the present time.
+    void poll(absl::Time now);
+    /// Pushes changes to the members that were last known to hold a lower version; called every
+    /// heartbeat interval by a thread of its own.
+    void push_to_others();
+    /// Takes up answers to heartbeats sent at `sent`; see `membership_hooks::on_answers`.
+    void on_answers(absl::Time sent, const rpc::entry_view& view,
+                    const std::vector<peer_answer>& answers);
+    /// A push from another entry.
+    rpc::push_configuration_reply receive(const rpc::push_configuration_request& request);
+    /// Version to report in heartbeats.
+    [[nodiscard]] std::uint64_t reported_version() const;
+
+    /// Waits until a majority of the view holds `version`, which has been committed. Errors:
+    /// `outcome_unknown` after `limit`: the version is committed and will be in force as soon as
+    /// the entries can be reached.
+    result<void> publish(std::uint64_t version, absl::Duration limit);
+
+private:
+    bool take_up(const rpc::push_configuration_request& push);
+    void push_to(const std::vector<rpc::entry_member>& members);
+    void forget_former_members(const rpc::entry_view& view);
+    void note_version(const rpc::entry_member& member, std::uint64_t version);
+    [[nodiscard]] std::uint64_t version_at(const rpc::entry_member& member) const;
+    [[nodiscard]] std::vector<rpc::entry_member> members_behind() const;
+    [[nodiscard]] bool is_held_by_majority(std::uint64_t version);
+    [[nodiscard]] bool counts_in(std::uint64_t view_number) const;
+
+    const ownership& views_;
+    const configuration_keeper_hooks hooks_;
+    absl::Mutex apply_mutex_; ///< changes are applied one after the other
+    mutable absl::Mutex mutex_;
+    configuration_ptr current_ ABSL_GUARDED_BY(mutex_);
+    configuration_log log_ ABSL_GUARDED_BY(mutex_);
+    absl::Time confirmed_at_ ABSL_GUARDED_BY(mutex_){absl::InfinitePast()};
+    std::uint64_t confirmed_view_ ABSL_GUARDED_BY(mutex_){0}; ///< in effect at a store read
+    /// Versions last reported by the other entries.
+    absl::flat_hash_map<std::string, std::uint64_t> versions_ ABSL_GUARDED_BY(mutex_);
+};
+
+} // namespace carobfall
--- /dev/null
+++ b/src/libs/carobfall/entry/entry_threads.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "carobfall/entry/claim_store.h"
+#include "carobfall/entry/claim_transfer.h"
+#include "carobfall/entry/configuration_keeper.h"
+#include "carobfall/entry/membership.h"
+#include "carobfall/entry/periodic_task.h"
+
+namespace carobfall {
+
+/// The threads that keep an entry in its region's view and its configuration current. Each has its
+/// own pace, so that a slow table service delays neither heartbeats nor pushes. Started once the
+/// entry's server listens; the destructor stops them.
+class entry_threads {
+public:
+    entry_threads(membership& members, claim_transfer& transfer, claim_store& claims,
+                  configuration_keeper& keeper, const clock_function& clock);
+
+private:
+    periodic_task poll_;
+    periodic_task beat_;
+    periodic_task view_;
+    periodic_task transfer_;
+    periodic_task push_;
+    periodic_task expiry_;
+};
+
+} // namespace carobfall
--- /dev/null
+++ b/src/libs/carobfall/entry/membership.h
@@ -0,0 +1,130 @@
+#pragma once
+
+#include "carobfall/entry/agent_membership_table.h"
+#include "carobfall/entry/entry_channel.h"
+#include "carobfall/entry/ownership.h"
+#include "carobfall/entry/parallel.h"
+#include "carobfall/entry/peer_monitor.h"
+#include "carobfall/entry/view_row.h"
+#include "carobfall/entry/view_state.h"
+#include "carobfall/platform/table_service.h"
+
+#include <absl/base/thread_annotations.h>
+#include <absl/container/flat_hash_set.h>
+#include <absl/synchronization/mutex.h>
+
+#include <atomic>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace carobfall {
+
+struct membership_settings {
+    rpc::entry_member self;
+    std::string region;
+    peer_monitor_settings monitor;
+    absl::Duration heartbeat_interval{absl::Milliseconds(500)};
+    absl::Duration call_limit{absl::Seconds(1)};  ///< of one prepare or activate call
+    absl::Duration leave_limit{absl::Seconds(5)}; ///< longest time `leave` takes
+    /// How long an entry that was removed from the view goes on to deliver its claims before
+    /// `on_superseded` is called.
+    absl::Duration superseded_grace{absl::Seconds(5)};
+};
+
+/// What membership needs from its surroundings; tests replace all of it.
+struct membership_hooks {
+    entry_channel_factory channels;
+    /// True only if the address refuses TCP connections (ECONNREFUSED).
+    std::function<bool(const std::string& address)> connection_refused;
+    parallel_runner run_parallel{[](const auto& calls) { run_in_threads(calls); }};
+    std::function<void(absl::Duration)> sleep;
+    std::function<std::uint64_t()> configuration_version{[] { return 0; }};
+    /// Answers to the heartbeats that were sent at `sent` while `view` was in effect here.
+    std::function<void(absl::Time sent, const rpc::entry_view& view,
+                       const std::vector<peer_answer>& answers)>
+        on_answers{[](auto&&...) {}};
+    std::function<void()> on_superseded{[] {}};
+};
+
+/// Takes part in the agreement on the region's view, which is ordered by compare-and-set on one
+/// row of the table service and takes effect by acknowledgement (see `takes_effect`).
+///
+/// An incarnation that was a member of a view in effect and was removed never joins again: other
+/// entries may have taken its submissions over, and copies of its claims that still name it as
+/// coordinator must not become valid again. `on_superseded` lets the process end, so that it is
+/// started anew with another incarnation.
+///
+/// During an outage of the table service nothing changes and the view in effect stays. No lock is
+/// held during a call. Thread-safe.
+class membership : public ownership {
+public:
+    membership(membership_settings settings, table_service& table, membership_hooks hooks);
+
+    [[nodiscard]] const rpc::entry_member& self() const override { return state_.self(); }
+    [[nodiscard]] ownership_snapshot snapshot() const override { return state_.snapshot(); }
+    bool wait_for_change(std::uint64_t view_number, absl::Duration limit) const override;
+
+    /// Sends heartbeats; called every heartbeat interval by a thread of its own, so that a slow
+    /// table service doesn't delay them.
+    void beat(absl::Time now);
+    /// Reads the row, completes what is proposed there and proposes what has to change; called
+    /// every heartbeat interval. A call during another one returns at once.
+    void tick(absl::Time now);
+    /// Leaves the view. Errors: `unavailable` if the view without this entry is not in effect
+    /// after `leave_limit`; the others then remove it when it stops answering.
+    result<void> leave(absl::Time now);
+    /// An operator declares that every known incarnation of this entry is dead. Errors:
+    /// `not_found`, or `invalid_request` for this entry itself.
+    result<void> forget(const std::string& name);
+
+    rpc::prepare_view_reply prepare(const rpc::prepare_view_request& request);
+    rpc::activate_view_reply activate(const rpc::activate_view_request& request, absl::Time now);
+    rpc::entry_beat_reply answer_beat(const rpc::entry_beat_request& request) const;
+
+    /// Nothing while a later view than the one in effect here is known.
+    [[nodiscard]] std::optional<join_permission> may_record_joins() const;
+
+    /// Views acknowledged and in effect, for the transfer of claims.
+    [[nodiscard]] view_state& state() { return state_; }
+    [[nodiscard]] const view_state& state() const { return state_; }
+
+private:
+    void create_first_view(absl::Time now);
+    void follow(const stored_proposal& stored, absl::Time now);
+    bool complete(const rpc::view_proposal& proposal, absl::Time now);
+    void collect_acknowledgements(const rpc::view_proposal& proposal);
+    void take_up(const rpc::view_proposal& proposal, absl::Time now);
+    void send_activation(const rpc::view_proposal& proposal,
+                         const std::vector<rpc::entry_member>& receivers);
+    void propose_change(const stored_proposal& stored, absl::Time now);
+    [[nodiscard]] rpc::entry_view desired_view(const rpc::entry_view& present,
+                                               absl::Time now) const;
+    [[nodiscard]] bool may_join() const;
+    [[nodiscard]] bool can_take_effect(const rpc::view_proposal& proposal, absl::Time now) const;
+    [[nodiscard]] bool is_dead(const rpc::view_proposal& proposal,
+                               const rpc::entry_member& member) const;
+    [[nodiscard]] bool has_acknowledged(const rpc::entry_member& member) const;
+    [[nodiscard]] bool is_forgotten(const rpc::entry_member& member) const;
+    [[nodiscard]] bool has_left() const;
+    [[nodiscard]] std::vector<rpc::entry_member> others(const rpc::view_proposal& proposal) const;
+    void end_if_superseded(absl::Time now);
+
+    const membership_settings settings_;
+    const membership_hooks hooks_;
+    view_row row_;
+    view_state state_;
+    peer_monitor monitor_;
+    std::atomic<bool> ticking_{false};
+    std::atomic<bool> leaving_{false};
+    mutable absl::Mutex mutex_;
+    std::optional<stored_proposal> last_row_ ABSL_GUARDED_BY(mutex_);
+    std::uint64_t collecting_ ABSL_GUARDED_BY(mutex_){0}; ///< view number of `acknowledged_by_`
+    absl::flat_hash_set<std::string> acknowledged_by_ ABSL_GUARDED_BY(mutex_);
+    absl::flat_hash_set<std::string> forgotten_ ABSL_GUARDED_BY(mutex_);
+    bool was_member_ ABSL_GUARDED_BY(mutex_){false};
+    absl::Time superseded_since_ ABSL_GUARDED_BY(mutex_){absl::InfiniteFuture()};
+};
+
+} // namespace carobfall
--- /dev/null
+++ b/src/libs/carobfall/entry/peer_monitor.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "carobfall/entry/entry_channel.h"
+#include "carobfall/entry/parallel.h"
+
+#include <absl/base/thread_annotations.h>
+#include <absl/container/flat_hash_map.h>
+#include <absl/synchronization/mutex.h>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace carobfall {
+
+struct peer_monitor_settings {
+    absl::Duration failure_timeout{absl::Seconds(3)};
+    absl::Duration call_limit{absl::Milliseconds(400)};
+};
+
+/// A member's answer to a heartbeat.
+struct peer_answer {
+    rpc::entry_member member;
+    std::uint64_t view_number{0};
+    std::uint64_t configuration_version{0};
+};
+
+/// Sends heartbeats to other entries and judges by this entry's clock which of them have failed.
+/// Thread-safe; `beat` is called by one thread.
+class peer_monitor {
+public:
+    peer_monitor(peer_monitor_settings settings, entry_channel_factory channels,
+                 parallel_runner run_parallel);
+
+    /// Sends one heartbeat to each peer and returns the answers. Peers that are not listed any
+    /// more are forgotten.
+    std::vector<peer_answer> beat(const std::vector<rpc::entry_member>& peers,
+                                  const rpc::entry_beat_request& request, absl::Time now);
+    /// The peer has not answered for the failure time-out, while this entry sent heartbeats
+    /// without a pause.
+    [[nodiscard]] bool has_failed(const rpc::entry_member& peer, absl::Time now) const;
+    /// The peer has answered within the failure time-out.
+    [[nodiscard]] bool answers(const rpc::entry_member& peer, absl::Time now) const;
+
+private:
+    struct peer_times {
+        absl::Time watched_since;
+        absl::Time answered{absl::InfinitePast()};
+    };
+
+    void update_watched(const std::vector<rpc::entry_member>& peers, absl::Time now);
+
+    const peer_monitor_settings settings_;
+    const entry_channel_factory channels_;
+    const parallel_runner run_parallel_;
+    mutable absl::Mutex mutex_;
+    absl::Time last_beat_ ABSL_GUARDED_BY(mutex_){absl::InfinitePast()};
+    absl::flat_hash_map<std::string, peer_times> peers_ ABSL_GUARDED_BY(mutex_);
+};
+
+} // namespace carobfall
--- /dev/null
+++ b/tests/auto/entry/region_simulation.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "carobfall/entry/agent_membership_table.h"
+#include "carobfall/entry/claim_acceptance.h"
+#include "carobfall/entry/claim_transfer.h"
+#include "carobfall/entry/configuration_keeper.h"
+#include "carobfall/entry/membership.h"
+#include "fake_table.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace carobfall::test {
+
+class region_simulation;
+
+/// One entry process of the simulation, with its parts but without threads.
+struct simulated_entry {
+    simulated_entry(region_simulation& region, int index, int generation);
+
+    rpc::entry_member self;
+    claim_store claims;
+    std::set<submission_key> known_from_agents;
+    std::unique_ptr<membership> members;
+    std::unique_ptr<configuration_keeper> keeper;
+    std::unique_ptr<agent_membership_table> agents;
+    std::unique_ptr<claim_transfer> transfer;
+    bool paused{false};
+    bool superseded{false};
+};
+
+/// An agent: the views it refuses and the submissions it has started.
+struct simulated_agent {
+    rpc::agent_info info;
+    std::uint64_t highest_view{0};
+    std::map<submission_key, std::int64_t> started; ///< with the deadline
+    bool reachable{true};
+};
+
+/// Entries, agents, the table service and the links between them, driven by calls in one thread
+/// with a time that only `advance` moves.
+class region_simulation {
+public:
+    region_simulation(int entries, int agents);
+
+    absl::Time now{absl::FromUnixSeconds(1'000'000)};
+    fake_table table;
+    std::uint64_t store_version{1};
+    std::vector<std::unique_ptr<simulated_entry>> entries; ///< null while dead
+    std::vector<simulated_agent> agents;
+    std::set<std::pair<int, int>> cuts; ///< pairs of entries, lower index first
+    bool hosts_refuse{true};            ///< addresses of dead entries refuse connections
+    int lost_replies{0}; ///< this many calls between entries take effect without an answer
+
+    void start(int index);
+    void kill(int index) { entries[static_cast<std::size_t>(index)].reset(); }
+    void cut(int left, int right) { cuts.insert(std::minmax(left, right)); }
+    /// One round of every thread of one entry, unless it is dead or paused.
+    void step(int index);
+    /// Steps all entries and advances by half a second, `rounds` times.
+    void run(int rounds);
+    void restart_agent(int index);
+
+    simulated_entry& at(int index) { return *entries[static_cast<std::size_t>(index)]; }
+    [[nodiscard]] ownership_snapshot view_at(int index) { return at(index).members->snapshot(); }
+    [[nodiscard]] bool is_cut(int left, int right) const;
+    [[nodiscard]] bool refuses(const std::string& address) const;
+    [[nodiscard]] static int index_of(const std::string& address);
+    /// The running entry that a call from `from` reaches, or null.
+    [[nodiscard]] simulated_entry* reach(int from, const rpc::entry_member& member);
+
+private:
+    std::vector<int> generations_;
+    int agent_generation_{0};
+};
+
+} // namespace carobfall::test
--- /dev/null
+++ b/tests/auto/entry/tst_membership.cpp
@@ -0,0 +1,189 @@
+#include "region_simulation.h"
+
+#include <doctest/doctest.h>
+
+using namespace carobfall;
+using namespace carobfall::test;
+
+// Guards against a region whose first entry waits for others.
+TEST_CASE("an entry alone is usable and complete after its first tick, also in a later outage")
+{
+    region_simulation region(1, 0);
+    region.step(0);
+    CHECK(region.view_at(0).usable());
+    CHECK(region.view_at(0).complete);
+    region.step(0);
+    region.table.outage = true;
+    region.run(20);
+    CHECK(region.view_at(0).usable());
+    CHECK(region.at(0).keeper->fresh_for(region.now) > absl::ZeroDuration());
+}
+
+// Guards against a first view that is lost or created twice when the answer to its write is lost.
+TEST_CASE("a lost answer to the first view is resolved by reading the row")
+{
+    region_simulation region(2, 0);
+    region.table.lost_answers = 1;
+    region.run(8);
+    for (int i = 0; i < 2; ++i) {
+        CHECK(region.view_at(i).usable());
+        CHECK(region.view_at(i).complete);
+        CHECK(region.view_at(i).view.members_size() == 2);
+    }
+    CHECK(region.view_at(0).view.number() == 2);
+}
+
+TEST_CASE("five entries join, and a dead one is removed after the failure time-out")
+{
+    region_simulation region(5, 0);
+    region.run(20);
+    CHECK(region.view_at(4).view.members_size() == 5);
+    region.hosts_refuse = false;
+    region.kill(2);
+    region.run(4);
+    CHECK(region.view_at(4).view.members_size() == 5);
+    region.run(6);
+    CHECK(region.view_at(4).view.members_size() == 4);
+    CHECK(region.view_at(4).complete);
+    region.start(2);
+    region.run(6);
+    CHECK(region.view_at(2).usable());
+    CHECK(region.view_at(2).view.members_size() == 5);
+}
+
+// Guards against a view that is forced because the other member of two is only slow or cut off.
+TEST_CASE("one of two members removes the other only with evidence of its death")
+{
+    region_simulation region(2, 0);
+    region.run(8);
+    region.hosts_refuse = false;
+    region.kill(1);
+    region.run(40);
+    CHECK(region.view_at(0).view.members_size() == 2);
+    CHECK(region.view_at(0).usable());
+
+    SUBCASE("its address refuses connections")
+    {
+        region.hosts_refuse = true;
+    }
+    SUBCASE("an operator forgets it")
+    {
+        REQUIRE(region.at(0).members->forget("entry-1"));
+    }
+    SUBCASE("it is replaced")
+    {
+        region.start(1);
+    }
+    const bool replaced = region.entries[1] != nullptr;
+    region.run(10);
+    CHECK(region.view_at(0).usable());
+    CHECK(region.view_at(0).view.members_size() == (replaced ? 2 : 1));
+}
+
+// Guards against an isolated entry that expels the healthy majority through the table service.
+TEST_CASE("an entry that reaches nobody proposes nothing, and the majority removes it")
+{
+    region_simulation region(3, 0);
+    region.run(10);
+    region.cut(0, 1);
+    region.cut(0, 2);
+    region.run(12);
+    CHECK(region.view_at(1).usable());
+    CHECK(region.view_at(2).usable());
+    CHECK(region.view_at(1).view.members_size() == 2);
+    CHECK_FALSE(region.view_at(0).usable());
+}
+
+// Guards against stale copies of claims that become valid when their coordinator comes back.
+TEST_CASE("a removed incarnation never joins again and reports that it was superseded")
+{
+    region_simulation region(3, 0);
+    region.run(10);
+    region.at(0).paused = true;
+    region.run(12);
+    region.at(0).paused = false;
+    region.run(20);
+    CHECK(region.at(0).superseded);
+    CHECK_FALSE(region.view_at(0).usable());
+    region.start(0);
+    region.run(6);
+    CHECK(region.view_at(0).usable());
+}
+
+// Guards against members that are declared dead by an entry that was itself stopped.
+TEST_CASE("a paused entry resets its timers and removes nobody")
+{
+    region_simulation region(3, 0);
+    region.run(10);
+    const std::uint64_t number = region.view_at(0).view.number();
+    region.now += absl::Minutes(1);
+    region.run(4);
+    CHECK(region.view_at(0).view.number() == number);
+}
+
+// Guards against a view change that stays half done when its proposer dies.
+TEST_CASE("a view that was only written to the row is completed by another entry")
+{
+    region_simulation region(3, 0);
+    region.run(10);
+    region.hosts_refuse = false;
+    region.kill(2);
+    region.run(6);
+    region.table.lost_answers = 1; // the proposer learns nothing and dies
+    while (region.table.lost_answers > 0) {
+        region.step(0);
+        region.now += absl::Milliseconds(500);
+    }
+    region.kill(0);
+    region.step(1);
+    CHECK(region.view_at(1).in_transition); // one of three, and no evidence about the others
+    region.hosts_refuse = true;
+    region.run(1);
+    CHECK(region.view_at(1).usable());
+    CHECK(region.view_at(1).view.members_size() == 2);
+}
+
+// Guards against an entry that stays in transition because the activation got lost in an outage.
+TEST_CASE("a lost activation is repeated while the table service is down")
+{
+    region_simulation region(2, 0);
+    region.step(0);
+    region.step(1);
+    region.step(1); // heartbeats of the joiner
+    rpc::prepare_view_request prepare;
+    *prepare.mutable_proposal() = region.at(0).members->state().effective();
+    prepare.mutable_proposal()->mutable_view()->set_number(9);
+    *prepare.mutable_proposal()->mutable_view()->mutable_members() =
+        region.view_at(1).view.members();
+    REQUIRE(region.at(0).members->prepare(prepare).acknowledged());
+    CHECK(region.view_at(0).in_transition);
+    rpc::activate_view_request activate;
+    *activate.mutable_proposal() = prepare.proposal();
+    region.at(1).members->activate(activate, region.now);
+    region.table.outage = true;
+    region.run(2);
+    CHECK_FALSE(region.view_at(0).in_transition);
+    CHECK(region.view_at(0).view.number() == 9);
+}
+
+TEST_CASE("leaving removes the entry and the others are complete")
+{
+    region_simulation region(3, 0);
+    region.run(10);
+    REQUIRE(region.at(1).members->leave(region.now));
+    region.run(2);
+    CHECK(region.view_at(0).view.members_size() == 2);
+    CHECK(region.view_at(0).complete);
+    CHECK(region.view_at(2).complete);
+    CHECK_FALSE(region.at(1).superseded);
+}
+
+TEST_CASE("leaving ends with an error when the view can't change")
+{
+    region_simulation region(2, 0);
+    region.run(8);
+    region.table.outage = true;
+    const auto outcome = region.at(1).members->leave(region.now);
+    REQUIRE_FALSE(outcome);
+    CHECK(outcome.error().kind == error_kind::unavailable);
+}
