--- /dev/null
+++ b/src/libs/carobfall/dispatch/admission.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "carobfall/dispatch/agent_calls.h"
+#include "carobfall/dispatch/dispatch_context.h"
+
+namespace carobfall {
+
+/// Decides whether a new submission is taken. A refusal means that nothing was started.
+class admission {
+public:
+    explicit admission(dispatch_context& context) : context_(context) {}
+
+    /// Checks the request against the configuration and the agents, and takes its tasks into the
+    /// account's queue.
+    ///
+    /// Errors: `stale_configuration`, `not_found` (account or template), `invalid_request`,
+    /// `payload_too_large`, `deadline_exceeded`, `infeasible` (no registered agent could ever run
+    /// it), `unavailable` (no agent can now), `overloaded`, `limit_exceeded`.
+    result<job_plan> admit(const std::shared_ptr<job>& opened,
+                           const rpc::submission_request& request, absl::Time now);
+
+private:
+    result<job_plan> plan_for(const rpc::submission_request& request, absl::Time now) const;
+    [[nodiscard]] result<void> check_agents(const dispatch_template& declaration,
+                                            const configuration& current,
+                                            const rpc::submission_request& request,
+                                            absl::Time now) const;
+
+    dispatch_context& context_;
+};
+
+/// Parameters of the request on top of the template's defaults. Errors: `invalid_request`.
+[[nodiscard]] result<std::string> merge_parameters(const dispatch_template& declaration,
+                                                   const std::string& parameters_json);
+
+/// Time until `tasks` more have finished on these agents, if each task lasts `run`.
+[[nodiscard]] absl::Duration estimate_completion(std::uint64_t tasks_ahead, std::uint32_t tasks,
+                                                 std::uint32_t slots, absl::Duration run);
+
+} // namespace carobfall
--- /dev/null
+++ b/src/libs/carobfall/dispatch/agent_registry.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "carobfall/config/configuration.h"
+#include "carobfall/dispatch/agent_events.h"
+#include "carobfall/entry/agent_membership.h"
+#include "carobfall/entry/ownership.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace carobfall {
+
+/// What an entry knows about one usable agent.
+struct agent_state {
+    std::shared_ptr<const rpc::agent_info> info;
+    rpc::agent_load load; ///< as last reported
+    absl::Time last_beat; ///< arrival of the last heartbeat or registration
+    bool leaving{false};
+    bool backend_available{true};
+    std::uint32_t outstanding{0}; ///< attempts of this entry that are neither finished nor undone
+};
+
+/// Registered agents of an entry. Thread-safe.
+class agent_registry final : public agent_events {
+public:
+    using report_handler = std::function<void(const rpc::report_request&, absl::Time)>;
+
+    agent_registry(agent_membership& members, const configuration_source& source,
+                   const ownership& owner);
+
+    /// Receives the reports of agents. Set before the first call of an agent.
+    void set_report_handler(report_handler handler) { on_report_ = std::move(handler); }
+
+    /// `registered` is set only once the join is durable. An incarnation that has been replaced
+    /// is not registered again.
+    rpc::register_reply on_register(const rpc::register_request& request, absl::Time now) override;
+    rpc::beat_reply on_beat(const rpc::beat_request& request, absl::Time now) override;
+    void on_report(const rpc::report_request& request, absl::Time now) override;
+
+    /// All registered agents, whether or not they may get new tasks.
+    [[nodiscard]] std::vector<agent_state> agents() const;
+    [[nodiscard]] std::optional<agent_state> find(const rpc::agent_ref& agent) const;
+    /// True once a later incarnation of the agent has registered here.
+    [[nodiscard]] bool is_lost(const rpc::agent_ref& agent) const;
+
+    void add_outstanding(const rpc::agent_ref& agent, std::uint32_t tasks);
+    void remove_outstanding(const rpc::agent_ref& agent, std::uint32_t tasks);
+
+private:
+    bool register_incarnation(const rpc::agent_info& info, absl::Time now);
+    bool update_from_beat(const rpc::beat_request& request, absl::Time now);
+    agent_state* find_locked(const rpc::agent_ref& agent);
+    [[nodiscard]] std::uint32_t lease_ms(const ownership_snapshot& snapshot, absl::Time now) const;
+
+    agent_membership& members_;
+    const configuration_source& source_;
+    const ownership& owner_;
+    report_handler on_report_;
+
+    mutable std::mutex mutex_;
+    absl::flat_hash_map<std::string, agent_state> agents_; ///< by agent name
+    /// Incarnations that a later one has replaced, with the time of that. They are kept as long
+    /// as a job that uses them can last.
+    absl::flat_hash_map<std::string, absl::Time> lost_incarnations_;
+};
+
+[[nodiscard]] rpc::agent_ref ref_of(const rpc::agent_info& info);
+
+} // namespace carobfall
--- /dev/null
+++ b/src/libs/carobfall/dispatch/agent_selection.cpp
@@ -0,0 +1,66 @@
+#include "carobfall/dispatch/agent_selection.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace carobfall {
+
+bool can_ever_run(const rpc::agent_info& agent, const dispatch_template& declaration)
+{
+    const std::vector<std::string>& allowed = declaration.data_centres;
+    if (!allowed.empty() &&
+        std::find(allowed.begin(), allowed.end(), agent.data_centre()) == allowed.end()) {
+        return false;
+    }
+    const rpc::backend_server_info& backend = agent.backend_server();
+    const task_requirements& needed = declaration.requirements;
+    return backend.slots() > 0 && backend.processors() >= needed.processors &&
+           backend.memory_mib() >= needed.memory_mib &&
+           backend.accelerators() >= needed.accelerators;
+}
+
+bool may_place(const agent_state& agent, const configuration& current,
+               const dispatch_template& declaration, const dispatch_settings& settings,
+               absl::Time now)
+{
+    return !agent.leaving && agent.backend_available &&
+           now - agent.last_beat <= settings.heartbeat_timeout &&
+           !current.is_out(agent.info->data_centre()) && can_ever_run(*agent.info, declaration);
+}
+
+std::uint32_t room_at(const agent_state& agent, const dispatch_settings& settings)
+{
+    const std::uint32_t slots = agent.info->backend_server().slots();
+    const auto limit =
+        slots + static_cast<std::uint32_t>(std::ceil(settings.queue_per_slot * slots));
+    const std::uint32_t reported = agent.load.running() + agent.load.queued();
+    return limit - std::min(limit, std::max(reported, agent.outstanding));
+}
+
+std::vector<placement_candidate>
+select_candidates(const std::vector<agent_state>& agents, const configuration& current,
+                  const dispatch_template& declaration, const backend_health& health,
+                  const dispatch_settings& settings, absl::Time now)
+{
+    std::vector<placement_candidate> candidates;
+    for (const agent_state& agent : agents) {
+        const std::uint32_t room = room_at(agent, settings);
+        if (room == 0 || !may_place(agent, current, declaration, settings, now)) {
+            continue;
+        }
+        const backend_permission permission = health.permission(agent.info->name(), now);
+        if (permission == backend_permission::closed) {
+            continue;
+        }
+        placement_candidate candidate;
+        candidate.info = agent.info;
+        candidate.slots = agent.info->backend_server().slots();
+        candidate.reported = agent.load.running() + agent.load.queued();
+        candidate.outstanding = agent.outstanding;
+        candidate.room = permission == backend_permission::probe ? 1 : room;
+        candidates.push_back(std::move(candidate));
+    }
+    return candidates;
+}
+
+} // namespace carobfall
--- /dev/null
+++ b/src/libs/carobfall/dispatch/claim_registration.cpp
@@ -0,0 +1,109 @@
+#include "carobfall/dispatch/claim_registration.h"
+
+#include "carobfall/entry/rendezvous.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace carobfall {
+namespace {
+
+error ownership_moved()
+{
+    return {error_kind::stale_view, "the submission belongs to another entry since the last view",
+            "nothing was started; submit again with the same id"};
+}
+
+} // namespace
+
+claim_registration::claim_registration(dispatch_context& context, rpc::claim claim)
+    : context_(context), claim_(std::move(claim))
+{
+    *claim_.mutable_coordinator() = context_.outside.owner->self();
+}
+
+result<std::uint64_t> claim_registration::hold(const std::vector<rpc::agent_ref>& planned,
+                                               absl::Duration limit)
+{
+    const ownership_snapshot snapshot = context_.outside.owner->snapshot();
+    const std::uint64_t view = snapshot.view.number();
+    if (!snapshot.usable()) {
+        return failure(error_kind::unavailable, "the view of entries is changing",
+                       "submit again in a moment");
+    }
+    const rpc::entry_member* owner =
+        coordinator_of(snapshot.view, from_message(claim_.submission()));
+    if (!held_once_ && !same_incarnation(*owner, claim_.coordinator())) {
+        return boost::outcome_v2::failure(ownership_moved());
+    }
+    if (!plan(planned) && view_held_ == view) {
+        return view;
+    }
+    view_held_ = 0;
+    context_.outside.claims->put(claim_);
+    BOOST_OUTCOME_TRYV(ask_witness(snapshot, limit));
+    // The claim counts only if it was stored before this entry gave its claims to a later view.
+    const ownership_snapshot after = context_.outside.owner->snapshot();
+    if (!after.usable() || after.view.number() != view) {
+        return failure(error_kind::unavailable, "the view of entries changed during the claim",
+                       "submit again in a moment");
+    }
+    held_once_ = true;
+    view_held_ = view;
+    return view;
+}
+
+void claim_registration::set_answered()
+{
+    claim_.set_answered(true);
+    if (context_.outside.claims->find(from_message(claim_.submission()))) {
+        context_.outside.claims->put(claim_);
+    }
+}
+
+bool claim_registration::plan(const std::vector<rpc::agent_ref>& planned)
+{
+    bool extended = false;
+    for (const rpc::agent_ref& agent : planned) {
+        const bool known = std::any_of(
+            claim_.planned_agents().begin(), claim_.planned_agents().end(),
+            [&](const rpc::agent_ref& held) {
+                return held.name() == agent.name() && held.incarnation() == agent.incarnation();
+            });
+        if (!known) {
+            *claim_.add_planned_agents() = agent;
+            extended = true;
+        }
+    }
+    return extended;
+}
+
+result<void> claim_registration::ask_witness(const ownership_snapshot& snapshot,
+                                             absl::Duration limit)
+{
+    const rpc::entry_member* witness =
+        witness_of(snapshot.view, from_message(claim_.submission()), claim_.coordinator());
+    if (witness == nullptr) {
+        return success();
+    }
+    rpc::claim_request request;
+    request.set_view_number(snapshot.view.number());
+    *request.mutable_claim() = claim_;
+    const auto reply = context_.outside.entries(*witness)->claim_submission(request, limit);
+    if (!reply) {
+        return failure(error_kind::unavailable,
+                       absl::StrCat("entry ", witness->name(),
+                                    " did not acknowledge the claim: ", reply.error().message),
+                       "submit again in a moment; operators check that entry");
+    }
+    if (!reply.value().accepted()) {
+        return failure(error_kind::unavailable,
+                       absl::StrCat("entry ", witness->name(), " is in another view"),
+                       "submit again in a moment");
+    }
+    return success();
+}
+
+} // namespace carobfall
--- /dev/null
+++ b/src/libs/carobfall/dispatch/coordinator.cpp
@@ -0,0 +1,408 @@
+#include "carobfall/dispatch/coordinator.h"
+
+#include "carobfall/dispatch/admission.h"
+#include "carobfall/dispatch/answer_builder.h"
+#include "carobfall/dispatch/attempt_accounting.h"
+#include "carobfall/dispatch/job_runner.h"
+#include "carobfall/dispatch/takeover.h"
+#include "carobfall/entry/rendezvous.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace carobfall {
+namespace {
+
+// View number of a forward that goes to the coordinator named in a claim, wherever the key belongs
+// in rendezvous order. Its receiver answers from its records and starts nothing new.
+constexpr std::uint64_t claim_directed = 0;
+
+// Shortest limit of a call to another entry, for requests whose deadline is near or past.
+constexpr absl::Duration min_forward_limit = absl::Milliseconds(300);
+
+// Differences between the clocks of entries that the completeness rule allows for.
+constexpr absl::Duration clock_tolerance = absl::Seconds(1);
+
+result<rpc::submission_answer> recovering(const std::string& message)
+{
+    return failure(error_kind::recovering, message, "submit again in a moment with the same id");
+}
+
+result<rpc::submission_answer> late()
+{
+    return failure(
+        error_kind::deadline_exceeded, "the deadline has passed",
+        "nothing is known here of an earlier submission with this id; submit under a new "
+        "id with a later deadline if the tasks may run again");
+}
+
+result<rpc::submission_answer> expired()
+{
+    return failure(error_kind::answer_expired,
+                   "the submission was answered; its answer is no longer held",
+                   "the tasks don't run again under this id; ask sooner for the answer");
+}
+
+// No earlier view can have accepted a request whose deadline was too far ahead then.
+bool is_new_in_view(const ownership_snapshot& snapshot, absl::Time deadline)
+{
+    return deadline - max_deadline > snapshot.effective_since + clock_tolerance;
+}
+
+absl::Duration time_to(absl::Time deadline, absl::Time now)
+{
+    return std::max(deadline - now, min_forward_limit);
+}
+
+} // namespace
+
+coordinator::coordinator(dispatch_collaborators outside, const dispatch_settings& settings)
+    : context_(std::move(outside), settings),
+      runs_(settings.run_threads, settings.run_queue),
+      takeover_(std::make_unique<takeover>(context_, runs_))
+{}
+
+coordinator::~coordinator() = default;
+
+coordinator::answer_result coordinator::submit(const rpc::submission_request& request,
+                                               absl::Time now)
+{
+    if (const auto known = context_.table.find(from_message(request.key()))) {
+        return answer_known(*known, request);
+    }
+    const absl::Time deadline = from_unix_ms(request.deadline_unix_ms());
+    if (deadline + record_retention < now) {
+        return late();
+    }
+    return route(request, now);
+}
+
+coordinator::answer_result coordinator::route(const rpc::submission_request& request,
+                                              absl::Time now)
+{
+    const absl::Time last_try =
+        from_unix_ms(request.deadline_unix_ms()) - context_.settings.answer_reserve;
+    for (;;) {
+        const ownership_snapshot snapshot = context_.outside.owner->snapshot();
+        const rpc::entry_member* owner = coordinator_of(snapshot.view, from_message(request.key()));
+        answer_result answer = recovering("the entry knows no view yet");
+        bool again = owner == nullptr || snapshot.in_transition;
+        if (!again && same_incarnation(*owner, context_.outside.owner->self())) {
+            return submit_here(request, now);
+        }
+        if (!again) {
+            answer = forward(*owner, request, snapshot.view.number(), again);
+        } else if (owner != nullptr) {
+            answer = recovering("the view of entries is changing");
+        }
+        now = context_.now();
+        if (!again || now >= last_try) {
+            return answer;
+        }
+        context_.outside.owner->wait_for_change(snapshot.view.number(),
+                                                context_.settings.call_retry_pause);
+    }
+}
+
+// `again` is set if the call had no effect, so that it may be repeated.
+coordinator::answer_result coordinator::forward(const rpc::entry_member& target,
+                                                const rpc::submission_request& request,
+                                                std::uint64_t view, bool& again)
+{
+    rpc::forward_request message;
+    message.set_view_number(view);
+    *message.mutable_submission() = request;
+    const absl::Duration limit = time_to(from_unix_ms(request.deadline_unix_ms()), context_.now());
+    auto reply = context_.outside.entries(target)->forward(message, limit);
+    if (!reply && reply.error().kind == error_kind::unavailable) {
+        again = true;
+        return failure(error_kind::unavailable,
+                       absl::StrCat("entry ", target.name(), " can't be reached"),
+                       "submit again in a moment with the same id");
+    }
+    if (!reply) {
+        return failure(error_kind::outcome_unknown,
+                       absl::StrCat("the answer of entry ", target.name(), " was lost"),
+                       "submit again with the same id; nothing runs twice");
+    }
+    if (reply.value().wrong_view()) {
+        again = true;
+        return recovering(absl::StrCat("entry ", target.name(), " is in another view"));
+    }
+    return decode_error(std::move(*reply.value().mutable_answer()));
+}
+
+rpc::forward_reply coordinator::submit_forwarded(const rpc::forward_request& request,
+                                                 absl::Time now)
+{
+    const rpc::submission_request& submission = request.submission();
+    const submission_key key = from_message(submission.key());
+    const ownership_snapshot snapshot = context_.outside.owner->snapshot();
+    rpc::forward_reply reply;
+    reply.set_view_number(snapshot.view.number());
+    const auto give = [&](answer_result answer) {
+        *reply.mutable_answer() =
+            answer ? std::move(answer.value()) : encode_error(key, answer.error());
+        return reply;
+    };
+    if (const auto known = context_.table.find(key)) {
+        return give(answer_known(*known, submission));
+    }
+    if (request.view_number() == claim_directed) {
+        return give(expired());
+    }
+    const rpc::entry_member* owner = coordinator_of(snapshot.view, key);
+    if (!snapshot.usable() || request.view_number() != snapshot.view.number() ||
+        !same_incarnation(*owner, context_.outside.owner->self())) {
+        reply.set_wrong_view(true);
+        return reply;
+    }
+    return give(submit_here(submission, now));
+}
+
+coordinator::answer_result coordinator::submit_here(const rpc::submission_request& request,
+                                                    absl::Time now)
+{
+    const submission_key key = from_message(request.key());
+    const ownership_snapshot snapshot = context_.outside.owner->snapshot();
+    if (const auto claim = context_.outside.claims->find(key)) {
+        return submit_claimed(*claim, request, now);
+    }
+    const absl::Time deadline = from_unix_ms(request.deadline_unix_ms());
+    if (deadline <= now) {
+        return late();
+    }
+    if (!snapshot.complete && !is_new_in_view(snapshot, deadline)) {
+        return recovering("the records of the last view are still being collected");
+    }
+    return start_new(request, now);
+}
+
+// The submission was accepted earlier, here or by another coordinator.
+coordinator::answer_result coordinator::submit_claimed(const rpc::claim& claim,
+                                                       const rpc::submission_request& request,
+                                                       absl::Time now)
+{
+    const submission_key key = from_message(request.key());
+    if (claim.body_hash() != request.body_hash()) {
+        return failure(error_kind::conflict, "the id was used with another body",
+                       "submit the changed body under a new id");
+    }
+    const ownership_snapshot snapshot = context_.outside.owner->snapshot();
+    if (!same_incarnation(claim.coordinator(), context_.outside.owner->self())) {
+        if (const auto* member = find_member(snapshot.view, claim.coordinator())) {
+            bool again = false;
+            return forward(*member, request, claim_directed, again);
+        }
+        if (!takeover_->adopt(claim)) {
+            return recovering("too many submissions are being taken over");
+        }
+    }
+    const auto known = context_.table.find(key);
+    if (known) {
+        return answer_known(*known, request);
+    }
+    return from_unix_ms(claim.deadline_unix_ms()) <= now
+               ? late()
+               : recovering("the submission is being recorded");
+}
+
+coordinator::answer_result coordinator::start_new(const rpc::submission_request& request,
+                                                  absl::Time now)
+{
+    const auto opened = std::make_shared<job>(from_message(request.key()), request.body_hash(),
+                                              from_unix_ms(request.deadline_unix_ms()),
+                                              static_cast<std::uint32_t>(request.tasks_size()));
+    if (const auto known = context_.table.open(opened)) {
+        return answer_known(*known, request);
+    }
+    const auto refuse = [&](const error& reason) {
+        answer_result answer = answer_not_run(opened->key(), opened->task_count(), reason);
+        context_.table.discard(opened, answer);
+        return answer;
+    };
+    if (shutting_down_) {
+        return refuse({error_kind::shutting_down, "the entry is leaving",
+                       "submit again; another entry takes it"});
+    }
+    result<job_plan> plan = admission(context_).admit(opened, request, now);
+    if (!plan) {
+        return refuse(plan.error());
+    }
+    if (request.wait()) {
+        job_runner(context_, std::move(plan.value())).run();
+        return wait_for(*opened, request);
+    }
+    const bool posted =
+        runs_.post([this, plan = plan.value()] { job_runner(context_, plan).run(); });
+    if (!posted) {
+        context_.limits.leave(opened->key().client_account, opened->task_count());
+        return refuse({error_kind::overloaded, "too many submissions are running",
+                       "submit again in a moment"});
+    }
+    return answer_running(*opened);
+}
+
+coordinator::answer_result coordinator::answer_known(const submission_table::entry& known,
+                                                     const rpc::submission_request& request)
+{
+    if (!known.body_hash.empty() && known.body_hash != request.body_hash()) {
+        return failure(error_kind::conflict, "the id was used with another body",
+                       "submit the changed body under a new id");
+    }
+    if (const auto* running = std::get_if<std::shared_ptr<job>>(&known.state)) {
+        return request.wait() ? wait_for(**running, request) : answer_running(**running);
+    }
+    if (const auto* answer = std::get_if<submission_table::answer_ptr>(&known.state)) {
+        return **answer;
+    }
+    if (const auto* records = std::get_if<submission_table::agent_records>(&known.state)) {
+        return answer_from_records(records->records, from_message(request.key()),
+                                   static_cast<std::uint32_t>(request.tasks_size()));
+    }
+    return expired();
+}
+
+coordinator::answer_result coordinator::wait_for(job& running,
+                                                 const rpc::submission_request& request)
+{
+    const absl::Duration limit = time_to(running.deadline(), context_.now());
+    if (auto answer = running.wait_for_answer(limit)) {
+        return *answer;
+    }
+    return failure(error_kind::outcome_unknown,
+                   absl::StrCat("submission ", request.key().submission_id(),
+                                " was not answered by its deadline"),
+                   "ask for its status");
+}
+
+coordinator::answer_result coordinator::status(const submission_key& key, absl::Time now)
+{
+    const auto target = other_coordinator(key);
+    if (!target) {
+        return local_status(key, now);
+    }
+    rpc::status_request request;
+    *request.mutable_key() = to_message(key);
+    auto answer = context_.outside.entries(*target)->status(request, min_forward_limit);
+    if (!answer) {
+        return failure(error_kind::unavailable,
+                       absl::StrCat("entry ", target->name(), " did not answer"),
+                       "ask again in a moment");
+    }
+    return decode_error(std::move(answer.value()));
+}
+
+coordinator::answer_result coordinator::cancel(const submission_key& key, absl::Time now)
+{
+    const auto target = other_coordinator(key);
+    if (!target) {
+        return local_cancel(key, now);
+    }
+    rpc::cancel_request request;
+    *request.mutable_key() = to_message(key);
+    auto answer = context_.outside.entries(*target)->cancel(request, min_forward_limit);
+    if (!answer) {
+        return failure(answer.error().kind,
+                       absl::StrCat("entry ", target->name(), " did not answer"),
+                       "cancel again in a moment; a repeated cancellation does no harm");
+    }
+    return decode_error(std::move(answer.value()));
+}
+
+coordinator::answer_result coordinator::local_status(const submission_key& key, absl::Time now)
+{
+    if (const auto known = context_.table.find(key)) {
+        if (const auto* running = std::get_if<std::shared_ptr<job>>(&known->state)) {
+            return answer_running(**running);
+        }
+        if (const auto* answer = std::get_if<submission_table::answer_ptr>(&known->state)) {
+            return **answer;
+        }
+        if (std::holds_alternative<submission_table::expired_answer>(known->state)) {
+            return expired();
+        }
+        return recovering("only agents hold records of the submission");
+    }
+    const ownership_snapshot snapshot = context_.outside.owner->snapshot();
+    if (const auto claim = context_.outside.claims->find(key)) {
+        if (same_incarnation(claim->coordinator(), context_.outside.owner->self())) {
+            return expired();
+        }
+        return recovering(
+            absl::StrCat("the submission is run by entry ", claim->coordinator().name()));
+    }
+    if (!snapshot.complete || now < snapshot.effective_since) {
+        return recovering("the records of the last view are still being collected");
+    }
+    return failure(error_kind::not_found, "the submission is not known",
+                   "check the id; submissions are kept until their deadline and one minute more");
+}
+
+coordinator::answer_result coordinator::local_cancel(const submission_key& key, absl::Time now)
+{
+    if (const auto running = context_.table.find_job(key)) {
+        running->request_cancel();
+    }
+    return local_status(key, now);
+}
+
+std::uint32_t coordinator::retry_now(const std::string& agent, absl::Time /*now*/)
+{
+    return context_.health.retry_now(agent);
+}
+
+void coordinator::on_report(const rpc::report_request& request, absl::Time now)
+{
+    attempt_accounting accounting(context_);
+    for (const rpc::task_report& report : request.reports()) {
+        const submission_key key = from_message(report.submission());
+        if (const auto running = context_.table.find_job(key)) {
+            accounting.closed(key, running->apply(report.status()), now);
+        }
+    }
+}
+
+void coordinator::on_view_in_effect(absl::Time now)
+{
+    takeover_->adopt_all(now);
+}
+
+void coordinator::learn_records(const rpc::fence_reply& reply)
+{
+    for (const rpc::record_summary& record : reply.records()) {
+        // A claim says more than the records and is followed up by the takeover.
+        if (!context_.outside.claims->find(from_message(record.submission()))) {
+            context_.table.learn(record);
+        }
+    }
+}
+
+void coordinator::expire(absl::Time now)
+{
+    context_.table.expire(now);
+    context_.outside.claims->expire(now);
+}
+
+// The entry that knows the submission, if it isn't this one.
+std::optional<rpc::entry_member> coordinator::other_coordinator(const submission_key& key) const
+{
+    if (context_.table.find(key)) {
+        return std::nullopt;
+    }
+    const ownership_snapshot snapshot = context_.outside.owner->snapshot();
+    const auto claim = context_.outside.claims->find(key);
+    const rpc::entry_member* owner =
+        claim ? find_member(snapshot.view, claim->coordinator()) : nullptr;
+    if (owner == nullptr) {
+        owner = coordinator_of(snapshot.view, key);
+    }
+    if (owner == nullptr || same_incarnation(*owner, context_.outside.owner->self())) {
+        return std::nullopt;
+    }
+    return *owner;
+}
+
+} // namespace carobfall
--- /dev/null
+++ b/src/libs/carobfall/dispatch/coordinator.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "carobfall/dispatch/dispatch_context.h"
+#include "carobfall/dispatch/submission_service.h"
+
+#include <atomic>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace carobfall {
+
+class takeover;
+
+/// Routes submissions to their coordinator and runs those that belong to this entry.
+class coordinator final : public submission_service {
+public:
+    ~coordinator() override;
+
+    result<rpc::submission_answer> submit(const rpc::submission_request& request,
+                                          absl::Time now) override;
+    result<rpc::submission_answer> status(const submission_key& key, absl::Time now) override;
+    result<rpc::submission_answer> cancel(const submission_key& key, absl::Time now) override;
+    rpc::forward_reply submit_forwarded(const rpc::forward_request& request,
+                                        absl::Time now) override;
+    result<rpc::submission_answer> local_status(const submission_key& key, absl::Time now) override;
+    result<rpc::submission_answer> local_cancel(const submission_key& key, absl::Time now) override;
+    std::uint32_t retry_now(const std::string& agent, absl::Time now) override;
+
+    /// Matches results to running jobs; the handler of `agent_registry`.
+    void on_report(const rpc::report_request& request, absl::Time now);
+    /// Takes over submissions whose coordinator has left the view. Call when a view takes effect.
+    void on_view_in_effect(absl::Time now);
+    /// Makes the submissions known that a fenced agent holds records of.
+    void learn_records(const rpc::fence_reply& reply);
+    /// Drops records whose retention has passed. Call about once a second.
+    void expire(absl::Time now);
+    /// Refuses new submissions from now on; running ones go on.
+    void begin_shutdown() { shutting_down_ = true; }
+    [[nodiscard]] std::size_t running_jobs() const { return context_.table.running(); }
+
+private:
+    friend class coordinator_builder;
+    using answer_result = result<rpc::submission_answer>;
+
+    coordinator(dispatch_collaborators outside, const dispatch_settings& settings);
+
+    answer_result route(const rpc::submission_request& request, absl::Time now);
+    answer_result forward(const rpc::entry_member& target, const rpc::submission_request& request,
+                          std::uint64_t view, bool& again);
+    answer_result submit_here(const rpc::submission_request& request, absl::Time now);
+    answer_result submit_claimed(const rpc::claim& claim, const rpc::submission_request& request,
+                                 absl::Time now);
+    answer_result start_new(const rpc::submission_request& request, absl::Time now);
+    answer_result answer_known(const submission_table::entry& known,
+                               const rpc::submission_request& request);
+    answer_result wait_for(job& running, const rpc::submission_request& request);
+    [[nodiscard]] std::optional<rpc::entry_member>
+    other_coordinator(const submission_key& key) const;
+
+    dispatch_context context_;
+    std::atomic<bool> shutting_down_{false};
+    work_pool runs_; ///< submissions whose caller doesn't wait, and takeovers; joined first
+    std::unique_ptr<takeover> takeover_;
+};
+
+} // namespace carobfall
--- /dev/null
+++ b/src/libs/carobfall/dispatch/coordinator_builder.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "carobfall/dispatch/coordinator.h"
+
+#include <memory>
+
+namespace carobfall {
+
+/// Builds a coordinator. All collaborators are required except the policy, the random source and
+/// the clock; those that are passed by reference must outlive the coordinator.
+class coordinator_builder {
+public:
+    coordinator_builder& with_ownership(const ownership& owner);
+    coordinator_builder& with_configuration(const configuration_source& source);
+    coordinator_builder& with_claims(claim_store& claims);
+    coordinator_builder& with_membership(agent_membership& members);
+    /// The reports that the registry receives are passed to the coordinator.
+    coordinator_builder& with_registry(agent_registry& registry);
+    coordinator_builder& with_entries(entry_channel_factory entries);
+    coordinator_builder& with_agents(agent_channel_factory agents);
+    coordinator_builder& with_placement(placement_policy policy);
+    coordinator_builder& with_random(random_source random);
+    coordinator_builder& with_clock(clock_function clock);
+    coordinator_builder& with_settings(const dispatch_settings& settings);
+
+    [[nodiscard]] std::unique_ptr<coordinator> build();
+
+private:
+    dispatch_collaborators outside_;
+    dispatch_settings settings_;
+};
+
+} // namespace carobfall
--- /dev/null
+++ b/src/libs/carobfall/dispatch/dispatch_context.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "carobfall/base/clock.h"
+#include "carobfall/config/configuration.h"
+#include "carobfall/dispatch/account_limits.h"
+#include "carobfall/dispatch/agent_channel.h"
+#include "carobfall/dispatch/agent_registry.h"
+#include "carobfall/dispatch/backend_health.h"
+#include "carobfall/dispatch/dispatch_settings.h"
+#include "carobfall/dispatch/placement.h"
+#include "carobfall/dispatch/retry_budget.h"
+#include "carobfall/dispatch/submission_table.h"
+#include "carobfall/dispatch/work_pool.h"
+#include "carobfall/entry/agent_membership.h"
+#include "carobfall/entry/claim_store.h"
+#include "carobfall/entry/entry_channel.h"
+#include "carobfall/entry/ownership.h"
+
+namespace carobfall {
+
+/// What a coordinator works with from outside.
+struct dispatch_collaborators {
+    const ownership* owner{nullptr};
+    const configuration_source* configuration{nullptr};
+    claim_store* claims{nullptr};
+    agent_membership* members{nullptr};
+    agent_registry* registry{nullptr};
+    entry_channel_factory entries;
+    agent_channel_factory agents;
+    placement_policy placement;
+    random_source random;
+    clock_function clock;
+};
+
+/// Everything that the parts of a coordinator share.
+struct dispatch_context {
+    dispatch_context(dispatch_collaborators given, const dispatch_settings& set)
+        : outside(std::move(given)),
+          settings(set),
+          table(set.recorded_answer_bytes),
+          health(default_backoff_table(), outside.random),
+          retries(set.retry_share, set.retries_per_second),
+          calls(set.call_threads, set.run_queue)
+    {}
+
+    [[nodiscard]] absl::Time now() const { return outside.clock(); }
+
+    const dispatch_collaborators outside;
+    const dispatch_settings settings;
+    submission_table table;
+    account_limits limits;
+    backend_health health;
+    retry_budget retries;
+    work_pool calls; ///< helps with calls to several agents at once
+};
+
+} // namespace carobfall
--- /dev/null
+++ b/src/libs/carobfall/dispatch/dispatch_settings.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <absl/time/time.h>
+
+#include <cstddef>
+#include <cstdint>
+
+namespace carobfall {
+
+/// Furthest a deadline may lie ahead when a submission is accepted.
+inline constexpr absl::Duration max_deadline = absl::Seconds(300);
+
+/// Longest validity of a start lease.
+inline constexpr absl::Duration max_start_lease = absl::Seconds(2);
+
+/// Settings of the dispatching part of an entry.
+struct dispatch_settings {
+    /// An agent whose last heartbeat is older gets no new tasks.
+    absl::Duration heartbeat_timeout{absl::Seconds(3)};
+
+    absl::Duration start_call_limit{absl::Milliseconds(500)};
+    absl::Duration revoke_call_limit{absl::Milliseconds(300)};
+    absl::Duration claim_call_limit{absl::Milliseconds(300)};
+    /// Pause before a call to a peer that failed is repeated.
+    absl::Duration call_retry_pause{absl::Milliseconds(20)};
+    /// Pause before waiting tasks are offered again when no slot was granted.
+    absl::Duration grant_retry_pause{absl::Milliseconds(5)};
+    /// An agent that refused a start of a job is not tried again by that job for this time.
+    absl::Duration refused_agent_pause{absl::Milliseconds(50)};
+    /// Longest wait for reports before the state of the agents is looked at again.
+    absl::Duration event_wait_limit{absl::Milliseconds(50)};
+
+    /// Part of the time to the deadline that is kept for revoking what hasn't finished, and its
+    /// bounds. A revoke takes one round trip (under 1 ms) unless the agent hangs.
+    double wind_down_share{0.1};
+    absl::Duration min_wind_down{absl::Milliseconds(20)};
+    absl::Duration max_wind_down{absl::Milliseconds(200)};
+    /// Kept free before the deadline to assemble and send the answer.
+    absl::Duration answer_reserve{absl::Milliseconds(5)};
+
+    /// Tasks that may wait in the queue of an agent, relative to its slots.
+    double queue_per_slot{0.5};
+
+    /// Bound of all recorded answers together. A daemon has 64 MB in all.
+    std::size_t recorded_answer_bytes{std::size_t{24} * 1024 * 1024};
+
+    /// Threads that run submissions whose caller doesn't wait, and takeovers.
+    std::size_t run_threads{64};
+    std::size_t run_queue{1024};
+    /// Threads that help with calls to several agents at once.
+    std::size_t call_threads{16};
+
+    /// Retries of unstarted tasks per first start, and retries that are always allowed per second.
+    double retry_share{0.2};
+    double retries_per_second{10};
+};
+
+} // namespace carobfall
--- /dev/null
+++ b/src/libs/carobfall/dispatch/job.cpp
@@ -0,0 +1,183 @@
+#include "carobfall/dispatch/job.h"
+
+#include <utility>
+
+namespace carobfall {
+
+bool task_entry::is_open() const
+{
+    return phase == task_phase::starting || phase == task_phase::accepted ||
+           phase == task_phase::uncertain;
+}
+
+job::job(submission_key key, std::string body_hash, absl::Time deadline, std::uint32_t task_count)
+    : key_(std::move(key)),
+      body_hash_(std::move(body_hash)),
+      deadline_(deadline),
+      task_count_(task_count),
+      tasks_(task_count)
+{}
+
+std::uint32_t job::open_attempt(std::uint32_t index, const rpc::agent_ref& agent)
+{
+    const std::lock_guard lock(mutex_);
+    task_entry& task = tasks_[index];
+    task.phase = task_phase::starting;
+    task.started = false;
+    task.agent = agent;
+    return ++task.attempt;
+}
+
+std::optional<closed_attempt> job::apply(const rpc::task_status& status)
+{
+    const std::lock_guard lock(mutex_);
+    task_entry* task = find_open(status.index(), status.attempt());
+    if (task == nullptr) {
+        return std::nullopt;
+    }
+    switch (status.state()) {
+    case rpc::task_state_finished:
+        task->result = status.result();
+        return close(*task, task_phase::finished, status);
+    case rpc::task_state_refused:
+        // A duplicate is refused without saying what became of the first message.
+        if (status.reason() == rpc::refusal_duplicate) {
+            task->phase = task_phase::uncertain;
+            notify_event();
+            return std::nullopt;
+        }
+        return close(*task, task_phase::waiting, status);
+    case rpc::task_state_revoked:
+        return close(*task, task_phase::waiting, status);
+    case rpc::task_state_started:
+        task->started = true;
+        task->phase = task_phase::accepted;
+        notify_event();
+        return std::nullopt;
+    case rpc::task_state_queued:
+        task->phase = task_phase::accepted;
+        return std::nullopt;
+    default:
+        return std::nullopt;
+    }
+}
+
+void job::mark_uncertain(std::uint32_t index, std::uint32_t attempt)
+{
+    const std::lock_guard lock(mutex_);
+    task_entry* task = find_open(index, attempt);
+    if (task != nullptr && task->phase == task_phase::starting) {
+        task->phase = task_phase::uncertain;
+        notify_event();
+    }
+}
+
+std::optional<closed_attempt> job::mark_unsent(std::uint32_t index, std::uint32_t attempt)
+{
+    const std::lock_guard lock(mutex_);
+    task_entry* task = find_open(index, attempt);
+    if (task == nullptr || task->phase != task_phase::starting) {
+        return std::nullopt;
+    }
+    return close(*task, task_phase::waiting, {});
+}
+
+std::optional<closed_attempt> job::mark_lost(std::uint32_t index, std::uint32_t attempt, bool rerun)
+{
+    const std::lock_guard lock(mutex_);
+    task_entry* task = find_open(index, attempt);
+    if (task == nullptr) {
+        return std::nullopt;
+    }
+    task->earlier_lost = true;
+    return close(*task, rerun ? task_phase::waiting : task_phase::lost, {});
+}
+
+job_progress job::progress() const
+{
+    const std::lock_guard lock(mutex_);
+    job_progress progress;
+    for (const task_entry& task : tasks_) {
+        progress.open += task.is_open() ? 1 : 0;
+        progress.waiting += task.phase == task_phase::waiting ? 1 : 0;
+        progress.uncertain += task.phase == task_phase::uncertain ? 1 : 0;
+        progress.lost += task.phase == task_phase::lost ? 1 : 0;
+        if (task.phase == task_phase::finished) {
+            ++progress.finished;
+            progress.failed += task.result.success() ? 0 : 1;
+        }
+    }
+    return progress;
+}
+
+std::vector<task_entry> job::tasks() const
+{
+    const std::lock_guard lock(mutex_);
+    return tasks_;
+}
+
+void job::request_cancel()
+{
+    const std::lock_guard lock(mutex_);
+    cancel_requested_ = true;
+    notify_event();
+}
+
+bool job::cancel_requested() const
+{
+    const std::lock_guard lock(mutex_);
+    return cancel_requested_;
+}
+
+std::uint64_t job::events() const
+{
+    const std::lock_guard lock(mutex_);
+    return events_;
+}
+
+void job::wait_for_event(std::uint64_t seen, absl::Duration limit)
+{
+    std::unique_lock lock(mutex_);
+    changed_.wait_for(lock, absl::ToChronoMicroseconds(limit), [&] { return events_ != seen; });
+}
+
+void job::finish(result<rpc::submission_answer> answer)
+{
+    const std::lock_guard lock(mutex_);
+    if (!answer_) {
+        answer_.emplace(std::move(answer));
+        notify_event();
+    }
+}
+
+std::optional<result<rpc::submission_answer>> job::wait_for_answer(absl::Duration limit)
+{
+    std::unique_lock lock(mutex_);
+    changed_.wait_for(lock, absl::ToChronoMicroseconds(limit), [&] { return answer_.has_value(); });
+    return answer_;
+}
+
+task_entry* job::find_open(std::uint32_t index, std::uint32_t attempt)
+{
+    if (answer_ || index >= tasks_.size()) {
+        return nullptr;
+    }
+    task_entry& task = tasks_[index];
+    return task.is_open() && task.attempt == attempt ? &task : nullptr;
+}
+
+closed_attempt job::close(task_entry& task, task_phase phase, const rpc::task_status& status)
+{
+    task.phase = phase;
+    task.started = false;
+    notify_event();
+    return {task.agent, status, phase == task_phase::waiting};
+}
+
+void job::notify_event()
+{
+    ++events_;
+    changed_.notify_all();
+}
+
+} // namespace carobfall
--- /dev/null
+++ b/src/libs/carobfall/dispatch/job_runner.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "carobfall/dispatch/agent_calls.h"
+#include "carobfall/dispatch/claim_registration.h"
+#include "carobfall/dispatch/dispatch_context.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace carobfall {
+
+/// Runs one admitted job from the claim to the recorded answer, on the calling thread.
+class job_runner {
+public:
+    job_runner(dispatch_context& context, job_plan plan);
+
+    /// Returns once the answer has been recorded, at the latest at the deadline.
+    void run();
+
+private:
+    [[nodiscard]] bool must_stop() const;
+    void give_up_lost_attempts();
+    void revoke_uncertain();
+    void place_waiting();
+    void wind_down();
+    void record_answer();
+
+    [[nodiscard]] bool may_start_now(absl::Time now);
+    [[nodiscard]] std::vector<placement_candidate> candidates(absl::Time now) const;
+    std::vector<std::uint32_t> choose_tasks(std::uint32_t wanted, absl::Time now);
+    std::vector<start_batch> assign(const std::vector<placement_candidate>& candidates,
+                                    const std::vector<std::uint32_t>& counts,
+                                    const std::vector<std::uint32_t>& tasks, absl::Time now) const;
+    bool hold_claim(const std::vector<start_batch>& batches, std::uint64_t& view);
+    void start(std::vector<start_batch>& batches, std::uint64_t view);
+    void revoke(const std::function<bool(const task_entry&)>& chosen, absl::Duration limit);
+
+    [[nodiscard]] bool may_rerun() const;
+    [[nodiscard]] bool is_silent(const rpc::agent_ref& agent, absl::Time now) const;
+    [[nodiscard]] absl::Duration call_limit(absl::Duration limit) const;
+    [[nodiscard]] absl::Duration next_wait() const;
+    [[nodiscard]] std::optional<error> failure_reason() const;
+    void block(error reason) { blocked_ = std::move(reason); }
+
+    dispatch_context& context_;
+    const job_plan plan_;
+    job& job_;
+    agent_calls calls_;
+    claim_registration claim_;
+    absl::Time stop_time_;         ///< nothing is placed after it; what hasn't finished is revoked
+    absl::Time answer_time_;       ///< the answer is recorded then, finished or not
+    std::optional<error> blocked_; ///< why the waiting tasks can't be placed
+    bool ownership_moved_{false};
+    /// Agents that refused or could not be reached, and until when they are left alone.
+    absl::flat_hash_map<std::string, absl::Time> avoided_;
+};
+
+} // namespace carobfall
--- /dev/null
+++ b/src/libs/carobfall/dispatch/placement.cpp
@@ -0,0 +1,241 @@
+#include "carobfall/dispatch/placement.h"
+
+#include <absl/random/random.h>
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <numeric>
+#include <queue>
+#include <utility>
+
+namespace carobfall {
+namespace {
+
+using candidates_type = std::vector<placement_candidate>;
+using counts_type = std::vector<std::uint32_t>;
+
+// Agents are chosen until their free slots are this many times the tasks. Few agents keep the
+// number of start batches low; a factor of one would fill each chosen agent to its last slot.
+constexpr std::uint64_t spread_factor = 2;
+
+struct kind_row {
+    placement_kind kind;
+    std::string_view name;
+};
+
+constexpr std::array kind_table{
+    kind_row{placement_kind::random, "random"},
+    kind_row{placement_kind::round_robin, "round_robin"},
+    kind_row{placement_kind::two_choices, "two_choices"},
+    kind_row{placement_kind::least_loaded, "least_loaded"},
+};
+
+double load_with(const placement_candidate& candidate, std::uint32_t added)
+{
+    const double tasks = static_cast<double>(candidate.reported) + candidate.outstanding + added;
+    return tasks / std::max<std::uint32_t>(1, candidate.slots);
+}
+
+std::vector<std::size_t> with_room(const candidates_type& candidates, const counts_type& counts)
+{
+    std::vector<std::size_t> indices;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        if (counts[i] < candidates[i].room) {
+            indices.push_back(i);
+        }
+    }
+    return indices;
+}
+
+// Adds tasks one at a time to the candidate that `choose` picks from those with room.
+template <typename Choose>
+void add_each(const candidates_type& candidates, counts_type& counts, std::uint32_t tasks,
+              Choose choose)
+{
+    std::vector<std::size_t> open = with_room(candidates, counts);
+    for (; tasks > 0 && !open.empty(); --tasks) {
+        const std::size_t position = choose(open);
+        const std::size_t index = open[position];
+        if (++counts[index] >= candidates[index].room) {
+            open.erase(open.begin() + static_cast<std::ptrdiff_t>(position));
+        }
+    }
+}
+
+// The less loaded of two positions that are drawn at random.
+std::size_t better_of_two(const candidates_type& candidates, const counts_type& counts,
+                          const std::vector<std::size_t>& open, const random_source& random)
+{
+    if (open.size() == 1) {
+        return 0;
+    }
+    const std::size_t first = random() % open.size();
+    std::size_t second = random() % (open.size() - 1);
+    second += second >= first ? 1 : 0;
+    const double first_load = load_with(candidates[open[first]], counts[open[first]]);
+    const double second_load = load_with(candidates[open[second]], counts[open[second]]);
+    return second_load < first_load ? second : first;
+}
+
+// Draws candidates with free slots by two choices until they have enough of them together.
+std::vector<std::size_t> draw_for(const candidates_type& candidates, std::uint32_t tasks,
+                                  const random_source& random)
+{
+    std::vector<std::size_t> open;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        if (std::min(candidates[i].free_slots(), candidates[i].room) > 0) {
+            open.push_back(i);
+        }
+    }
+    const counts_type no_counts(candidates.size(), 0);
+    std::vector<std::size_t> drawn;
+    for (std::uint64_t free = 0; free < spread_factor * tasks && !open.empty();) {
+        const std::size_t position = better_of_two(candidates, no_counts, open, random);
+        drawn.push_back(open[position]);
+        free += candidates[open[position]].free_slots();
+        open[position] = open.back();
+        open.pop_back();
+    }
+    return drawn;
+}
+
+// Shares the tasks among the drawn candidates in proportion to their free slots. Returns how many
+// were placed.
+std::uint32_t share_by_free_slots(const candidates_type& candidates,
+                                  const std::vector<std::size_t>& drawn, std::uint32_t tasks,
+                                  counts_type& counts)
+{
+    std::uint64_t total = 0;
+    for (const std::size_t index : drawn) {
+        total += candidates[index].free_slots();
+    }
+    std::uint64_t before = 0;
+    std::uint32_t placed = 0;
+    for (const std::size_t index : drawn) {
+        // Rounding the running sum leaves no remainder behind.
+        const std::uint64_t after = before + candidates[index].free_slots();
+        const std::uint64_t share = tasks * after / total - tasks * before / total;
+        before = after;
+        const auto limit = std::min(candidates[index].free_slots(), candidates[index].room);
+        counts[index] = static_cast<std::uint32_t>(std::min<std::uint64_t>(share, limit));
+        placed += counts[index];
+    }
+    return placed;
+}
+
+counts_type place_two_choices(const candidates_type& candidates, std::uint32_t tasks,
+                              const random_source& random)
+{
+    counts_type counts(candidates.size(), 0);
+    const std::vector<std::size_t> drawn = draw_for(candidates, tasks, random);
+    const std::uint32_t placed = share_by_free_slots(candidates, drawn, tasks, counts);
+    add_each(candidates, counts, tasks - placed, [&](const std::vector<std::size_t>& open) {
+        return better_of_two(candidates, counts, open, random);
+    });
+    return counts;
+}
+
+counts_type place_random(const candidates_type& candidates, std::uint32_t tasks,
+                         const random_source& random)
+{
+    counts_type counts(candidates.size(), 0);
+    add_each(candidates, counts, tasks, [&](const std::vector<std::size_t>& open) {
+        return static_cast<std::size_t>(random() % open.size());
+    });
+    return counts;
+}
+
+counts_type place_round_robin(const candidates_type& candidates, std::uint32_t tasks,
+                              std::atomic<std::uint64_t>& cursor)
+{
+    counts_type counts(candidates.size(), 0);
+    add_each(candidates, counts, tasks, [&](const std::vector<std::size_t>& open) {
+        return static_cast<std::size_t>(cursor++ % open.size());
+    });
+    return counts;
+}
+
+counts_type place_least_loaded(const candidates_type& candidates, std::uint32_t tasks)
+{
+    counts_type counts(candidates.size(), 0);
+    using scored = std::pair<double, std::size_t>;
+    std::priority_queue<scored, std::vector<scored>, std::greater<>> open;
+    for (const std::size_t index : with_room(candidates, counts)) {
+        open.emplace(load_with(candidates[index], 0), index);
+    }
+    for (; tasks > 0 && !open.empty(); --tasks) {
+        const std::size_t index = open.top().second;
+        open.pop();
+        if (++counts[index] < candidates[index].room) {
+            open.emplace(load_with(candidates[index], counts[index]), index);
+        }
+    }
+    return counts;
+}
+
+} // namespace
+
+random_source make_random_source()
+{
+    return [] {
+        thread_local absl::BitGen generator;
+        return absl::Uniform<std::uint64_t>(generator);
+    };
+}
+
+double placement_candidate::load() const
+{
+    return load_with(*this, 0);
+}
+
+std::uint32_t placement_candidate::free_slots() const
+{
+    // The attempts of this entry are usually part of the reported load, so they aren't added.
+    const std::uint32_t used = std::max(reported, outstanding);
+    return used >= slots ? 0 : slots - used;
+}
+
+std::string_view name_of(placement_kind kind)
+{
+    for (const kind_row& row : kind_table) {
+        if (row.kind == kind) {
+            return row.name;
+        }
+    }
+    return kind_table.front().name;
+}
+
+std::optional<placement_kind> placement_kind_from_name(std::string_view name)
+{
+    for (const kind_row& row : kind_table) {
+        if (row.name == name) {
+            return row.kind;
+        }
+    }
+    return std::nullopt;
+}
+
+placement_policy make_placement(placement_kind kind, const random_source& random)
+{
+    switch (kind) {
+    case placement_kind::random:
+        return [random](const candidates_type& candidates, std::uint32_t tasks) {
+            return place_random(candidates, tasks, random);
+        };
+    case placement_kind::round_robin:
+        return [cursor = std::make_shared<std::atomic<std::uint64_t>>(0)](
+                   const candidates_type& candidates, std::uint32_t tasks) {
+            return place_round_robin(candidates, tasks, *cursor);
+        };
+    case placement_kind::least_loaded:
+        return place_least_loaded;
+    case placement_kind::two_choices:
+        break;
+    }
+    return [random](const candidates_type& candidates, std::uint32_t tasks) {
+        return place_two_choices(candidates, tasks, random);
+    };
+}
+
+} // namespace carobfall
--- /dev/null
+++ b/src/libs/carobfall/dispatch/takeover.cpp
@@ -0,0 +1,216 @@
+#include "carobfall/dispatch/takeover.h"
+
+#include "carobfall/base/log_fields.h"
+#include "carobfall/dispatch/answer_builder.h"
+#include "carobfall/entry/rendezvous.h"
+
+#include <absl/time/clock.h>
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <limits>
+
+namespace carobfall {
+namespace {
+
+// A revoke with this attempt covers every attempt that the former coordinator may have made.
+constexpr std::uint32_t any_attempt = std::numeric_limits<std::uint32_t>::max();
+
+// The list of agents is read from the table service, which sustains about 2,000 reads a second.
+constexpr absl::Duration lookup_pause = absl::Seconds(1);
+
+bool may_still_finish(const rpc::task_status& status)
+{
+    return status.state() == rpc::task_state_started || status.state() == rpc::task_state_queued;
+}
+
+bool has_tombstone(const rpc::task_status& status)
+{
+    return status.state() == rpc::task_state_refused || status.state() == rpc::task_state_revoked;
+}
+
+} // namespace
+
+void takeover::adopt_all(absl::Time now)
+{
+    const ownership_snapshot snapshot = context_.outside.owner->snapshot();
+    if (!snapshot.usable()) {
+        return;
+    }
+    for (const rpc::claim& claim : context_.outside.claims->all()) {
+        const rpc::entry_member* owner =
+            coordinator_of(snapshot.view, from_message(claim.submission()));
+        const bool orphaned = find_member(snapshot.view, claim.coordinator()) == nullptr;
+        const bool past = from_unix_ms(claim.deadline_unix_ms()) + record_retention < now;
+        if (orphaned && !past && same_incarnation(*owner, context_.outside.owner->self()) &&
+            !adopt(claim)) {
+            LOG(WARNING) << log_fields("takeover_deferred")
+                                .add("submission", to_string(from_message(claim.submission())));
+        }
+    }
+}
+
+bool takeover::adopt(const rpc::claim& claim)
+{
+    const auto taken =
+        std::make_shared<job>(from_message(claim.submission()), claim.body_hash(),
+                              from_unix_ms(claim.deadline_unix_ms()), claim.task_count());
+    if (context_.table.open(taken)) {
+        return true;
+    }
+    if (!runs_.post([this, claim, taken] { run(claim, taken); })) {
+        context_.table.discard(taken, failure(error_kind::recovering,
+                                              "too many submissions are being taken over",
+                                              "submit again in a moment with the same id"));
+        return false;
+    }
+    return true;
+}
+
+void takeover::run(const rpc::claim& claim, const std::shared_ptr<job>& taken)
+{
+    claim_registration registration(context_, claim);
+    const auto held = registration.hold({}, context_.settings.claim_call_limit);
+    if (!held) {
+        // The successor of this entry finds the claim that the former coordinator made.
+        LOG(WARNING) << log_fields("takeover_claim_not_held")
+                            .add("submission", to_string(taken->key()))
+                            .add("error", to_string(held.error()));
+    }
+    rpc::submission_answer answer = takeover_run(context_, claim).run();
+    registration.set_answered();
+    LOG(INFO) << log_fields("submission_taken_over")
+                     .add("submission", to_string(taken->key()))
+                     .add("state", rpc::submission_state_Name(answer.state()));
+    context_.table.record(taken, std::move(answer));
+}
+
+takeover_run::takeover_run(dispatch_context& context, const rpc::claim& claim)
+    : context_(context),
+      claim_(claim),
+      key_(from_message(claim.submission())),
+      last_time_(std::max(from_unix_ms(claim.deadline_unix_ms()) - context.settings.answer_reserve,
+                          // After the deadline, one round of questions is still worth while.
+                          context.now() + context.settings.revoke_call_limit))
+{
+    for (const rpc::agent_ref& planned : claim.planned_agents()) {
+        agents_.push_back({planned, nullptr, false, false, {}});
+    }
+}
+
+rpc::submission_answer takeover_run::run()
+{
+    for (;;) {
+        find_addresses();
+        context_.calls.for_each(agents_.size(), [&](std::size_t i) {
+            if (needs_asking(agents_[i])) {
+                ask(agents_[i]);
+            }
+        });
+        if (settled() || context_.now() >= last_time_) {
+            return answer();
+        }
+        absl::SleepFor(std::clamp(last_time_ - context_.now(), absl::ZeroDuration(),
+                                  context_.settings.event_wait_limit));
+    }
+}
+
+void takeover_run::find_addresses()
+{
+    const bool missing = std::any_of(agents_.begin(), agents_.end(), [](const agent_view& agent) {
+        return agent.info == nullptr && !agent.lost;
+    });
+    std::vector<agent_member> recorded;
+    if (missing && context_.now() >= next_lookup_) {
+        next_lookup_ = context_.now() + lookup_pause;
+        const auto members = context_.outside.members->members(context_.now());
+        recorded = members ? members.value() : recorded;
+    }
+    for (agent_view& agent : agents_) {
+        agent.lost = agent.lost || context_.outside.registry->is_lost(agent.ref);
+        if (const auto state = context_.outside.registry->find(agent.ref)) {
+            agent.info = state->info;
+        }
+        for (const agent_member& member : recorded) {
+            if (member.info.name() == agent.ref.name() &&
+                member.info.incarnation() == agent.ref.incarnation()) {
+                agent.lost = agent.lost || member.lost;
+                agent.info = std::make_shared<const rpc::agent_info>(member.info);
+            }
+        }
+    }
+}
+
+bool takeover_run::needs_asking(const agent_view& agent) const
+{
+    return !agent.lost && agent.info != nullptr &&
+           (!agent.answered ||
+            std::any_of(agent.tasks.begin(), agent.tasks.end(), may_still_finish));
+}
+
+void takeover_run::ask(agent_view& agent)
+{
+    const auto channel = context_.outside.agents(*agent.info);
+    const rpc::entry_view view = context_.outside.owner->snapshot().view;
+    const absl::Duration limit = std::clamp(last_time_ - context_.now(), absl::Milliseconds(1),
+                                            context_.settings.revoke_call_limit);
+    if (!agent.answered) {
+        rpc::fence_request fence;
+        *fence.mutable_view() = view;
+        // Without the fence a delayed start of the former coordinator could still be accepted.
+        const auto fenced = channel->fence(fence, limit);
+        if (!fenced || fenced.value().incarnation() != agent.ref.incarnation()) {
+            return;
+        }
+    }
+    rpc::revoke_request request;
+    request.set_view_number(view.number());
+    *request.mutable_submission() = claim_.submission();
+    request.set_deadline_unix_ms(claim_.deadline_unix_ms());
+    request.set_agent_incarnation(agent.ref.incarnation());
+    for (std::uint32_t index = 0; index < claim_.task_count(); ++index) {
+        rpc::task_attempt* task = request.add_tasks();
+        task->set_index(index);
+        task->set_attempt(any_attempt);
+    }
+    const auto reply = channel->revoke(request, limit);
+    if (reply) {
+        agent.answered = true;
+        agent.tasks.assign(reply.value().tasks().begin(), reply.value().tasks().end());
+    }
+}
+
+bool takeover_run::settled() const
+{
+    return std::none_of(agents_.begin(), agents_.end(), [&](const agent_view& agent) {
+        return !agent.lost && (agent.info == nullptr || needs_asking(agent));
+    });
+}
+
+rpc::submission_answer takeover_run::answer() const
+{
+    const std::uint32_t count = claim_.task_count();
+    std::vector<std::uint32_t> tombstones(count, 0);
+    std::vector<char> finished(count, 0);
+    answer_builder builder(key_, count);
+    for (const agent_view& agent : agents_) {
+        for (const rpc::task_status& status : agent.tasks) {
+            if (status.index() >= count) {
+                continue;
+            }
+            tombstones[status.index()] += has_tombstone(status) ? 1 : 0;
+            if (status.state() == rpc::task_state_finished && finished[status.index()] == 0) {
+                finished[status.index()] = 1;
+                builder.ran(status.index(), status.result(), agent.ref.name());
+            }
+        }
+    }
+    for (std::uint32_t index = 0; index < count; ++index) {
+        if (finished[index] == 0 && tombstones[index] < agents_.size()) {
+            builder.outcome(index, rpc::outcome_may_have_run);
+        }
+    }
+    return builder.build();
+}
+
+} // namespace carobfall
--- /dev/null
+++ b/src/libs/carobfall/dispatch/takeover.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "carobfall/dispatch/claim_registration.h"
+#include "carobfall/dispatch/dispatch_context.h"
+
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace carobfall {
+
+/// Answers submissions whose coordinator has left the view, from the claim and the records of the
+/// planned agents. Nothing is started.
+class takeover {
+public:
+    takeover(dispatch_context& context, work_pool& runs) : context_(context), runs_(runs) {}
+
+    /// Takes over every claim held here whose coordinator is not in the view in effect and which
+    /// belongs to this entry by rendezvous order.
+    void adopt_all(absl::Time now);
+    /// Takes over one such claim. Submissions with its key join from then on. Nothing happens if
+    /// the submission is already known here. False if too many are being taken over.
+    bool adopt(const rpc::claim& claim);
+
+private:
+    void run(const rpc::claim& claim, const std::shared_ptr<job>& taken);
+
+    dispatch_context& context_;
+    work_pool& runs_;
+};
+
+/// What the planned agents say about the tasks of one submission, and the answer that follows.
+class takeover_run {
+public:
+    takeover_run(dispatch_context& context, const rpc::claim& claim);
+
+    /// Asks the agents until every task is settled, or until the deadline.
+    [[nodiscard]] rpc::submission_answer run();
+
+private:
+    struct agent_view {
+        rpc::agent_ref ref;
+        std::shared_ptr<const rpc::agent_info> info; ///< null if its address is unknown
+        bool lost{false};                            ///< the incarnation is gone
+        bool answered{false};
+        std::vector<rpc::task_status> tasks;
+    };
+
+    void find_addresses();
+    void ask(agent_view& agent);
+    [[nodiscard]] bool settled() const;
+    [[nodiscard]] bool needs_asking(const agent_view& agent) const;
+    [[nodiscard]] rpc::submission_answer answer() const;
+
+    dispatch_context& context_;
+    const rpc::claim& claim_;
+    const submission_key key_;
+    const absl::Time last_time_;
+    absl::Time next_lookup_{absl::InfinitePast()};
+    std::vector<agent_view> agents_;
+};
+
+} // namespace carobfall
--- /dev/null
+++ b/src/libs/carobfall/dispatch/work_pool.cpp
@@ -0,0 +1,103 @@
+#include "carobfall/dispatch/work_pool.h"
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+namespace carobfall {
+namespace {
+
+// Progress of one `for_each`. A helper that comes late finds no index left and doesn't touch the
+// work, which may be gone by then.
+struct shared_loop {
+    const std::function<void(std::size_t)>* work{nullptr};
+    std::size_t count{0};
+    std::mutex mutex;
+    std::condition_variable finished;
+    std::size_t next{0};
+    std::size_t done{0};
+
+    void help()
+    {
+        std::unique_lock lock(mutex);
+        while (next < count) {
+            const std::size_t index = next++;
+            lock.unlock();
+            (*work)(index);
+            lock.lock();
+            ++done;
+        }
+        if (done == count) {
+            finished.notify_all();
+        }
+    }
+};
+
+} // namespace
+
+work_pool::work_pool(std::size_t threads, std::size_t max_queue) : max_queue_(max_queue)
+{
+    threads_.reserve(threads);
+    for (std::size_t i = 0; i < threads; ++i) {
+        threads_.emplace_back([this] { run(); });
+    }
+}
+
+work_pool::~work_pool()
+{
+    {
+        const std::lock_guard lock(mutex_);
+        stopping_ = true;
+    }
+    changed_.notify_all();
+    for (std::thread& thread : threads_) {
+        thread.join();
+    }
+}
+
+bool work_pool::post(std::function<void()> work)
+{
+    {
+        const std::lock_guard lock(mutex_);
+        if (stopping_ || queue_.size() >= max_queue_) {
+            return false;
+        }
+        queue_.push_back(std::move(work));
+    }
+    changed_.notify_one();
+    return true;
+}
+
+void work_pool::for_each(std::size_t count, const std::function<void(std::size_t)>& work)
+{
+    if (count == 0) {
+        return;
+    }
+    const auto loop = std::make_shared<shared_loop>();
+    loop->work = &work;
+    loop->count = count;
+    const std::size_t helpers = std::min(count - 1, threads_.size());
+    for (std::size_t i = 0; i < helpers && post([loop] { loop->help(); }); ++i) {
+    }
+    loop->help();
+    std::unique_lock lock(loop->mutex);
+    loop->finished.wait(lock, [&] { return loop->done == loop->count; });
+}
+
+void work_pool::run()
+{
+    std::unique_lock lock(mutex_);
+    for (;;) {
+        changed_.wait(lock, [&] { return stopping_ || !queue_.empty(); });
+        if (queue_.empty()) {
+            return;
+        }
+        const std::function<void()> work = std::move(queue_.front());
+        queue_.pop_front();
+        lock.unlock();
+        work();
+        lock.lock();
+    }
+}
+
+} // namespace carobfall
