Operators: Add the HTTP server for operators

Cause: operators had no interface for templates, accounts, data centres and the state of a process. Before: nothing.

--- /dev/null
+++ b/src/libs/carobfall/operators/operator_server.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "carobfall/base/histogram.h"
+#include "carobfall/base/http_server.h"
+#include "carobfall/operators/operator_service.h"
+#include "carobfall/operators/state_dump.h"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace carobfall {
+
+/// Settings of the operators' interface.
+struct operator_settings {
+    http_server_settings http{.threads = 16};
+    std::string token; ///< bearer token of the operators; never empty
+};
+
+/// Reasons why the process must not get traffic; empty if it is ready.
+using readiness_function = std::function<std::vector<std::string>()>;
+
+/// HTTP server for operators on a port of its own (docs/api.md). /healthz, /readyz and /metrics
+/// need no token.
+class operator_server {
+public:
+    /// The references must outlive the server.
+    operator_server(operator_service& service, const state_dump& dump,
+                    const metrics_registry& metrics, readiness_function readiness,
+                    operator_settings settings);
+
+    /// Errors: `unavailable` if the address can't be bound, `invalid_request` without a token.
+    result<void> start();
+    [[nodiscard]] int port() const { return http_.port(); }
+    /// Returns once the requests in flight are answered.
+    void stop() { http_.stop(); }
+
+private:
+    void add_public_routes();
+    void add_declaration_routes(const std::string& path, const std::string& key_prefix);
+    void add_configuration_routes();
+    void add_state_routes();
+    /// Adds a route that needs the token.
+    void add_protected(const std::string& method, const std::string& pattern, http_handler handler);
+
+    void set_data_centre(http_call& call, bool out);
+    void apply(http_call& call);
+    void list_configuration(http_call& call);
+    void retry_now(http_call& call);
+
+    operator_service& service_;
+    const state_dump& dump_;
+    const metrics_registry& metrics_;
+    readiness_function readiness_;
+    operator_settings settings_;
+    http_server http_; ///< last, so that its threads end before the rest is destroyed
+};
+
+} // namespace carobfall
--- /dev/null
+++ b/src/libs/carobfall/operators/operator_service.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include "carobfall/base/error.h"
+
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace carobfall {
+
+/// One declared row. Keys are those of `rpc::configuration_change`, for example
+/// "template/dambi/eligibility-check".
+struct declared_row {
+    std::string key;
+    std::string yaml;
+    std::uint64_t version{0}; ///< configuration version of its last change
+};
+
+/// How a change is to be made.
+struct change_options {
+    /// Identifies the change. A change sent again with the same id is applied once.
+    std::string change_id;
+    /// The change is refused with `conflict` unless the configuration has this version.
+    std::optional<std::uint64_t> expected_version{};
+    bool dry_run{false}; ///< validate and report only
+};
+
+enum class change_action { unchanged, created, updated, removed };
+
+/// Name used in JSON, for example "created".
+[[nodiscard]] std::string_view name_of(change_action action);
+
+/// What a change did, or would do, to one row.
+struct row_change {
+    std::string key;
+    change_action action{change_action::unchanged};
+    std::string before; ///< YAML, empty if there was no row
+    std::string after;  ///< YAML, empty if there is none now
+};
+
+/// Outcome of a change.
+struct change_report {
+    std::string change_id;
+    std::uint64_t version{0}; ///< version that contains the change, or the present one
+    bool committed{false};    ///< in the table service, so that it can't be lost
+    /// A majority of the entries holds it: any entry without it stops starting tasks.
+    bool in_force_everywhere{false};
+    std::vector<row_change> rows;
+};
+
+struct data_centre_status {
+    std::string name;
+    bool out{false};
+    std::uint32_t agents{0};
+    std::uint32_t slots{0};
+    std::uint32_t running{0};
+};
+
+/// A backend server and the agent beside it, as this entry sees them.
+struct backend_status {
+    std::string agent;
+    std::string backend_server{};
+    std::string data_centre{};
+    std::string rack{};
+    std::uint32_t slots{0};
+    std::uint32_t running{0};
+    std::uint32_t queued{0};
+    bool available{false};
+    bool leaving{false};
+    absl::Duration backoff;       ///< until it is tried again; zero if not backed off
+    std::string backoff_reason{}; ///< kind of the failure
+};
+
+/// What operators can ask for. Implemented by the entry daemon. Thread-safe; calls block for at
+/// most a few seconds.
+class operator_service {
+public:
+    virtual ~operator_service() = default;
+
+    /// Errors: `not_found`.
+    virtual result<declared_row> find_declaration(const std::string& key) = 0;
+    /// All declared rows whose key begins with `prefix`, in key order.
+    virtual result<std::vector<declared_row>> list_declarations(const std::string& prefix) = 0;
+    /// Version of the configuration in force at this entry.
+    virtual std::uint64_t configuration_version() = 0;
+
+    /// Declares the YAML documents, all or none. If `only_key` is not empty, the text must declare
+    /// exactly this row.
+    /// Errors: `invalid_request` (message with line numbers), `conflict`, `unavailable` (nothing
+    /// was changed), `outcome_unknown` (send again with the same change id).
+    virtual result<change_report> apply(const std::string& yaml, const std::string& only_key,
+                                        const change_options& options) = 0;
+    /// Removes a row. Errors: as `apply`, and `not_found`.
+    virtual result<change_report> remove(const std::string& key, const change_options& options) = 0;
+    /// Takes a data centre out of service or back in. Errors: as `apply`.
+    virtual result<change_report> set_data_centre(const std::string& name, bool out,
+                                                  const change_options& options) = 0;
+
+    virtual result<std::vector<data_centre_status>> data_centres() = 0;
+    virtual result<std::vector<backend_status>> backends() = 0;
+
+    /// Declares that this entry instance is dead and won't return, so that a view without it can
+    /// take effect. Errors: `not_found`, `conflict` if it answers.
+    virtual result<void> forget_entry(const std::string& name) = 0;
+    /// Clears the backoff of one agent, or of all if the name is empty. Returns how many had one.
+    virtual result<std::uint32_t> retry_now(const std::string& agent) = 0;
+};
+
+} // namespace carobfall
--- /dev/null
+++ b/src/libs/carobfall/operators/state_dump.cpp
@@ -0,0 +1,32 @@
+#include "carobfall/operators/state_dump.h"
+
+#include <utility>
+
+namespace carobfall {
+
+void state_dump::add(std::string name, section collect)
+{
+    const absl::MutexLock lock(&mutex_);
+    sections_[std::move(name)] = std::move(collect);
+}
+
+nlohmann::json state_dump::collect() const
+{
+    std::map<std::string, section> sections;
+    {
+        // A section may take locks of its own, so it is not called with the lock held.
+        const absl::MutexLock lock(&mutex_);
+        sections = sections_;
+    }
+    nlohmann::json dump = nlohmann::json::object();
+    for (const auto& [name, collect] : sections) {
+        try {
+            dump[name] = collect();
+        } catch (const std::exception& problem) {
+            dump[name] = {{"error", problem.what()}};
+        }
+    }
+    return dump;
+}
+
+} // namespace carobfall
--- /dev/null
+++ b/src/libs/carobfall/operators/state_dump.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+#include <nlohmann/json.hpp>
+
+#include <functional>
+#include <map>
+#include <string>
+
+namespace carobfall {
+
+/// Named parts of the process state, collected on request. Thread-safe.
+class state_dump {
+public:
+    /// Called from request threads. Must not include payloads, results or tokens.
+    using section = std::function<nlohmann::json()>;
+
+    /// Adds or replaces a section.
+    void add(std::string name, section collect);
+
+    /// All sections by name. One that throws appears as {"error": what}.
+    [[nodiscard]] nlohmann::json collect() const;
+
+private:
+    mutable absl::Mutex mutex_;
+    std::map<std::string, section> sections_ ABSL_GUARDED_BY(mutex_);
+};
+
+} // namespace carobfall
