--- a/src/libs/carobfall/agent/agent_daemon.cpp
+++ b/src/libs/carobfall/agent/agent_daemon.cpp
@@ -224,7 +224,7 @@
 
 std::string agent_daemon::state_json() const
 {
-    agent_state state;
+    agent_dump state;
     state.agent = agent_info().value_or(rpc::agent_info());
     state.totals = ledger_.totals();
     state.records = ledger_.dump();
--- a/src/libs/carobfall/agent/state_dump.cpp
+++ b/src/libs/carobfall/agent/state_dump.cpp
@@ -73,7 +73,7 @@
 
 } // namespace
 
-json to_json(const agent_state& state, const start_lease& lease, absl::Time now)
+json to_json(const agent_dump& state, const start_lease& lease, absl::Time now)
 {
     json records = json::array();
     for (const ledger_dump_entry& entry : state.records) {
--- a/src/libs/carobfall/agent/state_dump.h
+++ b/src/libs/carobfall/agent/state_dump.h
@@ -14,7 +14,7 @@
 namespace carobfall {
 
 /// The parts of an agent's state, for operators.
-struct agent_state {
+struct agent_dump {
     rpc::agent_info agent;
     ledger_totals totals;
     std::vector<ledger_dump_entry> records;
@@ -22,7 +22,7 @@
 };
 
 /// The state without payloads and results, in the JSON of GET /debug/state.
-[[nodiscard]] nlohmann::json to_json(const agent_state& state, const start_lease& lease,
+[[nodiscard]] nlohmann::json to_json(const agent_dump& state, const start_lease& lease,
                                      absl::Time now);
 
 } // namespace carobfall
--- /dev/null
+++ b/src/libs/carobfall/daemon/configuration_service.cpp
@@ -0,0 +1,236 @@
+#include "carobfall/daemon/configuration_service.h"
+
+#include "carobfall/config/configuration_builder.h"
+#include "carobfall/config/declarations.h"
+#include "carobfall/entry/rendezvous.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace carobfall {
+namespace {
+
+// An accepted change has to be in force within 5 s; the rest of it is the freshness of 2 s.
+constexpr absl::Duration publish_limit = absl::Seconds(3);
+constexpr absl::Duration retry_now_limit = absl::Seconds(1);
+
+using change_map = std::map<std::string, rpc::configuration_change>;
+
+change_map by_key(const rpc::push_configuration_request& snapshot)
+{
+    change_map rows;
+    for (const rpc::configuration_change& change : snapshot.changes()) {
+        rows[change.key()] = change;
+    }
+    return rows;
+}
+
+// A data centre that is in has no row in the sense of operators.
+bool exists(const rpc::configuration_change& change)
+{
+    return !change.deleted() && change.value() != data_centre_in;
+}
+
+row_change compare(const change_map& stored, const rpc::configuration_change& wanted)
+{
+    row_change row;
+    row.key = wanted.key();
+    const auto found = stored.find(wanted.key());
+    if (found != stored.end() && exists(found->second)) {
+        row.before = found->second.value();
+    }
+    if (exists(wanted)) {
+        row.after = wanted.value();
+    }
+    if (row.before == row.after) {
+        row.action = change_action::unchanged;
+    } else if (row.before.empty()) {
+        row.action = change_action::created;
+    } else {
+        row.action = row.after.empty() ? change_action::removed : change_action::updated;
+    }
+    return row;
+}
+
+result<void> check_expected(const change_options& options, std::uint64_t version)
+{
+    if (options.expected_version && *options.expected_version != version) {
+        return failure(error_kind::conflict,
+                       absl::StrCat("the configuration has version ", version, ", not ",
+                                    *options.expected_version),
+                       "read the configuration again, compare, and apply to the present version");
+    }
+    return success();
+}
+
+backend_status status_of(const agent_state& agent)
+{
+    const rpc::backend_server_info& server = agent.info->backend_server();
+    return {.agent = agent.info->name(),
+            .backend_server = server.name(),
+            .data_centre = agent.info->data_centre(),
+            .rack = agent.info->rack(),
+            .slots = server.slots(),
+            .running = agent.load.running(),
+            .queued = agent.load.queued(),
+            .available = agent.backend_available && !agent.leaving,
+            .leaving = agent.leaving,
+            .backoff = absl::ZeroDuration()};
+}
+
+} // namespace
+
+configuration_service::configuration_service(operator_parts parts) : parts_(std::move(parts)) {}
+
+result<declared_row> configuration_service::find_declaration(const std::string& key)
+{
+    BOOST_OUTCOME_TRY(const auto snapshot, parts_.store.load());
+    for (const rpc::configuration_change& change : snapshot.changes()) {
+        if (change.key() == key && exists(change)) {
+            return declared_row{key, change.value(), change.version()};
+        }
+    }
+    return failure(error_kind::not_found, "nothing is declared as " + key,
+                   "list the declarations, or apply one with this name");
+}
+
+result<std::vector<declared_row>>
+configuration_service::list_declarations(const std::string& prefix)
+{
+    BOOST_OUTCOME_TRY(const auto snapshot, parts_.store.load());
+    std::vector<declared_row> rows;
+    for (const rpc::configuration_change& change : snapshot.changes()) {
+        if (change.key().rfind(prefix, 0) == 0 && exists(change)) {
+            rows.push_back({change.key(), change.value(), change.version()});
+        }
+    }
+    std::sort(rows.begin(), rows.end(),
+              [](const auto& left, const auto& right) { return left.key < right.key; });
+    return rows;
+}
+
+std::uint64_t configuration_service::configuration_version()
+{
+    return parts_.keeper.current()->version;
+}
+
+result<change_report> configuration_service::apply(const std::string& yaml,
+                                                   const std::string& only_key,
+                                                   const change_options& options)
+{
+    BOOST_OUTCOME_TRY(const auto declarations, parse_declarations(yaml, "request"));
+    std::vector<rpc::configuration_change> changes;
+    changes.reserve(declarations.size());
+    for (const declaration& declared : declarations) {
+        changes.push_back(to_change(declared));
+    }
+    if (!only_key.empty() && (changes.size() != 1 || changes.front().key() != only_key)) {
+        return failure(error_kind::invalid_request, "the text doesn't declare " + only_key,
+                       "send exactly the document that the path names");
+    }
+    return commit(std::move(changes), options);
+}
+
+result<change_report> configuration_service::remove(const std::string& key,
+                                                    const change_options& options)
+{
+    BOOST_OUTCOME_TRY(find_declaration(key));
+    rpc::configuration_change change;
+    change.set_key(key);
+    change.set_deleted(true);
+    return commit({change}, options);
+}
+
+result<change_report> configuration_service::set_data_centre(const std::string& name, bool out,
+                                                             const change_options& options)
+{
+    return commit({data_centre_change(name, out)}, options);
+}
+
+result<change_report>
+configuration_service::commit(std::vector<rpc::configuration_change> changes,
+                              const change_options& options)
+{
+    BOOST_OUTCOME_TRY(const auto snapshot, parts_.store.load());
+    BOOST_OUTCOME_TRY(check_expected(options, snapshot.version()));
+    change_report report;
+    report.change_id = options.change_id;
+    report.version = snapshot.version();
+    const change_map stored = by_key(snapshot);
+    for (const rpc::configuration_change& change : changes) {
+        report.rows.push_back(compare(stored, change));
+    }
+    if (options.dry_run) {
+        return report;
+    }
+    BOOST_OUTCOME_TRY(report.version, parts_.store.apply({.changes = std::move(changes),
+                                                          .change_id = options.change_id,
+                                                          .expected_version =
+                                                              options.expected_version}));
+    report.committed = true;
+    parts_.keeper.poll(parts_.clock());
+    report.in_force_everywhere = parts_.keeper.publish(report.version, publish_limit).has_value();
+    return report;
+}
+
+result<std::vector<data_centre_status>> configuration_service::data_centres()
+{
+    std::map<std::string, data_centre_status> centres;
+    const configuration_ptr configuration = parts_.keeper.current();
+    for (const std::string& name : configuration->data_centres_out) {
+        centres[name].out = true;
+    }
+    const rpc::entry_view view = parts_.members.snapshot().view;
+    for (const rpc::entry_member& member : view.members()) {
+        centres[member.data_centre()];
+    }
+    for (const agent_state& agent : parts_.agents.agents()) {
+        data_centre_status& centre = centres[agent.info->data_centre()];
+        ++centre.agents;
+        centre.slots += agent.info->backend_server().slots();
+        centre.running += agent.load.running();
+    }
+    std::vector<data_centre_status> list;
+    for (auto& [name, centre] : centres) {
+        centre.name = name;
+        list.push_back(centre);
+    }
+    return list;
+}
+
+result<std::vector<backend_status>> configuration_service::backends()
+{
+    std::vector<backend_status> list;
+    for (const agent_state& agent : parts_.agents.agents()) {
+        list.push_back(status_of(agent));
+    }
+    std::sort(list.begin(), list.end(),
+              [](const auto& left, const auto& right) { return left.agent < right.agent; });
+    return list;
+}
+
+result<void> configuration_service::forget_entry(const std::string& name)
+{
+    return parts_.members.forget(name);
+}
+
+result<std::uint32_t> configuration_service::retry_now(const std::string& agent)
+{
+    std::uint32_t cleared = parts_.submissions.retry_now(agent, parts_.clock());
+    rpc::retry_now_request request;
+    request.set_agent(agent);
+    const rpc::entry_view view = parts_.members.snapshot().view;
+    for (const rpc::entry_member& member : view.members()) {
+        if (same_incarnation(member, parts_.members.self())) {
+            continue;
+        }
+        const auto reply = parts_.entries(member)->retry_now(request, retry_now_limit);
+        cleared += reply ? reply.value().cleared() : 0;
+    }
+    return cleared;
+}
+
+} // namespace carobfall
--- /dev/null
+++ b/src/libs/carobfall/daemon/configuration_service.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "carobfall/base/clock.h"
+#include "carobfall/dispatch/agent_registry.h"
+#include "carobfall/dispatch/submission_service.h"
+#include "carobfall/entry/configuration_keeper.h"
+#include "carobfall/entry/membership.h"
+#include "carobfall/operators/operator_service.h"
+#include "carobfall/platform/configuration_store.h"
+
+namespace carobfall {
+
+/// Parts of the entry that operators' requests act on. All must outlive the service.
+struct operator_parts {
+    configuration_store& store;
+    configuration_keeper& keeper;
+    membership& members;
+    agent_registry& agents;
+    submission_service& submissions;
+    entry_channel_factory entries;
+    clock_function clock;
+};
+
+/// Operators' requests at an entry: changes go to the table service and are then published to the
+/// other entries.
+class configuration_service final : public operator_service {
+public:
+    explicit configuration_service(operator_parts parts);
+
+    result<declared_row> find_declaration(const std::string& key) override;
+    result<std::vector<declared_row>> list_declarations(const std::string& prefix) override;
+    std::uint64_t configuration_version() override;
+    result<change_report> apply(const std::string& yaml, const std::string& only_key,
+                                const change_options& options) override;
+    result<change_report> remove(const std::string& key, const change_options& options) override;
+    result<change_report> set_data_centre(const std::string& name, bool out,
+                                          const change_options& options) override;
+    result<std::vector<data_centre_status>> data_centres() override;
+    result<std::vector<backend_status>> backends() override;
+    result<void> forget_entry(const std::string& name) override;
+    result<std::uint32_t> retry_now(const std::string& agent) override;
+
+private:
+    result<change_report> commit(std::vector<rpc::configuration_change> changes,
+                                 const change_options& options);
+
+    const operator_parts parts_;
+};
+
+} // namespace carobfall
--- /dev/null
+++ b/src/libs/carobfall/daemon/entry_daemon.cpp
@@ -0,0 +1,268 @@
+#include "carobfall/daemon/entry_daemon.h"
+
+#include "carobfall/base/log_fields.h"
+#include "carobfall/caller/caller_server.h"
+#include "carobfall/config/configuration_builder.h"
+#include "carobfall/config/ip_endpoint.h"
+#include "carobfall/daemon/configuration_service.h"
+#include "carobfall/daemon/entry_state_dump.h"
+#include "carobfall/dispatch/coordinator_builder.h"
+#include "carobfall/dispatch/grpc_agent_channel.h"
+#include "carobfall/entry/connection_probe.h"
+#include "carobfall/entry/entry_server.h"
+#include "carobfall/entry/entry_threads.h"
+#include "carobfall/entry/grpc_entry_channel.h"
+#include "carobfall/operators/operator_server.h"
+#include "carobfall/platform/http_table_service.h"
+
+#include <absl/time/clock.h>
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <atomic>
+
+namespace carobfall {
+namespace {
+
+constexpr absl::Duration table_call_limit = absl::Seconds(2);
+constexpr absl::Duration probe_limit = absl::Milliseconds(300);
+constexpr absl::Duration upkeep_interval = absl::Milliseconds(200);
+constexpr absl::Duration drain_check_interval = absl::Milliseconds(20);
+constexpr absl::Duration server_stop_limit = absl::Seconds(5);
+// Leaves a quarter of the callers' threads to status requests and cancels.
+constexpr double waiting_share = 0.75;
+
+rpc::entry_member member_of(const entry_settings& settings)
+{
+    rpc::entry_member self;
+    self.set_name(settings.name);
+    self.set_incarnation(random_id());
+    self.set_address(settings.rpc_address);
+    self.set_data_centre(settings.data_centre);
+    return self;
+}
+
+http_server_settings http_settings(const std::string& address, std::size_t threads)
+{
+    // The settings have been validated, so that the address parses.
+    const ip_endpoint endpoint = parse_ip_endpoint(address).value_or(ip_endpoint{});
+    return {.host = endpoint.ip, .port = endpoint.port, .threads = threads};
+}
+
+caller_settings caller_settings_of(const entry_settings& settings)
+{
+    const std::size_t threads = std::max<std::uint32_t>(4, settings.limits.caller_threads);
+    caller_settings made;
+    made.http = http_settings(settings.caller_address, threads);
+    made.http.max_body_bytes = settings.limits.max_body_bytes;
+    made.max_waiting = static_cast<std::size_t>(static_cast<double>(threads) * waiting_share);
+    return made;
+}
+
+operator_settings operator_settings_of(const entry_settings& settings)
+{
+    operator_settings made;
+    made.http.host = http_settings(settings.operator_address, made.http.threads).host;
+    made.http.port = http_settings(settings.operator_address, made.http.threads).port;
+    made.tokens = settings.operator_tokens;
+    return made;
+}
+
+dispatch_settings dispatch_settings_of(const entry_settings& settings)
+{
+    dispatch_settings made;
+    made.recorded_answer_bytes = settings.limits.held_answer_bytes;
+    return made;
+}
+
+membership_settings membership_settings_of(const rpc::entry_member& self,
+                                           const entry_settings& settings)
+{
+    membership_settings made;
+    made.self = self;
+    made.region = settings.region;
+    made.heartbeat_interval = settings.intervals.heartbeat;
+    return made;
+}
+
+result<configuration_ptr> apply_changes(configuration_builder& builder,
+                                        const rpc::push_configuration_request& changes)
+{
+    BOOST_OUTCOME_TRY(builder.apply(changes));
+    return builder.build();
+}
+
+} // namespace
+
+/// The members are in the order of their dependencies: each uses only those above it.
+struct entry_daemon::parts {
+    parts(const entry_settings& settings, const clock_function& clock,
+          const std::function<void()>& on_superseded)
+        : self(member_of(settings)),
+          table(parse_ip_endpoint(settings.platform_address).value_or(ip_endpoint{}),
+                table_call_limit),
+          store(table),
+          entries(make_grpc_entry_channels()),
+          agents(make_grpc_agent_channel_factory()),
+          members(membership_settings_of(self, settings), table,
+                  membership_environment(on_superseded)),
+          keeper(members, keeper_environment(clock)),
+          agent_rows(table, settings.region, [this] { return members.may_record_joins(); }),
+          transfer({}, members.state(), claims, agent_rows,
+                   {.entries = entries,
+                    .agents = agents,
+                    .on_agent_records =
+                        [this](const rpc::fence_reply& reply) { submissions->learn_records(reply); }}),
+          registry(agent_rows, keeper, members),
+          submissions(coordinator_builder()
+                          .with_ownership(members)
+                          .with_configuration(keeper)
+                          .with_claims(claims)
+                          .with_membership(agent_rows)
+                          .with_registry(registry)
+                          .with_entries(entries)
+                          .with_agents(agents)
+                          .with_clock(clock)
+                          .with_settings(dispatch_settings_of(settings))
+                          .build()),
+          operations({store, keeper, members, registry, *submissions, entries, clock}),
+          rpc_server({.address = settings.rpc_address, .limits = {}},
+                     {members, claims, transfer, keeper, registry, *submissions, clock}),
+          callers(*submissions, keeper, metrics, caller_settings_of(settings), clock),
+          operators(operations, dump, metrics, [this, clock] { return obstacles(clock()); },
+                    operator_settings_of(settings))
+    {
+        add_entry_sections(dump, members, claims, keeper, registry, *submissions, clock);
+    }
+
+    membership_hooks membership_environment(const std::function<void()>& on_superseded)
+    {
+        membership_hooks hooks;
+        hooks.channels = entries;
+        hooks.connection_refused = [](const std::string& address) {
+            return connection_refused(address, probe_limit);
+        };
+        hooks.sleep = [](absl::Duration duration) { absl::SleepFor(duration); };
+        hooks.configuration_version = [this] { return keeper.reported_version(); };
+        hooks.on_answers = [this](auto&&... arguments) { keeper.on_answers(arguments...); };
+        hooks.on_superseded = on_superseded;
+        return hooks;
+    }
+
+    configuration_keeper_hooks keeper_environment(const clock_function& clock)
+    {
+        configuration_keeper_hooks hooks;
+        hooks.read_changes = [this](std::uint64_t version) { return store.changes_since(version); };
+        hooks.apply = [this](const configuration_ptr& /*base*/, const auto& changes) {
+            return apply_changes(builder, changes);
+        };
+        hooks.channels = entries;
+        hooks.clock = clock;
+        hooks.sleep = [](absl::Duration duration) { absl::SleepFor(duration); };
+        return hooks;
+    }
+
+    /// Reasons why a balancer must not send callers here.
+    std::vector<std::string> obstacles(absl::Time now) const
+    {
+        std::vector<std::string> reasons;
+        if (draining) {
+            reasons.emplace_back("shutting down");
+        }
+        if (!members.snapshot().usable()) {
+            reasons.emplace_back("not a member of a view in effect");
+        }
+        if (keeper.fresh_for(now) <= absl::ZeroDuration()) {
+            reasons.emplace_back("the configuration is not confirmed as current");
+        }
+        return reasons;
+    }
+
+    /// Starts takeovers for a view that has newly taken effect, and drops expired records.
+    void upkeep(absl::Time now)
+    {
+        const ownership_snapshot snapshot = members.snapshot();
+        if (snapshot.usable() && snapshot.complete && snapshot.view.number() != adopted_view) {
+            adopted_view = snapshot.view.number();
+            submissions->on_view_in_effect(now);
+        }
+        submissions->expire(now);
+    }
+
+    const rpc::entry_member self;
+    std::atomic<bool> draining{false};
+    std::uint64_t adopted_view{0}; ///< used by the upkeep thread only
+    metrics_registry metrics;
+    state_dump dump;
+    http_table_service table;
+    configuration_store store;
+    configuration_builder builder; ///< used under the keeper's lock for changes
+    claim_store claims;
+    entry_channel_factory entries;
+    agent_channel_factory agents;
+    membership members;
+    configuration_keeper keeper;
+    agent_membership_table agent_rows;
+    claim_transfer transfer;
+    agent_registry registry;
+    std::unique_ptr<coordinator> submissions;
+    configuration_service operations;
+    entry_server rpc_server;
+    caller_server callers;
+    operator_server operators;
+    std::unique_ptr<entry_threads> threads;
+    std::unique_ptr<periodic_task> upkeep_thread;
+};
+
+entry_daemon::entry_daemon(entry_settings settings, clock_function clock,
+                           std::function<void()> on_superseded)
+    : settings_(std::move(settings)),
+      clock_(std::move(clock)),
+      parts_(std::make_unique<parts>(settings_, clock_, on_superseded))
+{}
+
+entry_daemon::~entry_daemon() = default;
+
+result<void> entry_daemon::start()
+{
+    BOOST_OUTCOME_TRY(parts_->rpc_server.start());
+    BOOST_OUTCOME_TRY(parts_->operators.start());
+    BOOST_OUTCOME_TRY(parts_->callers.start());
+    parts_->threads = std::make_unique<entry_threads>(parts_->members, parts_->transfer,
+                                                      parts_->claims, parts_->keeper, clock_);
+    parts_->upkeep_thread = std::make_unique<periodic_task>(
+        upkeep_interval, clock_, [this](absl::Time now) { parts_->upkeep(now); });
+    LOG(INFO) << log_fields("started")
+                     .add("name", settings_.name)
+                     .add("incarnation", parts_->self.incarnation())
+                     .add("data_centre", settings_.data_centre)
+                     .add("rpc", settings_.rpc_address)
+                     .add("callers", settings_.caller_address)
+                     .add("operators", settings_.operator_address);
+    return success();
+}
+
+void entry_daemon::drain()
+{
+    LOG(INFO) << log_fields("draining").add("running", parts_->submissions->running_jobs());
+    parts_->draining = true;
+    parts_->callers.begin_shutdown();
+    parts_->submissions->begin_shutdown();
+    // A submission ends by its deadline at the latest.
+    const absl::Time last = clock_() + settings_.max_deadline;
+    while (parts_->submissions->running_jobs() > 0 && clock_() < last) {
+        absl::SleepFor(drain_check_interval);
+    }
+    const result<void> left = parts_->members.leave(clock_());
+    if (!left) {
+        LOG(WARNING) << log_fields("leave_failed").add("error", to_string(left.error()));
+    }
+    parts_->callers.stop();
+    parts_->upkeep_thread.reset();
+    parts_->threads.reset();
+    parts_->operators.stop();
+    parts_->rpc_server.stop(server_stop_limit);
+    LOG(INFO) << log_fields("stopped").add("name", settings_.name);
+}
+
+} // namespace carobfall
--- /dev/null
+++ b/src/libs/carobfall/daemon/entry_daemon.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "carobfall/base/clock.h"
+#include "carobfall/config/entry_settings.h"
+
+#include <functional>
+#include <memory>
+
+namespace carobfall {
+
+/// All parts of one entry, connected.
+class entry_daemon {
+public:
+    /// `on_superseded` is called once if this incarnation was removed from the view and has to be
+    /// replaced by a new one.
+    entry_daemon(entry_settings settings, clock_function clock,
+                 std::function<void()> on_superseded);
+    ~entry_daemon();
+    entry_daemon(const entry_daemon&) = delete;
+    entry_daemon& operator=(const entry_daemon&) = delete;
+
+    /// Opens the ports and begins to join the view. Errors: `unavailable` if a port is taken.
+    result<void> start();
+    /// Refuses new submissions, finishes the running ones, leaves the view and closes the ports.
+    void drain();
+
+private:
+    struct parts;
+
+    const entry_settings settings_;
+    const clock_function clock_;
+    std::unique_ptr<parts> parts_;
+};
+
+} // namespace carobfall
--- a/src/libs/carobfall/dispatch/dispatch_settings.h
+++ b/src/libs/carobfall/dispatch/dispatch_settings.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "carobfall/entry/claim_store.h"
+
 #include <absl/time/time.h>
 
 #include <cstddef>
@@ -7,9 +9,6 @@
 
 namespace carobfall {
 
-/// Furthest a deadline may lie ahead when a submission is accepted.
-inline constexpr absl::Duration max_deadline = absl::Seconds(300);
-
 /// Longest validity of a start lease.
 inline constexpr absl::Duration max_start_lease = absl::Seconds(2);
 
