Agent: Test the task ledger and the lease, with a stateful fuzz

Cause: the ledger decides that no task starts twice; its rules interact. Ruled out: one command class per operation with rc::state (more code than the ledger has rules; a vector of commands shrinks as well). Before: no tests.

--- /dev/null
+++ b/tests/auto/agent/tst_task_ledger_fuzz.cpp
@@ -0,0 +1,324 @@
+#include "ledger_fixture.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <cstdlib>
+#include <map>
+#include <utility>
+#include <vector>
+
+using namespace carobfall;
+
+namespace {
+
+constexpr int default_runs = 2000; // per seed
+constexpr int max_commands = 200;
+constexpr std::uint64_t seeds[] = {1, 2, 3, 4};
+
+enum class command_kind {
+    start,
+    duplicate,
+    stale_start,
+    revoke,
+    take,
+    take_after_pause,
+    finish,
+    unsent,
+    renew,
+    pass_time,
+    lapse,
+    long_pause,
+    fence,
+    data_centre_out,
+    data_centre_in,
+    backend_leave,
+    backend_return,
+    begin_leaving,
+    sweep,
+    expire,
+    count_
+};
+
+struct command {
+    command_kind kind;
+    std::uint32_t task;
+    std::uint32_t attempt;
+    std::uint32_t amount;
+};
+
+std::ostream& operator<<(std::ostream& stream, const command& c)
+{
+    return stream << static_cast<int>(c.kind) << "(" << c.task << "," << c.attempt << ","
+                  << c.amount << ")";
+}
+
+rc::Gen<command> any_command()
+{
+    const auto kinds = static_cast<int>(command_kind::count_);
+    return rc::gen::map(
+        rc::gen::tuple(rc::gen::inRange(0, kinds * 4), rc::gen::inRange(0U, 6U),
+                       rc::gen::inRange(1U, 5U), rc::gen::inRange(0U, 1000U)),
+        [kinds](const std::tuple<int, std::uint32_t, std::uint32_t, std::uint32_t>& drawn) {
+            // Half of the commands are starts and takes; leaving for good is rare.
+            int kind = std::get<0>(drawn);
+            if (kind >= kinds * 2) {
+                kind = kind % 2 == 0 ? static_cast<int>(command_kind::start)
+                                     : static_cast<int>(command_kind::take);
+            }
+            auto chosen = static_cast<command_kind>(kind % kinds);
+            if (chosen == command_kind::begin_leaving && std::get<3>(drawn) > 50) {
+                chosen = command_kind::renew;
+            }
+            return command{chosen, std::get<1>(drawn), std::get<2>(drawn), std::get<3>(drawn)};
+        });
+}
+
+/// Oracle: it keeps the starts of each task, what the ledger has promised not to run, and the
+/// conditions for a start.
+class machine {
+public:
+    void execute(const command& c)
+    {
+        switch (c.kind) {
+        case command_kind::start:
+            send(f.request(c.task / 2, c.attempt, submission(c)));
+            break;
+        case command_kind::duplicate:
+            repeat(c);
+            break;
+        case command_kind::stale_start:
+            send_stale(c);
+            break;
+        case command_kind::revoke:
+            revoke(c);
+            break;
+        case command_kind::take:
+            take(absl::ZeroDuration());
+            break;
+        case command_kind::take_after_pause:
+            take(absl::Milliseconds(c.amount * 5));
+            break;
+        case command_kind::finish:
+            end_task(c, true);
+            break;
+        case command_kind::unsent:
+            end_task(c, false);
+            break;
+        case command_kind::renew:
+            renew();
+            break;
+        case command_kind::pass_time:
+            f.now += absl::Milliseconds(c.amount);
+            break;
+        case command_kind::lapse:
+            f.now += absl::Seconds(2);
+            break;
+        case command_kind::long_pause:
+            long_pause(c);
+            break;
+        case command_kind::fence:
+            f.fence(f.view += c.amount % 2);
+            break;
+        case command_kind::data_centre_out:
+            set_out(true);
+            break;
+        case command_kind::data_centre_in:
+            set_out(false);
+            break;
+        case command_kind::backend_leave:
+            f.ledger.remove_backend();
+            backend_until = f.now;
+            break;
+        case command_kind::backend_return:
+            backend_return(c);
+            break;
+        case command_kind::begin_leaving:
+            f.ledger.begin_leaving();
+            leaving = true;
+            break;
+        case command_kind::sweep:
+            sweep();
+            break;
+        case command_kind::expire:
+            f.ledger.expire(f.now);
+            break;
+        case command_kind::count_:
+            break;
+        }
+        check_load();
+    }
+
+private:
+    static std::string submission(const command& c) { return absl::StrCat("s-", c.task % 2); }
+
+    /// A few of these pass the deadline and the retention. Most sequences have none, since nothing
+    /// starts afterwards.
+    void long_pause(const command& c) { f.now += absl::Seconds(c.amount < 300 ? 45 : 0); }
+
+    void renew()
+    {
+        f.renew();
+        lease_until = f.now + absl::Seconds(2);
+    }
+
+    void set_out(bool out)
+    {
+        f.set_out(out);
+        lease_until = f.now + absl::Seconds(2);
+    }
+
+    void backend_return(const command& c)
+    {
+        backend_until = f.now + absl::Milliseconds(c.amount * 10);
+        f.ledger.announce_backend(2, backend_until);
+    }
+
+    void send(const rpc::start_request& request)
+    {
+        sent.push_back(request);
+        const task_key key{from_message(request.submission()), request.tasks(0).index()};
+        const rpc::start_reply reply = f.ledger.start(request, f.now);
+        check_status(key, request.tasks(0).attempt(), reply.tasks(0));
+    }
+
+    /// The request may be of an older view, and the time is later than when it was sent.
+    void repeat(const command& c)
+    {
+        if (!sent.empty()) {
+            send(rpc::start_request(sent[c.amount % sent.size()]));
+        }
+    }
+
+    void send_stale(const command& c)
+    {
+        rpc::start_request request = f.request(c.task / 2, c.attempt, submission(c));
+        request.set_view_number(f.view - 1);
+        send(request);
+    }
+
+    void revoke(const command& c)
+    {
+        const task_key key{{"ombili", submission(c)}, c.task / 2};
+        check_status(key, c.attempt, f.revoke(key.index, c.attempt, submission(c)));
+    }
+
+    void check_status(const task_key& key, std::uint32_t attempt, const rpc::task_status& status)
+    {
+        const bool ran = starts[key] > 0;
+        const bool reported_as_run =
+            status.state() == rpc::task_state_started || status.state() == rpc::task_state_finished;
+        const bool is_kept = f.now < from_unix_ms(f.deadline_ms()) + absl::Seconds(60);
+        RC_ASSERT(!reported_as_run || ran);
+        RC_ASSERT(!ran || reported_as_run || !is_kept);
+        if (status.state() == rpc::task_state_refused ||
+            status.state() == rpc::task_state_revoked) {
+            RC_ASSERT(status.attempt() >= attempt || !is_kept);
+            promised[key] = std::max(promised[key], status.attempt());
+        }
+    }
+
+    void take(absl::Duration pause)
+    {
+        std::optional<startable_task> task = f.ledger.take_startable(f.now);
+        if (!task) {
+            return;
+        }
+        f.now += pause;
+        if (!f.ledger.confirm_start(*task, f.now)) {
+            return;
+        }
+        RC_ASSERT(++starts[task->key] == 1);
+        RC_ASSERT(task->attempt > promised[task->key]);
+        started_attempt[task->key] = task->attempt;
+        RC_ASSERT(f.now < lease_until);
+        RC_ASSERT(f.now < backend_until);
+        RC_ASSERT(f.now < from_unix_ms(f.deadline_ms()));
+        RC_ASSERT(!f.out);
+        RC_ASSERT(!leaving);
+        running.push_back({task->key, task->attempt});
+        RC_ASSERT(running.size() <= 2U);
+    }
+
+    void end_task(const command& c, bool finished)
+    {
+        if (running.empty()) {
+            return;
+        }
+        const auto chosen = running.begin() + c.amount % running.size();
+        const auto [key, attempt] = *chosen;
+        running.erase(chosen);
+        if (finished) {
+            RC_ASSERT(f.ledger.finish(key, attempt, f.result_of(c.amount), f.now).has_value());
+            return;
+        }
+        RC_ASSERT(f.ledger.refuse_unsent(key, attempt, rpc::refusal_backend_unavailable, f.now)
+                      .has_value());
+        --starts[key];
+        promised[key] = std::max(promised[key], attempt);
+    }
+
+    void sweep()
+    {
+        for (const pending_report& report : f.ledger.sweep(f.now)) {
+            RC_ASSERT(report.attempt < started_attempt[report.key] || starts[report.key] == 0);
+            promised[report.key] = std::max(promised[report.key], report.attempt);
+        }
+    }
+
+    void check_load()
+    {
+        std::size_t queued = 0;
+        for (const ledger_dump_entry& entry : f.ledger.dump()) {
+            queued += entry.summary.state() == rpc::task_state_queued ? 1 : 0;
+        }
+        RC_ASSERT(f.ledger.load().queued() == queued);
+        RC_ASSERT(f.ledger.load().running() == running.size());
+    }
+
+    ledger_fixture f;
+    absl::Time lease_until{f.now + absl::Seconds(2)};
+    absl::Time backend_until{absl::InfiniteFuture()};
+    bool leaving{false};
+    std::vector<rpc::start_request> sent;
+    std::map<task_key, int> starts;
+    std::map<task_key, std::uint32_t> started_attempt;
+    std::map<task_key, std::uint32_t> promised;
+    std::vector<std::pair<task_key, std::uint32_t>> running;
+};
+
+int runs()
+{
+    const char* text = std::getenv("CAROBFALL_FUZZ_RUNS");
+    int count = default_runs;
+    return text != nullptr && absl::SimpleAtoi(text, &count) ? count : default_runs;
+}
+
+} // namespace
+
+// Guards against a second start of a task, a start without its conditions, and a start after the
+// ledger has said that the task has not run, in any order of messages, pauses and failures.
+TEST_CASE("random sequences of messages and failures start no task twice")
+{
+    const auto property = [] {
+        const auto commands =
+            *rc::gen::resize(max_commands, rc::gen::container<std::vector<command>>(any_command()));
+        machine tested;
+        for (const command& c : commands) {
+            tested.execute(c);
+        }
+    };
+    for (const std::uint64_t seed : seeds) {
+        rc::detail::TestParams params;
+        params.seed = seed;
+        params.maxSuccess = runs();
+        const rc::detail::TestResult outcome =
+            rc::detail::checkTestable(property, rc::detail::TestMetadata(), params);
+        std::ostringstream text;
+        rc::detail::printResultMessage(outcome, text);
+        INFO("seed ", seed, ": ", text.str());
+        CHECK(outcome.is<rc::detail::SuccessResult>());
+    }
+}
