--- /dev/null
+++ b/tests/auto/backend/tst_http_task_runner.cpp
@@ -0,0 +1,158 @@
+#include "carobfall/backend/http_listener.h"
+#include "carobfall/backend/http_task_runner.h"
+
+#include <absl/synchronization/mutex.h>
+#include <absl/synchronization/notification.h>
+#include <doctest/doctest.h>
+#include <httplib.h>
+
+#include <atomic>
+#include <map>
+
+using namespace carobfall;
+
+namespace {
+
+constexpr std::size_t max_result_bytes = 1000;
+
+/// Answers as its path says, counts the requests and keeps the last one.
+struct fake_backend {
+    fake_backend()
+    {
+        server.Post("/v1/run", [this](const httplib::Request& request, httplib::Response& reply) {
+            note(request);
+            reply.set_content("done", "text/plain");
+        });
+        server.Post("/fail", [this](const httplib::Request& request, httplib::Response& reply) {
+            note(request);
+            reply.status = 500;
+        });
+        server.Post("/long", [this](const httplib::Request& request, httplib::Response& reply) {
+            note(request);
+            reply.set_content(std::string(max_result_bytes + 1, 'x'), "text/plain");
+        });
+        server.Post("/hang", [this](const httplib::Request& request, httplib::Response&) {
+            note(request);
+            released.WaitForNotification();
+        });
+        REQUIRE(listener.start("127.0.0.1", 0));
+    }
+
+    ~fake_backend() { released.Notify(); }
+
+    void note(const httplib::Request& request)
+    {
+        const absl::MutexLock lock(&mutex);
+        ++requests;
+        last = request;
+        ++ports[request.remote_port];
+    }
+
+    httplib::Server server;
+    absl::Notification released;
+    absl::Mutex mutex;
+    int requests{0};
+    httplib::Request last;
+    std::map<int, int> ports;
+    http_listener listener{server};
+};
+
+run_request request_of(const std::string& path, absl::Duration limit)
+{
+    run_request request;
+    request.key = {{"dambi", "s-1"}, 7};
+    request.attempt = 2;
+    request.request_path = path;
+    request.deadline_unix_ms = to_unix_ms(monotonic_now() + limit);
+    request.parameters_json = R"({"rate":3})";
+    request.payload = R"({"age":71})";
+    return request;
+}
+
+run_outcome run(http_task_runner& runner, const std::string& path,
+                absl::Duration limit = absl::Seconds(5))
+{
+    return runner.run(request_of(path, limit), monotonic_now());
+}
+
+} // namespace
+
+// Guards against a task whose identity the backend server can't know, and against a connection per
+// task.
+TEST_CASE("a task is posted with its identity over one connection")
+{
+    fake_backend backend;
+    http_task_runner runner([&] { return backend.listener.port(); }, max_result_bytes,
+                            monotonic_now);
+    for (int i = 0; i < 3; ++i) {
+        const run_outcome outcome = run(runner, "/v1/run");
+        CHECK(outcome.refusal == rpc::refusal_none);
+        CHECK(outcome.result.success());
+        CHECK(outcome.result.body() == "done");
+    }
+    const absl::MutexLock lock(&backend.mutex);
+    CHECK(backend.ports.size() == 1);
+    CHECK(backend.last.get_header_value("X-Carobfall-Account") == "dambi");
+    CHECK(backend.last.get_header_value("X-Carobfall-Submission") == "s-1");
+    CHECK(backend.last.get_header_value("X-Carobfall-Task") == "7");
+    CHECK(backend.last.get_header_value("X-Carobfall-Attempt") == "2");
+    CHECK(backend.last.has_header("X-Carobfall-Deadline-Unix-Ms"));
+    CHECK(backend.last.body == R"({"parameters":{"rate":3},"task":{"age":71}})");
+}
+
+// Guards against failures that look like results, and against a request that is sent again.
+TEST_CASE("failures are reported once with their reason")
+{
+    fake_backend backend;
+    http_task_runner runner([&] { return backend.listener.port(); }, max_result_bytes,
+                            monotonic_now);
+    const run_outcome failed = run(runner, "/fail");
+    CHECK(failed.refusal == rpc::refusal_none);
+    CHECK_FALSE(failed.result.success());
+    CHECK(failed.result.backend_status() == 500);
+
+    const run_outcome too_long = run(runner, "/long");
+    CHECK_FALSE(too_long.result.success());
+    CHECK(too_long.result.body().empty());
+    CHECK(too_long.result.error_message().find("raise") != std::string::npos);
+
+    const absl::Time begin = monotonic_now();
+    const run_outcome hung = run(runner, "/hang", absl::Milliseconds(200));
+    CHECK(monotonic_now() - begin < absl::Seconds(2));
+    CHECK(hung.refusal == rpc::refusal_none);
+    CHECK_FALSE(hung.result.success());
+    CHECK(hung.result.run_ms() >= 150);
+
+    CHECK(run(runner, "/v1/run").result.success());
+    const absl::MutexLock lock(&backend.mutex);
+    CHECK(backend.requests == 4);
+}
+
+// Guards against a task reported as run although no backend server can have got it.
+TEST_CASE("a task is refused if no connection can be made")
+{
+    std::uint16_t closed_port = 0;
+    {
+        const fake_backend backend;
+        closed_port = backend.listener.port();
+    }
+    http_task_runner refused([=] { return closed_port; }, max_result_bytes, monotonic_now);
+    CHECK(run(refused, "/v1/run").refusal == rpc::refusal_backend_unavailable);
+    http_task_runner unannounced([] { return std::uint16_t{0}; }, max_result_bytes, monotonic_now);
+    CHECK(run(unannounced, "/v1/run").refusal == rpc::refusal_backend_unavailable);
+    CHECK(run(refused, "/v1/run", -absl::Seconds(1)).refusal == rpc::refusal_deadline);
+}
+
+// Guards against tasks that go to the port of a backend server that has been restarted.
+TEST_CASE("a new port is used from the next task on")
+{
+    fake_backend first;
+    fake_backend second;
+    std::atomic<std::uint16_t> port = first.listener.port();
+    http_task_runner runner([&] { return port.load(); }, max_result_bytes, monotonic_now);
+    CHECK(run(runner, "/v1/run").result.success());
+    port = second.listener.port();
+    CHECK(run(runner, "/v1/run").result.success());
+    const absl::MutexLock lock(&second.mutex);
+    CHECK(second.requests == 1);
+}
