Dispatch: Test each failure of a submission, and wake runners less often

Cause: the module had no tests. The runner copied every result of a job at each report, and the coordinator destroyed its takeover before the threads that use it. Ruled out: suppressing reports by our own functions under ThreadSanitizer. Before: 0 tests.

--- a/src/libs/carobfall/dispatch/admission.cpp
+++ b/src/libs/carobfall/dispatch/admission.cpp
@@ -6,10 +6,13 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <cmath>
 
 namespace carobfall {
 namespace {
 
+constexpr double half_round = 0.5;
+
 result<void> check_template(const dispatch_template& declaration,
                             const rpc::submission_request& request, absl::Time now)
 {
@@ -154,12 +157,9 @@
 absl::Duration estimate_completion(std::uint64_t tasks_ahead, std::uint32_t tasks,
                                    std::uint32_t slots, absl::Duration run)
 {
-    if (tasks_ahead + tasks <= slots) {
-        return run;
-    }
-    const double rounds_ahead = static_cast<double>(tasks_ahead) / slots;
-    const double own_rounds = std::max(1.0, static_cast<double>(tasks) / slots);
-    return run * (rounds_ahead + own_rounds);
+    const double rounds = std::ceil(static_cast<double>(tasks_ahead + tasks) / slots);
+    // The tasks that occupy all slots now are half done on average.
+    return run * (tasks_ahead >= slots ? rounds - half_round : rounds);
 }
 
 } // namespace carobfall
--- a/src/libs/carobfall/dispatch/answer_builder.cpp
+++ b/src/libs/carobfall/dispatch/answer_builder.cpp
@@ -101,7 +101,7 @@
     std::uint32_t index = 0;
     for (const task_entry& task : finished.tasks()) {
         if (task.phase == task_phase::finished) {
-            builder.ran(index, task.result, task.agent.name());
+            builder.ran(index, *task.result, task.agent.name());
         } else if (task.phase != task_phase::waiting || task.earlier_lost) {
             builder.outcome(index, rpc::outcome_may_have_run);
         }
--- a/src/libs/carobfall/dispatch/coordinator.cpp
+++ b/src/libs/carobfall/dispatch/coordinator.cpp
@@ -60,11 +60,15 @@
 
 coordinator::coordinator(dispatch_collaborators outside, const dispatch_settings& settings)
     : context_(std::move(outside), settings),
-      runs_(settings.run_threads, settings.run_queue),
-      takeover_(std::make_unique<takeover>(context_, runs_))
+      runs_(std::make_unique<work_pool>(settings.run_threads, settings.run_queue)),
+      takeover_(std::make_unique<takeover>(context_, *runs_))
 {}
 
-coordinator::~coordinator() = default;
+coordinator::~coordinator()
+{
+    // Joins the threads that still use the other members.
+    runs_.reset();
+}
 
 coordinator::answer_result coordinator::submit(const rpc::submission_request& request,
                                                absl::Time now)
@@ -236,7 +240,7 @@
         return wait_for(*opened, request);
     }
     const bool posted =
-        runs_.post([this, plan = plan.value()] { job_runner(context_, plan).run(); });
+        runs_->post([this, plan = plan.value()] { job_runner(context_, plan).run(); });
     if (!posted) {
         context_.limits.leave(opened->key().client_account, opened->task_count());
         return refuse({error_kind::overloaded, "too many submissions are running",
--- a/src/libs/carobfall/dispatch/coordinator.h
+++ b/src/libs/carobfall/dispatch/coordinator.h
@@ -15,7 +15,11 @@
 /// Routes submissions to their coordinator and runs those that belong to this entry.
 class coordinator final : public submission_service {
 public:
+    /// Waits for the submissions that run on its own threads. No call may be under way; the
+    /// registry must get no more reports.
     ~coordinator() override;
+    coordinator(const coordinator&) = delete;
+    coordinator& operator=(const coordinator&) = delete;
 
     result<rpc::submission_answer> submit(const rpc::submission_request& request,
                                           absl::Time now) override;
@@ -60,7 +64,8 @@
 
     dispatch_context context_;
     std::atomic<bool> shutting_down_{false};
-    work_pool runs_; ///< submissions whose caller doesn't wait, and takeovers; joined first
+    /// Runs submissions whose caller doesn't wait, and takeovers.
+    std::unique_ptr<work_pool> runs_;
     std::unique_ptr<takeover> takeover_;
 };
 
--- a/src/libs/carobfall/dispatch/job.cpp
+++ b/src/libs/carobfall/dispatch/job.cpp
@@ -16,13 +16,15 @@
       deadline_(deadline),
       task_count_(task_count),
       tasks_(task_count)
-{}
+{
+    progress_.waiting = task_count;
+}
 
 std::uint32_t job::open_attempt(std::uint32_t index, const rpc::agent_ref& agent)
 {
     const std::lock_guard lock(mutex_);
     task_entry& task = tasks_[index];
-    task.phase = task_phase::starting;
+    set_phase(task, task_phase::starting);
     task.started = false;
     task.agent = agent;
     return ++task.attempt;
@@ -37,12 +39,12 @@
     }
     switch (status.state()) {
     case rpc::task_state_finished:
-        task->result = status.result();
+        task->result = std::make_shared<const rpc::task_result>(status.result());
         return close(*task, task_phase::finished, status);
     case rpc::task_state_refused:
         // A duplicate is refused without saying what became of the first message.
         if (status.reason() == rpc::refusal_duplicate) {
-            task->phase = task_phase::uncertain;
+            set_phase(*task, task_phase::uncertain);
             notify_event();
             return std::nullopt;
         }
@@ -51,11 +53,10 @@
         return close(*task, task_phase::waiting, status);
     case rpc::task_state_started:
         task->started = true;
-        task->phase = task_phase::accepted;
-        notify_event();
+        set_phase(*task, task_phase::accepted);
         return std::nullopt;
     case rpc::task_state_queued:
-        task->phase = task_phase::accepted;
+        set_phase(*task, task_phase::accepted);
         return std::nullopt;
     default:
         return std::nullopt;
@@ -67,7 +68,7 @@
     const std::lock_guard lock(mutex_);
     task_entry* task = find_open(index, attempt);
     if (task != nullptr && task->phase == task_phase::starting) {
-        task->phase = task_phase::uncertain;
+        set_phase(*task, task_phase::uncertain);
         notify_event();
     }
 }
@@ -96,18 +97,7 @@
 job_progress job::progress() const
 {
     const std::lock_guard lock(mutex_);
-    job_progress progress;
-    for (const task_entry& task : tasks_) {
-        progress.open += task.is_open() ? 1 : 0;
-        progress.waiting += task.phase == task_phase::waiting ? 1 : 0;
-        progress.uncertain += task.phase == task_phase::uncertain ? 1 : 0;
-        progress.lost += task.phase == task_phase::lost ? 1 : 0;
-        if (task.phase == task_phase::finished) {
-            ++progress.finished;
-            progress.failed += task.result.success() ? 0 : 1;
-        }
-    }
-    return progress;
+    return progress_;
 }
 
 std::vector<task_entry> job::tasks() const
@@ -166,11 +156,30 @@
     return task.is_open() && task.attempt == attempt ? &task : nullptr;
 }
 
-closed_attempt job::close(task_entry& task, task_phase phase, const rpc::task_status& status)
+void job::set_phase(task_entry& task, task_phase phase)
 {
+    const auto count = [&](std::uint32_t step) {
+        progress_.open += task.is_open() ? step : 0;
+        progress_.waiting += task.phase == task_phase::waiting ? step : 0;
+        progress_.uncertain += task.phase == task_phase::uncertain ? step : 0;
+        progress_.lost += task.phase == task_phase::lost ? step : 0;
+        progress_.finished += task.phase == task_phase::finished ? step : 0;
+    };
+    count(static_cast<std::uint32_t>(-1));
     task.phase = phase;
+    count(1);
+}
+
+closed_attempt job::close(task_entry& task, task_phase phase, const rpc::task_status& status)
+{
+    set_phase(task, phase);
     task.started = false;
-    notify_event();
+    const bool failed = phase == task_phase::finished && !task.result->success();
+    progress_.failed += failed ? 1 : 0;
+    // A slot that became free concerns a job with waiting tasks, too.
+    if (phase != task_phase::finished || failed || progress_.open == 0 || progress_.waiting > 0) {
+        notify_event();
+    }
     return {task.agent, status, phase == task_phase::waiting};
 }
 
--- a/src/libs/carobfall/dispatch/job.h
+++ b/src/libs/carobfall/dispatch/job.h
@@ -32,7 +32,7 @@
     bool started{false};      ///< the agent has said that it runs
     bool earlier_lost{false}; ///< an earlier attempt was lost and may have run
     rpc::agent_ref agent;     ///< holder of the present attempt
-    rpc::task_result result;
+    std::shared_ptr<const rpc::task_result> result; ///< set when finished
 
     [[nodiscard]] bool is_open() const;
 };
@@ -83,7 +83,9 @@
     void request_cancel();
     [[nodiscard]] bool cancel_requested() const;
 
-    /// Counts everything that may concern the running thread.
+    /// Counts what the running thread has to act on: tasks to place or to ask for, a failure, a
+    /// cancellation, the end. A success among many doesn't count, as it would wake the thread once
+    /// per task.
     [[nodiscard]] std::uint64_t events() const;
     /// Blocks until `events` differs from `seen`, or for `limit`.
     void wait_for_event(std::uint64_t seen, absl::Duration limit);
@@ -96,6 +98,7 @@
 
 private:
     task_entry* find_open(std::uint32_t index, std::uint32_t attempt);
+    void set_phase(task_entry& task, task_phase phase);
     closed_attempt close(task_entry& task, task_phase phase, const rpc::task_status& status);
     void notify_event();
 
@@ -107,6 +110,7 @@
     mutable std::mutex mutex_;
     std::condition_variable changed_;
     std::vector<task_entry> tasks_;
+    job_progress progress_;
     std::uint64_t events_{0};
     bool cancel_requested_{false};
     std::optional<result<rpc::submission_answer>> answer_;
--- a/src/libs/carobfall/dispatch/job_runner.cpp
+++ b/src/libs/carobfall/dispatch/job_runner.cpp
@@ -53,8 +53,8 @@
     while (!must_stop()) {
         const std::uint64_t seen = job_.events();
         give_up_lost_attempts();
-        revoke_uncertain();
         place_waiting();
+        revoke_uncertain();
         job_.wait_for_event(seen, next_wait());
     }
     wind_down();
@@ -70,34 +70,37 @@
 
 void job_runner::give_up_lost_attempts()
 {
-    std::uint32_t index = 0;
-    for (const task_entry& task : job_.tasks()) {
-        if (task.is_open() && context_.outside.registry->is_lost(task.agent)) {
-            attempt_accounting(context_).closed(
-                job_.key(), job_.mark_lost(index, task.attempt, may_rerun()), context_.now());
-        }
-        ++index;
+    if (job_.progress().open > 0) {
+        give_up_attempts(
+            [&](const task_entry& task) { return context_.outside.registry->is_lost(task.agent); });
     }
 }
 
 void job_runner::revoke_uncertain()
 {
-    const absl::Time now = context_.now();
-    revoke(
-        [&](const task_entry& task) {
-            return task.phase == task_phase::uncertain ||
-                   (may_rerun() && task.phase == task_phase::accepted &&
-                    is_silent(task.agent, now));
-        },
-        call_limit(context_.settings.revoke_call_limit));
-    if (!may_rerun()) {
+    const absl::Time begin = context_.now();
+    const auto is_doubtful = [&](const task_entry& task) {
+        return task.phase == task_phase::uncertain || (may_rerun() && is_silent(task.agent, begin));
+    };
+    if (begin < next_revoke_ || (job_.progress().uncertain == 0 && !may_rerun())) {
         return;
     }
+    revoke(is_doubtful, call_limit(context_.settings.revoke_call_limit));
+    // An agent that hangs may take up half of the time of this thread, no more.
+    const absl::Time end = context_.now();
+    next_revoke_ = end + std::max(context_.settings.call_retry_pause, end - begin);
+    if (may_rerun()) {
+        give_up_attempts([&](const task_entry& task) { return is_silent(task.agent, begin); });
+    }
+}
+
+void job_runner::give_up_attempts(const std::function<bool(const task_entry&)>& chosen)
+{
     std::uint32_t index = 0;
     for (const task_entry& task : job_.tasks()) {
-        if (task.is_open() && task.phase != task_phase::starting && is_silent(task.agent, now)) {
+        if (task.is_open() && chosen(task)) {
             attempt_accounting(context_).closed(
-                job_.key(), job_.mark_lost(index, task.attempt, true), context_.now());
+                job_.key(), job_.mark_lost(index, task.attempt, may_rerun()), context_.now());
         }
         ++index;
     }
--- a/src/libs/carobfall/dispatch/job_runner.h
+++ b/src/libs/carobfall/dispatch/job_runner.h
@@ -23,6 +23,7 @@
 private:
     [[nodiscard]] bool must_stop() const;
     void give_up_lost_attempts();
+    void give_up_attempts(const std::function<bool(const task_entry&)>& chosen);
     void revoke_uncertain();
     void place_waiting();
     void wind_down();
@@ -50,8 +51,9 @@
     job& job_;
     agent_calls calls_;
     claim_registration claim_;
-    absl::Time stop_time_;         ///< nothing is placed after it; what hasn't finished is revoked
-    absl::Time answer_time_;       ///< the answer is recorded then, finished or not
+    absl::Time stop_time_;   ///< nothing is placed after it; what hasn't finished is revoked
+    absl::Time answer_time_; ///< the answer is recorded then, finished or not
+    absl::Time next_revoke_{absl::InfinitePast()};
     std::optional<error> blocked_; ///< why the waiting tasks can't be placed
     bool ownership_moved_{false};
     /// Agents that refused or could not be reached, and until when they are left alone.
--- /dev/null
+++ b/tests/auto/dispatch/tst_agent_registry.cpp
@@ -0,0 +1,102 @@
+#include "fakes.h"
+
+#include "carobfall/dispatch/agent_selection.h"
+
+#include <doctest/doctest.h>
+
+using namespace carobfall;
+using namespace carobfall::testing;
+
+namespace {
+
+rpc::beat_request beat_of(const std::string& name, const std::string& incarnation)
+{
+    rpc::beat_request beat;
+    beat.mutable_agent()->set_name(name);
+    beat.mutable_agent()->set_incarnation(incarnation);
+    beat.set_send_time_us(4711);
+    beat.set_backend_available(true);
+    return beat;
+}
+
+rpc::register_request registration_of(const std::string& name, const std::string& incarnation)
+{
+    rpc::register_request request;
+    *request.mutable_agent() = agent_named(name, incarnation);
+    return request;
+}
+
+} // namespace
+
+TEST_CASE("an agent is registered only when its join is durable")
+{
+    dispatch_fixture fixture;
+    fixture.membership.store_down = true;
+    const absl::Time now = monotonic_now();
+    CHECK(!fixture.registry.on_register(registration_of("a1", "1"), now).registered());
+    CHECK(!fixture.registry.on_beat(beat_of("a1", "1"), now).registered());
+    fixture.membership.store_down = false;
+    CHECK(fixture.registry.on_register(registration_of("a1", "1"), now).registered());
+    CHECK(fixture.registry.on_beat(beat_of("a1", "1"), now).registered());
+}
+
+// Guards against leases that let agents start tasks which this entry can't vouch for.
+TEST_CASE("a lease lasts as long as the configuration is fresh, two seconds at most")
+{
+    dispatch_fixture fixture;
+    fixture.add_agent("a1");
+    const auto reply = [&] {
+        return fixture.registry.on_beat(beat_of("a1", "1"), monotonic_now());
+    };
+    CHECK(reply().lease_ms() == 2000);
+    CHECK(reply().send_time_us() == 4711);
+    CHECK(reply().configuration_version() == 7);
+    CHECK(reply().view().number() == 1);
+    fixture.source.set_fresh_for(absl::Milliseconds(300));
+    CHECK(reply().lease_ms() == 300);
+    fixture.source.set_fresh_for(absl::Milliseconds(-5));
+    CHECK(reply().lease_ms() == 0);
+    fixture.source.set_fresh_for(absl::Seconds(2));
+    fixture.owner.change([](ownership_snapshot& snapshot) { snapshot.in_transition = true; });
+    CHECK(reply().lease_ms() == 0);
+    fixture.owner.set_view(2, {entry_named("e2")});
+    CHECK(reply().lease_ms() == 0);
+}
+
+// Guards against a delayed registration that brings a dead process back.
+TEST_CASE("a later incarnation replaces the earlier one for good")
+{
+    dispatch_fixture fixture;
+    fixture.add_agent("a1");
+    const absl::Time now = monotonic_now();
+    CHECK(fixture.registry.on_register(registration_of("a1", "2"), now).registered());
+    CHECK(fixture.registry.is_lost(ref_of(agent_named("a1", "1"))));
+    CHECK(!fixture.registry.on_beat(beat_of("a1", "1"), now).registered());
+    CHECK(!fixture.registry.on_register(registration_of("a1", "1"), now).registered());
+    CHECK(fixture.registry.on_beat(beat_of("a1", "2"), now).registered());
+}
+
+TEST_CASE("silent, leaving, excluded and full agents get no tasks, but stay registered")
+{
+    dispatch_fixture fixture;
+    fixture.add_agent("a1");
+    const absl::Time now = monotonic_now();
+    const configuration_ptr current = fixture.source.current();
+    const dispatch_template* declaration = current->find_template("dambi", "check");
+    agent_state state = fixture.registry.agents().front();
+    const auto allowed = [&](absl::Time at) {
+        return may_place(state, *current, *declaration, fixture.settings, at);
+    };
+    CHECK(allowed(now));
+    CHECK(!allowed(now + absl::Seconds(4)));
+    CHECK(room_at(state, fixture.settings) == 12);
+    state.load.set_running(8);
+    state.load.set_queued(9);
+    CHECK(room_at(state, fixture.settings) == 0);
+    state.leaving = true;
+    CHECK(!allowed(now));
+    state.leaving = false;
+    state.backend_available = false;
+    CHECK(!allowed(now));
+    CHECK(fixture.registry.agents().size() == 1);
+}
--- /dev/null
+++ b/tests/auto/dispatch/tst_coordinator.cpp
@@ -0,0 +1,274 @@
+#include "fakes.h"
+
+#include <doctest/doctest.h>
+
+#include <future>
+
+using namespace carobfall;
+using namespace carobfall::testing;
+
+namespace {
+
+error_kind error_of(const result<rpc::submission_answer>& answer)
+{
+    REQUIRE(!answer);
+    CHECK(!answer.error().remedy.empty());
+    return answer.error().kind;
+}
+
+// A refusal before anything was claimed: nothing has run.
+void check_refused(const result<rpc::submission_answer>& answer, std::string_view kind)
+{
+    REQUIRE(answer.has_value());
+    CHECK(answer.value().state() == rpc::submission_failed);
+    CHECK(answer.value().error_kind() == kind);
+    for (const rpc::task_answer& task : answer.value().tasks()) {
+        CHECK(task.outcome() == rpc::outcome_not_run);
+    }
+    CHECK(answer.value().tasks_size() > 0);
+}
+
+} // namespace
+
+// Guards against a second run of a submission that a client sends again.
+TEST_CASE("a resubmission joins the running job and gets the recorded answer afterwards")
+{
+    dispatch_fixture fixture;
+    fake_agent& agent = fixture.add_agent("a1", agent_mode::hold);
+    fixture.service();
+    rpc::submission_request request = fixture.request(1);
+    auto first = std::async(std::launch::async, [&] { return fixture.submit(request).value(); });
+    REQUIRE(fixture.wait_for_open(1));
+    auto second = std::async(std::launch::async, [&] { return fixture.submit(request).value(); });
+    rpc::submission_request polling = request;
+    polling.set_wait(false);
+    CHECK(fixture.submit(polling).value().state() == rpc::submission_running);
+    agent.finish({"dambi", "s1"}, 0);
+    CHECK(first.get().SerializeAsString() == second.get().SerializeAsString());
+    CHECK(fixture.submit(request).value().state() == rpc::submission_complete);
+    CHECK(fixture.service().status({"dambi", "s1"}, monotonic_now()).value().state() ==
+          rpc::submission_complete);
+    CHECK(agent.starts() == 1);
+}
+
+TEST_CASE("a known id with another body is a conflict")
+{
+    dispatch_fixture fixture;
+    fixture.add_agent("a1");
+    rpc::submission_request request = fixture.request(1);
+    REQUIRE(fixture.submit(request).has_value());
+    request.set_body_hash("h2");
+    CHECK(error_of(fixture.submit(request)) == error_kind::conflict);
+}
+
+// Guards against a new run when only the answer has been dropped.
+TEST_CASE("an answer that was dropped for space is reported as expired")
+{
+    dispatch_fixture fixture;
+    fixture.settings.recorded_answer_bytes = 10;
+    fake_agent& agent = fixture.add_agent("a1");
+    REQUIRE(fixture.submit(fixture.request(1)).has_value());
+    CHECK(error_of(fixture.submit(fixture.request(1))) == error_kind::answer_expired);
+    CHECK(agent.starts() == 1);
+}
+
+// Guards against `not_run` for tasks that an earlier submission may have run.
+TEST_CASE("a late resubmission gets the known answer or an error without outcomes")
+{
+    dispatch_fixture fixture;
+    fixture.add_agent("a1");
+    rpc::submission_request request = fixture.request(1, absl::Milliseconds(100));
+    REQUIRE(fixture.submit(request).value().state() == rpc::submission_complete);
+    absl::SleepFor(absl::Milliseconds(110));
+    CHECK(fixture.submit(request).value().state() == rpc::submission_complete);
+    request.mutable_key()->set_submission_id("unknown");
+    CHECK(error_of(fixture.submit(request)) == error_kind::deadline_exceeded);
+}
+
+// Guards against a second run by an entry that lacks the claims of an earlier view.
+TEST_CASE("unknown submissions wait for complete records unless their deadline shows them new")
+{
+    dispatch_fixture fixture;
+    fixture.add_agent("a1");
+    fixture.source.change_template(
+        [](dispatch_template& declaration) { declaration.max_deadline = max_deadline; });
+    fixture.owner.change([](ownership_snapshot& snapshot) { snapshot.complete = false; });
+    CHECK(error_of(fixture.submit(fixture.request(1))) == error_kind::recovering);
+    CHECK(error_of(fixture.service().status({"dambi", "s1"}, monotonic_now())) ==
+          error_kind::recovering);
+    fixture.owner.change([](ownership_snapshot& snapshot) {
+        snapshot.effective_since = monotonic_now() - absl::Seconds(30);
+    });
+    CHECK(error_of(fixture.submit(fixture.request(1))) == error_kind::recovering);
+    const auto answer = fixture.submit(fixture.request(1, max_deadline - absl::Seconds(10)));
+    CHECK(answer.value().state() == rpc::submission_complete);
+}
+
+TEST_CASE("refusals before the claim say that nothing has run, and the id may be used again")
+{
+    dispatch_fixture fixture;
+    fake_agent& agent = fixture.add_agent("a1");
+    rpc::submission_request request = fixture.request(9);
+    SUBCASE("template")
+    {
+        request.set_template_name("none");
+        check_refused(fixture.submit(request), "not_found");
+    }
+    SUBCASE("deadline too far ahead")
+    {
+        request = fixture.request(9, absl::Minutes(2));
+        check_refused(fixture.submit(request), "invalid_request");
+    }
+    SUBCASE("requirements")
+    {
+        fixture.source.change_template(
+            [](dispatch_template& declaration) { declaration.requirements.accelerators = 1; });
+        check_refused(fixture.submit(request), "infeasible");
+    }
+    SUBCASE("data centre of the template")
+    {
+        fixture.source.change_template(
+            [](dispatch_template& declaration) { declaration.data_centres = {"guro"}; });
+        check_refused(fixture.submit(request), "infeasible");
+    }
+    SUBCASE("data centre out")
+    {
+        fixture.source.change([](configuration& next) { next.data_centres_out.insert("mapo"); });
+        check_refused(fixture.submit(request), "unavailable");
+    }
+    SUBCASE("queue of the account")
+    {
+        fixture.source.change(
+            [](configuration& next) { next.accounts.at("dambi").limits.queued_tasks = 8; });
+        check_refused(fixture.submit(request), "limit_exceeded");
+    }
+    SUBCASE("estimate against the deadline")
+    {
+        fixture.source.change_template([](dispatch_template& declaration) {
+            declaration.expected_run = absl::Milliseconds(1500);
+        });
+        check_refused(fixture.submit(request), "overloaded");
+    }
+    SUBCASE("configuration not fresh")
+    {
+        fixture.source.set_fresh_for(absl::ZeroDuration());
+        check_refused(fixture.submit(request), "stale_configuration");
+    }
+    SUBCASE("shutdown")
+    {
+        fixture.service().begin_shutdown();
+        check_refused(fixture.submit(request), "shutting_down");
+    }
+    CHECK(agent.starts() == 0);
+    CHECK(fixture.service().running_jobs() == 0);
+    CHECK(error_of(fixture.service().status({"dambi", "s1"}, monotonic_now())) ==
+          error_kind::not_found);
+}
+
+TEST_CASE("a submission that isn't waited for is answered when it is asked for")
+{
+    dispatch_fixture fixture;
+    fixture.add_agent("a1");
+    rpc::submission_request request = fixture.request(3);
+    request.set_wait(false);
+    CHECK(fixture.submit(request).value().state() == rpc::submission_running);
+    request.set_wait(true);
+    CHECK(fixture.submit(request).value().state() == rpc::submission_complete);
+}
+
+TEST_CASE("a request goes in one hop to the coordinator of its key")
+{
+    dispatch_fixture fixture;
+    fake_agent& agent = fixture.add_agent("a1");
+    fake_entry& other = fixture.add_witness();
+    const std::string id = fixture.id_owned_by("e2");
+    rpc::submission_request request = fixture.request(1, absl::Milliseconds(300), id);
+    int calls = 0;
+    SUBCASE("answered")
+    {
+        other.on_forward = [&](const rpc::forward_request& forwarded) {
+            ++calls;
+            CHECK(forwarded.view_number() == 2);
+            rpc::forward_reply reply;
+            reply.mutable_answer()->set_state(rpc::submission_complete);
+            return reply;
+        };
+        CHECK(fixture.submit(request).value().state() == rpc::submission_complete);
+        CHECK(calls == 1);
+    }
+    SUBCASE("typed error")
+    {
+        other.on_forward = [&](const rpc::forward_request&) {
+            rpc::forward_reply reply;
+            reply.mutable_answer()->set_error_kind("conflict");
+            reply.mutable_answer()->set_error_remedy("use another id");
+            return reply;
+        };
+        CHECK(error_of(fixture.submit(request)) == error_kind::conflict);
+    }
+    SUBCASE("answer lost")
+    {
+        other.on_forward = [&](const rpc::forward_request&) -> result<rpc::forward_reply> {
+            ++calls;
+            return failure(error_kind::outcome_unknown, "lost", "ask");
+        };
+        CHECK(error_of(fixture.submit(request)) == error_kind::outcome_unknown);
+        CHECK(calls == 1);
+    }
+    SUBCASE("unreachable until the deadline: nothing may be said about the tasks")
+    {
+        CHECK(error_of(fixture.submit(request)) == error_kind::unavailable);
+    }
+    SUBCASE("another view, then this entry becomes the owner")
+    {
+        other.on_forward = [&](const rpc::forward_request&) {
+            fixture.owner.set_view(3, {entry_named("e1")});
+            rpc::forward_reply reply;
+            reply.set_wrong_view(true);
+            return reply;
+        };
+        CHECK(fixture.submit(request).value().state() == rpc::submission_complete);
+        CHECK(agent.starts() == 1);
+    }
+}
+
+TEST_CASE("forwarded requests are run by their coordinator only, and are not forwarded again")
+{
+    dispatch_fixture fixture;
+    fake_agent& agent = fixture.add_agent("a1");
+    fixture.add_witness();
+    rpc::forward_request request;
+    request.set_view_number(2);
+    *request.mutable_submission() = fixture.request(1, absl::Seconds(2), fixture.id_owned_by("e2"));
+    CHECK(fixture.service().submit_forwarded(request, monotonic_now()).wrong_view());
+    *request.mutable_submission() = fixture.request(1, absl::Seconds(2), fixture.id_owned_by("e1"));
+    request.set_view_number(1);
+    CHECK(fixture.service().submit_forwarded(request, monotonic_now()).wrong_view());
+    CHECK(agent.starts() == 0);
+    request.set_view_number(2);
+    CHECK(fixture.service().submit_forwarded(request, monotonic_now()).answer().state() ==
+          rpc::submission_complete);
+}
+
+// Guards against a second run after a view change that moved the key away from a running job.
+TEST_CASE("a submission claimed by another member is asked of that member")
+{
+    dispatch_fixture fixture;
+    fake_agent& agent = fixture.add_agent("a1");
+    fake_entry& other = fixture.add_witness();
+    const std::string id = fixture.id_owned_by("e1");
+    const rpc::submission_request request = fixture.request(1, absl::Seconds(2), id);
+    rpc::claim claim;
+    *claim.mutable_submission() = request.key();
+    claim.set_body_hash("h1");
+    claim.set_deadline_unix_ms(request.deadline_unix_ms());
+    *claim.mutable_coordinator() = entry_named("e2", "guro");
+    fixture.claims.put(claim);
+    other.on_forward = [&](const rpc::forward_request&) {
+        rpc::forward_reply reply;
+        reply.mutable_answer()->set_state(rpc::submission_complete);
+        return reply;
+    };
+    CHECK(fixture.submit(request).value().state() == rpc::submission_complete);
+    CHECK(agent.starts() == 0);
+}
--- /dev/null
+++ b/tests/auto/dispatch/tst_limits.cpp
@@ -0,0 +1,144 @@
+#include "fakes.h"
+
+#include "carobfall/dispatch/account_limits.h"
+#include "carobfall/dispatch/attempt_accounting.h"
+#include "carobfall/dispatch/backend_health.h"
+#include "carobfall/dispatch/retry_budget.h"
+
+#include <doctest/doctest.h>
+
+using namespace carobfall;
+using namespace carobfall::testing;
+
+namespace {
+
+const absl::Time start = absl::FromUnixSeconds(1000);
+
+backoff_table one_kind(failure_kind kind, backoff_steps steps)
+{
+    backoff_table table;
+    table.at(static_cast<std::size_t>(kind)) = std::move(steps);
+    return table;
+}
+
+rpc::task_result failed_result(std::uint32_t status, std::uint32_t run_ms)
+{
+    rpc::task_result result;
+    result.set_backend_status(status);
+    result.set_run_ms(run_ms);
+    return result;
+}
+
+} // namespace
+
+// Guards against a backend server that fails everything and still attracts tasks.
+TEST_CASE("backoff grows with failures, is followed by one probe at a time, and ends by success")
+{
+    backend_health health(one_kind(failure_kind::failed, {absl::Seconds(1), absl::Seconds(4)}),
+                          [] { return std::uint64_t{1} << 63U; });
+    CHECK(health.permission("a1", start) == backend_permission::open);
+    health.record_failure("a1", failure_kind::failed, start);
+    // A second failure within the pause belongs to the first.
+    health.record_failure("a1", failure_kind::failed, start + absl::Milliseconds(1));
+    CHECK(health.permission("a1", start + absl::Milliseconds(990)) == backend_permission::closed);
+    absl::Time now = start + absl::Milliseconds(1010);
+    CHECK(health.permission("a1", now) == backend_permission::probe);
+    CHECK(health.take_probe("a1", now));
+    CHECK(!health.take_probe("a1", now));
+    CHECK(health.permission("a1", now) == backend_permission::closed);
+    health.record_failure("a1", failure_kind::failed, now);
+    CHECK(health.permission("a1", now + absl::Milliseconds(3900)) == backend_permission::closed);
+    now += absl::Milliseconds(4100);
+    CHECK(health.take_probe("a1", now));
+    health.release_probe("a1");
+    CHECK(health.take_probe("a1", now));
+    health.record_success("a1");
+    CHECK(health.permission("a1", now) == backend_permission::open);
+}
+
+TEST_CASE("failure kinds have their own steps, and retry-now clears them")
+{
+    backend_health health(default_backoff_table(), seeded_random());
+    health.record_failure("a1", failure_kind::failed, start);
+    CHECK(health.permission("a1", start) == backend_permission::open);
+    health.record_failure("a1", failure_kind::refused, start);
+    health.record_failure("a2", failure_kind::refused, start);
+    CHECK(health.permission("a1", start) == backend_permission::closed);
+    CHECK(health.permission("a3", start) == backend_permission::open);
+    CHECK(health.retry_now("a1") == 1);
+    CHECK(health.permission("a1", start) == backend_permission::open);
+    CHECK(health.retry_now("") == 1);
+}
+
+TEST_CASE("results tell how a backend server failed")
+{
+    CHECK(failure_kind_of(failed_result(0, 1)) == failure_kind::refused);
+    CHECK(failure_kind_of(failed_result(0, 900)) == failure_kind::timed_out);
+    CHECK(failure_kind_of(failed_result(504, 900)) == failure_kind::timed_out);
+    CHECK(failure_kind_of(failed_result(500, 200)) == failure_kind::failed);
+    CHECK(failure_kind_of(failed_result(500, 2)) == failure_kind::fast_failure);
+    // A malformed task must not close the backend server for the others.
+    CHECK(!failure_kind_of(failed_result(422, 2)).has_value());
+}
+
+TEST_CASE("running tasks, queued tasks and the start rate are limited")
+{
+    account_limits limits;
+    account_limit_values values;
+    values.concurrent_tasks = 4;
+    values.queued_tasks = 10;
+    CHECK(limits.enter("dambi", values, 10));
+    CHECK(!limits.enter("dambi", values, 1));
+    CHECK(limits.grant("dambi", values, 10, 100, start) == 4);
+    CHECK(limits.grant("dambi", values, 6, 100, start) == 0);
+    limits.release("dambi", 3);
+    CHECK(limits.grant("dambi", values, 6, 100, start) == 3);
+
+    values = {};
+    values.starts_per_second = 2;
+    CHECK(limits.enter("ombili", values, 10));
+    CHECK(limits.grant("ombili", values, 10, 100, start) == 2);
+    CHECK(limits.grant("ombili", values, 10, 100, start + absl::Milliseconds(400)) == 0);
+    CHECK(limits.grant("ombili", values, 10, 100, start + absl::Milliseconds(600)) == 1);
+    limits.requeue("ombili", 1, true);
+    CHECK(limits.grant("ombili", values, 10, 100, start + absl::Milliseconds(600)) == 1);
+}
+
+// Guards against one account that takes every slot, and against slots that stay free.
+TEST_CASE("busy slots are shared by weight, and unused shares go to the others")
+{
+    account_limits limits;
+    account_limit_values heavy;
+    heavy.weight = 3;
+    const account_limit_values light;
+    CHECK(limits.enter("heavy", heavy, 100));
+    CHECK(limits.grant("heavy", heavy, 100, 40, start) == 40);
+    CHECK(limits.enter("light", light, 100));
+    CHECK(limits.grant("light", light, 100, 40, start) == 10);
+    CHECK(limits.grant("heavy", heavy, 60, 40, start) == 0);
+    limits.release("heavy", 15);
+    CHECK(limits.grant("heavy", heavy, 60, 40, start) == 5);
+    limits.leave("light", 90);
+    limits.release("light", 7);
+    CHECK(limits.grant("heavy", heavy, 60, 40, start) == 7);
+}
+
+// Guards against retries that multiply the load of an overloaded region.
+TEST_CASE("retries are a share of first starts and a small rate")
+{
+    retry_budget budget(0.2, 2);
+    CHECK(budget.take(100, start) == 2);
+    budget.add_first_starts(50);
+    CHECK(budget.take(100, start) == 10);
+    CHECK(budget.take(100, start + absl::Milliseconds(600)) == 1);
+    CHECK(budget.take(100, start + absl::Seconds(60)) == 2);
+}
+
+TEST_CASE("limits are divided among the entries")
+{
+    const account_limit_values part = limits_per_entry({10, 9, 0, 2}, 3);
+    CHECK(part.concurrent_tasks == 4);
+    CHECK(part.starts_per_second == doctest::Approx(3));
+    CHECK(part.queued_tasks == 0);
+    CHECK(part.weight == doctest::Approx(2));
+}
--- /dev/null
+++ b/tests/auto/dispatch/tst_takeover.cpp
@@ -0,0 +1,137 @@
+#include "fakes.h"
+
+#include <doctest/doctest.h>
+
+using namespace carobfall;
+using namespace carobfall::testing;
+
+namespace {
+
+const submission_key key{"dambi", "s1"};
+
+// An entry that has become the owner of a claim whose coordinator, "e9", is gone.
+struct takeover_fixture : dispatch_fixture {
+    rpc::submission_request submission;
+
+    void claim(std::uint32_t tasks, absl::Duration ahead, const std::vector<std::string>& planned)
+    {
+        submission = request(static_cast<int>(tasks), ahead);
+        rpc::claim held;
+        *held.mutable_submission() = submission.key();
+        held.set_body_hash("h1");
+        held.set_deadline_unix_ms(submission.deadline_unix_ms());
+        held.set_task_count(tasks);
+        *held.mutable_coordinator() = entry_named("e9");
+        for (const std::string& name : planned) {
+            *held.add_planned_agents() = ref_of(agent_named(name));
+        }
+        claims.put(held);
+    }
+
+    rpc::submission_answer take_over()
+    {
+        owner.set_view(2, {entry_named("e1")});
+        service().on_view_in_effect(monotonic_now());
+        return submit(submission).value();
+    }
+};
+
+} // namespace
+
+TEST_CASE("a job whose tasks have all finished is complete after the takeover")
+{
+    takeover_fixture fixture;
+    fixture.add_agent("a1", agent_mode::hold).finish(key, 0, false);
+    fixture.add_agent("a2", agent_mode::hold).finish(key, 1, false);
+    fixture.claim(2, absl::Seconds(2), {"a1", "a2"});
+    const rpc::submission_answer answer = fixture.take_over();
+    CHECK(answer.state() == rpc::submission_complete);
+    CHECK(answer.tasks(1).result().body() == "r1");
+    CHECK(fixture.claims.find(key)->coordinator().name() == "e1");
+}
+
+// Guards against a fresh run of what the former coordinator had not started.
+TEST_CASE("tasks without a start get tombstones and are not run")
+{
+    takeover_fixture fixture;
+    fake_agent& agent = fixture.add_agent("a1");
+    agent.finish(key, 0, false);
+    fixture.claim(2, absl::Seconds(2), {"a1"});
+    const rpc::submission_answer answer = fixture.take_over();
+    CHECK(answer.error_kind() == "task_lost");
+    CHECK(answer.tasks(0).outcome() == rpc::outcome_ran);
+    CHECK(answer.tasks(1).outcome() == rpc::outcome_not_run);
+    CHECK(agent.record(key, 1).state() == rpc::task_state_revoked);
+    CHECK(agent.starts() == 0);
+}
+
+// Guards against `not_run` for tasks of an agent that was never asked.
+TEST_CASE("tasks may have run while a planned agent can't be asked")
+{
+    takeover_fixture fixture;
+    fixture.add_agent("a1").finish(key, 0, false);
+    fixture.add_agent("a2", agent_mode::unreachable);
+    fixture.claim(2, absl::Milliseconds(200), {"a1", "a2"});
+    const rpc::submission_answer answer = fixture.take_over();
+    CHECK(answer.tasks(0).outcome() == rpc::outcome_ran);
+    CHECK(answer.tasks(1).outcome() == rpc::outcome_may_have_run);
+}
+
+TEST_CASE("an incarnation that is recorded as lost is not waited for")
+{
+    takeover_fixture fixture;
+    fixture.membership.recorded.push_back({agent_named("a1"), true, monotonic_now()});
+    fixture.claim(1, absl::Seconds(20), {"a1"});
+    const absl::Time begin = monotonic_now();
+    CHECK(fixture.take_over().tasks(0).outcome() == rpc::outcome_may_have_run);
+    CHECK(monotonic_now() - begin < absl::Seconds(5));
+}
+
+TEST_CASE("started tasks are waited for")
+{
+    takeover_fixture fixture;
+    fake_agent& agent = fixture.add_agent("a1", agent_mode::hold);
+    rpc::start_request start;
+    *start.mutable_submission() = to_message(key);
+    start.add_tasks()->set_attempt(1);
+    REQUIRE(agent.start(start, absl::Seconds(1)).has_value());
+    fixture.claim(1, absl::Seconds(2), {"a1"});
+    fixture.owner.set_view(2, {entry_named("e1")});
+    fixture.service().on_view_in_effect(monotonic_now());
+    absl::SleepFor(absl::Milliseconds(30));
+    CHECK(fixture.service().status(key, monotonic_now()).value().state() ==
+          rpc::submission_running);
+    agent.finish(key, 0, false);
+    CHECK(fixture.submit(fixture.submission).value().state() == rpc::submission_complete);
+}
+
+// Guards against two entries that answer for one submission.
+TEST_CASE("claims of members and of other owners are left alone")
+{
+    takeover_fixture fixture;
+    fixture.add_agent("a1");
+    fixture.claim(1, absl::Seconds(2), {"a1"});
+    fixture.owner.set_view(2, {entry_named("e1"), entry_named("e9")});
+    fixture.service().on_view_in_effect(monotonic_now());
+    CHECK(fixture.service().running_jobs() == 0);
+}
+
+// Guards against a fresh run of a submission of which only agents hold records.
+TEST_CASE("records learned from agents make a submission known")
+{
+    takeover_fixture fixture;
+    fake_agent& agent = fixture.add_agent("a1");
+    const rpc::submission_request request = fixture.request(3);
+    rpc::fence_reply reply;
+    rpc::record_summary* record = reply.add_records();
+    *record->mutable_submission() = request.key();
+    record->set_index(1);
+    record->set_state(rpc::task_state_finished);
+    record->set_deadline_unix_ms(request.deadline_unix_ms());
+    fixture.service().learn_records(reply);
+    const rpc::submission_answer answer = fixture.submit(request).value();
+    CHECK(answer.error_kind() == "task_lost");
+    CHECK(answer.tasks(0).outcome() == rpc::outcome_may_have_run);
+    CHECK(answer.tasks(1).outcome() == rpc::outcome_ran);
+    CHECK(agent.starts() == 0);
+}
