Tools: Add the command line

Cause: submissions and operators' actions needed a client that resubmits safely and tells scripts what happened. Ruled out: a token as an argument value (visible in the process list); a new change id for each try (a change whose response was lost would be applied twice). Before: an empty program. After: submit, status, cancel, template, data-centre, backend, entry, retry-now and dump, with documented exit codes.

--- a/src/libs/carobfall/caller/caller_server.cpp
+++ b/src/libs/carobfall/caller/caller_server.cpp
@@ -85,7 +85,8 @@
 {
     BOOST_OUTCOME_TRY(const std::string body, call.read_body());
     BOOST_OUTCOME_TRY(decoded_submission decoded, decode_submission(key, body));
-    BOOST_OUTCOME_TRYV(validate_submission(decoded, *source_.current(), clock_()));
+    BOOST_OUTCOME_TRYV(
+        validate_submission(decoded, *source_.current(), settings_.max_deadline, clock_()));
     decoded.request.set_request_id(call.request_id);
     return std::move(decoded.request);
 }
--- a/src/libs/carobfall/caller/caller_server.h
+++ b/src/libs/carobfall/caller/caller_server.h
@@ -19,6 +19,9 @@
     /// Most callers that wait at once. Lower than the number of threads, so that status requests
     /// and cancels are served while this many submissions wait.
     std::size_t max_waiting{192};
+    /// Longest time between a submission and its deadline, whatever its template says. Records are
+    /// kept for this long, so that it bounds memory.
+    absl::Duration max_deadline{absl::Seconds(300)};
 };
 
 /// HTTP server for callers (docs/api.md): submits, reports and cancels submissions for
--- a/src/libs/carobfall/caller/submission_validator.cpp
+++ b/src/libs/carobfall/caller/submission_validator.cpp
@@ -13,14 +13,13 @@
 
 using json = nlohmann::json;
 
-result<void> check_deadline(absl::Time deadline, absl::Duration template_limit, absl::Time now)
+result<void> check_deadline(absl::Time deadline, absl::Duration limit, absl::Time now)
 {
     if (deadline <= now) {
         return failure(error_kind::deadline_exceeded, "the deadline has passed",
                        "ask for the state of the submission, or submit again under a new id if "
                        "running the tasks twice is acceptable");
     }
-    const absl::Duration limit = std::min(template_limit, max_deadline_ahead);
     if (deadline - now > limit) {
         return failure(error_kind::invalid_request, "the deadline is too far ahead",
                        absl::StrCat("send a deadline at most ", absl::FormatDuration(limit),
@@ -75,7 +74,8 @@
 } // namespace
 
 result<void> validate_submission(const decoded_submission& submission,
-                                 const configuration& declared, absl::Time now)
+                                 const configuration& declared, absl::Duration max_deadline,
+                                 absl::Time now)
 {
     const rpc::submission_request& request = submission.request;
     const dispatch_template* target =
@@ -84,8 +84,8 @@
         return failure(error_kind::not_found, "the account has no such template",
                        "check the name; an operator can list the templates");
     }
-    BOOST_OUTCOME_TRYV(
-        check_deadline(from_unix_ms(request.deadline_unix_ms()), target->max_deadline, now));
+    BOOST_OUTCOME_TRYV(check_deadline(from_unix_ms(request.deadline_unix_ms()),
+                                      std::min(target->max_deadline, max_deadline), now));
     BOOST_OUTCOME_TRYV(check_parameters(submission.parameters, *target));
     return check_tasks(request, *target);
 }
--- a/src/libs/carobfall/operators/operator_server.cpp
+++ b/src/libs/carobfall/operators/operator_server.cpp
@@ -2,12 +2,12 @@
 
 #include "carobfall/base/http_json.h"
 #include "carobfall/base/ids.h"
-#include "carobfall/base/strict_json.h"
 #include "carobfall/operators/change_request.h"
 #include "carobfall/operators/operator_json.h"
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace carobfall {
@@ -82,9 +82,10 @@
 
 result<void> operator_server::start()
 {
-    if (settings_.token.empty()) {
-        return failure(error_kind::invalid_request, "there is no operator token",
-                       "put the operator token into the settings");
+    if (settings_.tokens.empty() ||
+        std::find(settings_.tokens.begin(), settings_.tokens.end(), "") != settings_.tokens.end()) {
+        return failure(error_kind::invalid_request, "there is no operator token or an empty one",
+                       "put the operator tokens into the settings");
     }
     return http_.start();
 }
@@ -93,7 +94,7 @@
                                     http_handler handler)
 {
     http_.add_route(method, pattern, [this, handler = std::move(handler)](http_call& call) {
-        if (equal_constant_time(bearer_token(call.request), settings_.token)) {
+        if (is_operator(call.request)) {
             handler(call);
         } else {
             refuse(call, {error_kind::unauthenticated, "the operator token is missing or wrong",
@@ -102,6 +103,16 @@
     });
 }
 
+bool operator_server::is_operator(const httplib::Request& request) const
+{
+    const std::string presented = bearer_token(request);
+    bool equal = false;
+    for (const std::string& token : settings_.tokens) {
+        equal = equal_constant_time(presented, token) || equal; // compares with all of them
+    }
+    return equal;
+}
+
 void operator_server::add_public_routes()
 {
     http_.add_route("GET", "/healthz", [](http_call& call) {
--- a/src/libs/carobfall/operators/operator_server.h
+++ b/src/libs/carobfall/operators/operator_server.h
@@ -14,7 +14,7 @@
 /// Settings of the operators' interface.
 struct operator_settings {
     http_server_settings http{.threads = 16};
-    std::string token; ///< bearer token of the operators; never empty
+    std::vector<std::string> tokens{}; ///< bearer tokens of the operators, none empty
 };
 
 /// Reasons why the process must not get traffic; empty if it is ready.
@@ -29,7 +29,8 @@
                     const metrics_registry& metrics, readiness_function readiness,
                     operator_settings settings);
 
-    /// Errors: `unavailable` if the address can't be bound, `invalid_request` without a token.
+    /// Errors: `unavailable` if the address can't be bound, `invalid_request` without a
+    /// token or with an empty one.
     result<void> start();
     [[nodiscard]] int port() const { return http_.port(); }
     /// Returns once the requests in flight are answered.
@@ -43,6 +44,7 @@
     /// Adds a route that needs the token.
     void add_protected(const std::string& method, const std::string& pattern, http_handler handler);
 
+    [[nodiscard]] bool is_operator(const httplib::Request& request) const;
     void set_data_centre(http_call& call, bool out);
     void apply(http_call& call);
     void list_configuration(http_call& call);
--- /dev/null
+++ b/src/tools/carobfall/command_context.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "api_client.h"
+#include "exit_code.h"
+
+#include <ostream>
+#include <string>
+#include <vector>
+
+namespace carobfall::tool {
+
+/// What all commands share: where to send requests, and how to print.
+struct command_context {
+    api_client client;
+    bool json_output{false};
+    std::ostream& out;      ///< results
+    std::ostream& progress; ///< progress and errors
+};
+
+/// Prints the error and returns its exit code. A failure to reach any entry is `unreachable`.
+exit_code report_error(command_context& context, const error& problem);
+
+/// Prints the `error` of a document that has one and returns the document's exit code.
+exit_code report_document(command_context& context, const nlohmann::json& document);
+
+/// Sends the request. Prints an error and returns nothing for a transport error or an error
+/// document; `code` is then the exit code.
+[[nodiscard]] std::optional<nlohmann::json> fetch(command_context& context,
+                                                  const api_request& request, exit_code& code);
+
+/// Member of a document as text for people; empty if there is none.
+[[nodiscard]] std::string text_of(const nlohmann::json& object, const char* key);
+
+/// Rows with aligned columns.
+void print_table(std::ostream& out, const std::vector<std::vector<std::string>>& rows);
+
+} // namespace carobfall::tool
--- /dev/null
+++ b/src/tools/carobfall/command_line.cpp
@@ -0,0 +1,231 @@
+#include "command_line.h"
+
+#include "operator_commands.h"
+
+#include "carobfall/base/ids.h"
+
+#include <absl/strings/ascii.h>
+#include <absl/time/clock.h>
+
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <utility>
+
+namespace carobfall::tool {
+namespace {
+
+constexpr const char* default_caller_entry = "127.0.0.1:8080";
+constexpr const char* default_operator_entry = "127.0.0.1:8081";
+constexpr const char* token_variable = "CAROBFALL_TOKEN";
+
+void sleep_for(absl::Duration duration)
+{
+    absl::SleepFor(duration);
+}
+
+// Names become parts of request paths.
+std::string check_name(const std::string& name)
+{
+    return is_valid_name(name) ? "" : "use 1 to 128 characters of A-Z a-z 0-9 . _ -";
+}
+
+std::string check_template_name(const std::string& name)
+{
+    const std::size_t slash = name.find('/');
+    const bool valid = slash != std::string::npos && is_valid_name(name.substr(0, slash)) &&
+                       is_valid_name(name.substr(slash + 1));
+    return valid ? "" : "write ACCOUNT/TEMPLATE";
+}
+
+} // namespace
+
+command_line::command_line()
+{
+    app_.require_subcommand(1);
+    app_.fallthrough();
+    app_.footer(
+        "The token is taken from the environment variable CAROBFALL_TOKEN or --token-file.\n"
+        "Exit codes: 0 ok, 1 failed answer, 2 usage or invalid input, 3 refused and nothing "
+        "ran,\n4 outcome unknown, 5 no entry could be reached. See docs/operations.md.");
+    add_common_options();
+    add_submission_commands();
+    add_template_commands();
+    add_state_commands();
+    add_list_commands();
+}
+
+void command_line::add_common_options()
+{
+    app_.add_option("--entry", entries_,
+                    "Address ip:port of an entry; several are tried in turn. The callers' port for "
+                    "submit, status and cancel, else the operators' port.");
+    app_.add_option("--token-file", token_file_, "File with the bearer token.");
+    app_.add_option("--output", output_, "text or json")->check(CLI::IsMember({"text", "json"}));
+}
+
+void command_line::choose(const std::string& default_entry,
+                          std::function<exit_code(command_context&)> action)
+{
+    default_entry_ = default_entry;
+    action_ = std::move(action);
+}
+
+void command_line::add_caller_command(CLI::App* command,
+                                      std::function<exit_code(command_context&)> action)
+{
+    command->add_option("--account", submit_.account, "Client account.")
+        ->required()
+        ->check(check_name);
+    command->callback([this, action = std::move(action)] { choose(default_caller_entry, action); });
+}
+
+void command_line::add_submission_commands()
+{
+    CLI::App* submit_app = app_.add_subcommand(
+        "submit", "Submits tasks and prints the answer. The submission id is printed first.");
+    submit_app->add_option("--id", submit_.submission_id, "Submission id; random if left out.")
+        ->check(check_name);
+    submit_app->add_option("--file", submit_.file, "Whole body as JSON (docs/api.md).");
+    submit_app->add_option("--template", submit_.template_name, "Template of the account.");
+    submit_app->add_option("--task", submit_.tasks, "Task as JSON; may be repeated.");
+    submit_app->add_option("--tasks-file", submit_.tasks_file, "File with one JSON task a line.");
+    submit_app->add_option("--parameter", submit_.parameters, "NAME=VALUE; may be repeated.");
+    submit_app->add_option("--deadline", submit_.deadline_seconds, "Seconds from now.")
+        ->check(CLI::PositiveNumber);
+    submit_app->add_flag("--wait,!--no-wait", submit_.wait, "Wait for the answer (default).");
+    add_caller_command(submit_app, [this](command_context& context) {
+        return submit(context, submit_, absl::Now, sleep_for);
+    });
+    for (const auto& [name, method] : {std::pair{"status", "GET"}, {"cancel", "DELETE"}}) {
+        CLI::App* command = app_.add_subcommand(
+            name, std::string(method) == "GET" ? "Prints state and answer." : "Cancels.");
+        command->add_option("id", submit_.submission_id, "Submission id.")
+            ->required()
+            ->check(check_name);
+        add_caller_command(command, [this, method = std::string(method)](command_context& context) {
+            return ask(context, method, submit_.account, submit_.submission_id);
+        });
+    }
+}
+
+CLI::App* command_line::add_operator_command(CLI::App& parent, const std::string& name,
+                                             const std::string& description, operator_action action)
+{
+    CLI::App* command = parent.add_subcommand(name, description);
+    command->callback([this, action = std::move(action)] {
+        choose(default_operator_entry, [action](command_context& context) {
+            operator_commands commands(context, sleep_for);
+            return action(commands);
+        });
+    });
+    return command;
+}
+
+void command_line::add_template_commands()
+{
+    CLI::App& group = *app_.add_subcommand("template", "Templates and client accounts.");
+    group.require_subcommand(1);
+    CLI::App* apply = add_operator_command(
+        group, "apply", "Declares the documents of the files, all or none.",
+        [this](auto& commands) { return commands.apply(files_, dry_run_, false); });
+    apply->add_flag("--dry-run", dry_run_, "Report what would change.");
+    CLI::App* diff =
+        add_operator_command(group, "diff", "Prints the lines that an apply would change.",
+                             [this](auto& commands) { return commands.apply(files_, true, true); });
+    CLI::App* validate = add_operator_command(
+        group, "validate", "Checks files at an entry without a change.",
+        [this](auto& commands) { return commands.apply(files_, true, false); });
+    for (CLI::App* command : {apply, diff, validate}) {
+        command->add_option("files", files_, "YAML files.")->required();
+    }
+    add_operator_command(group, "get", "Prints a template as YAML.",
+                         [this](auto& commands) { return commands.get_template(first_name_); })
+        ->add_option("name", first_name_, "ACCOUNT/TEMPLATE")
+        ->required()
+        ->check(check_template_name);
+    add_operator_command(group, "list", "Lists templates.",
+                         [this](auto& commands) { return commands.list_templates(first_name_); })
+        ->add_option("account", first_name_, "Only of this client account.")
+        ->check(check_name);
+}
+
+void command_line::add_state_commands()
+{
+    CLI::App& centres = *app_.add_subcommand("data-centre", "Data centres.");
+    centres.require_subcommand(1);
+    CLI::App& entries = *app_.add_subcommand("entry", "Entry instances.");
+    entries.require_subcommand(1);
+    for (const bool out : {true, false}) {
+        add_operator_command(
+            centres, out ? "out" : "in", out ? "Takes it out of service." : "Takes it back in.",
+            [this, out](auto& commands) { return commands.set_data_centre(first_name_, out); })
+            ->add_option("name", first_name_, "Data centre.")
+            ->required()
+            ->check(check_name);
+    }
+    add_operator_command(entries, "forget",
+                         "Declares that an entry instance is dead and won't return.",
+                         [this](auto& commands) { return commands.forget_entry(first_name_); })
+        ->add_option("name", first_name_, "Entry instance.")
+        ->required()
+        ->check(check_name);
+    add_operator_command(app_, "retry-now", "Tries backed-off backend servers at once.",
+                         [this](auto& commands) { return commands.retry_now(first_name_); })
+        ->add_option("agent", first_name_, "Only this agent.")
+        ->check(check_name);
+    add_operator_command(centres, "list", "Lists data centres.",
+                         [](auto& commands) { return commands.list_data_centres(); });
+    add_operator_command(entries, "list", "Prints the view of the entry instances.",
+                         [](auto& commands) { return commands.list_entries(); });
+}
+
+void command_line::add_list_commands()
+{
+    CLI::App& backends = *app_.add_subcommand("backend", "Backend servers.");
+    backends.require_subcommand(1);
+    add_operator_command(backends, "list", "Lists backend servers.",
+                         [](auto& commands) { return commands.list_backends(); });
+    add_operator_command(app_, "dump", "Prints the state of one entry.",
+                         [](auto& commands) { return commands.dump(); });
+}
+
+result<std::string> command_line::token() const
+{
+    std::string text;
+    if (!token_file_.empty()) {
+        std::ifstream file(token_file_);
+        text.assign(std::istreambuf_iterator<char>(file), {});
+    } else if (const char* variable = std::getenv(token_variable)) {
+        text = variable;
+    }
+    absl::StripAsciiWhitespace(&text);
+    if (text.empty()) {
+        return failure(error_kind::invalid_request, "there is no token",
+                       "set CAROBFALL_TOKEN or give --token-file FILE");
+    }
+    return text;
+}
+
+int command_line::run(int argc, const char* const* argv)
+{
+    try {
+        app_.parse(argc, argv);
+    } catch (const CLI::ParseError& problem) {
+        return app_.exit(problem) == 0 ? 0 : static_cast<int>(exit_code::invalid_input);
+    }
+    const auto bearer = token();
+    if (!bearer) {
+        std::cerr << to_string(bearer.error()) << "\n";
+        return static_cast<int>(exit_code::invalid_input);
+    }
+    if (entries_.empty()) {
+        entries_.push_back(default_entry_);
+    }
+    command_context context{api_client(entries_, bearer.value()), output_ == "json", std::cout,
+                            std::cerr};
+    return static_cast<int>(action_(context));
+}
+
+} // namespace carobfall::tool
--- /dev/null
+++ b/src/tools/carobfall/command_line.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "submit_command.h"
+
+#include <CLI/CLI.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace carobfall::tool {
+
+class operator_commands;
+
+/// Parses the arguments of `carobfall` and runs the chosen command.
+class command_line {
+public:
+    command_line();
+
+    /// Returns the exit code of the process.
+    int run(int argc, const char* const* argv);
+
+private:
+    using operator_action = std::function<exit_code(operator_commands&)>;
+
+    void add_common_options();
+    void add_submission_commands();
+    void add_template_commands();
+    void add_state_commands();
+    void add_list_commands();
+    CLI::App* add_operator_command(CLI::App& parent, const std::string& name,
+                                   const std::string& description, operator_action action);
+    void add_caller_command(CLI::App* command, std::function<exit_code(command_context&)> action);
+    /// Runs the action with a context; `default_entry` is used without --entry.
+    void choose(const std::string& default_entry,
+                std::function<exit_code(command_context&)> action);
+    [[nodiscard]] result<std::string> token() const;
+
+    CLI::App app_{"Submits short tasks to carobfall and operates it."};
+    std::vector<std::string> entries_;
+    std::string token_file_;
+    std::string output_{"text"};
+    submit_options submit_;
+    std::string first_name_;
+    std::string second_name_;
+    std::vector<std::string> files_;
+    bool dry_run_{false};
+    std::string default_entry_;
+    std::function<exit_code(command_context&)> action_;
+};
+
+} // namespace carobfall::tool
--- /dev/null
+++ b/src/tools/carobfall/exit_code.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "carobfall/base/error.h"
+
+#include <nlohmann/json.hpp>
+
+namespace carobfall::tool {
+
+/// Exit codes of the command line (docs/operations.md).
+enum class exit_code {
+    ok = 0,
+    failed_answer = 1,   ///< the submission has failed; some tasks ran or may have run
+    invalid_input = 2,   ///< usage, file, or a request that the entry found malformed
+    refused = 3,         ///< refused, and this request has run and changed nothing
+    outcome_unknown = 4, ///< it may or may not have had an effect
+    unreachable = 5,     ///< no entry could be reached
+};
+
+/// Code for an error without an answer.
+[[nodiscard]] exit_code exit_code_of(error_kind kind);
+
+/// Code for an answer document of docs/api.md: with `state`, or with only an `error`.
+[[nodiscard]] exit_code exit_code_of(const nlohmann::json& document);
+
+/// Kind in the `error` of the document; nothing if it has none.
+[[nodiscard]] std::optional<error_kind> error_kind_of(const nlohmann::json& document);
+
+} // namespace carobfall::tool
--- /dev/null
+++ b/src/tools/carobfall/line_diff.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include <string>
+
+namespace carobfall::tool {
+
+/// Lines that differ, those of `before` marked "- " and those of `after` marked "+ ", in the order
+/// of a longest common subsequence. Meant for texts of at most some hundred lines.
+[[nodiscard]] std::string line_diff(const std::string& before, const std::string& after);
+
+} // namespace carobfall::tool
--- a/src/tools/carobfall/main.cpp
+++ b/src/tools/carobfall/main.cpp
@@ -1,6 +1,6 @@
-#include "carobfall/base/clock.h"
+#include "command_line.h"
 
-int main()
+int main(int argc, char** argv)
 {
-    return carobfall::to_unix_ms(carobfall::monotonic_now()) > 0 ? 0 : 1;
+    return carobfall::tool::command_line().run(argc, argv);
 }
--- /dev/null
+++ b/src/tools/carobfall/operator_commands.cpp
@@ -0,0 +1,198 @@
+#include "operator_commands.h"
+
+#include "line_diff.h"
+
+#include "carobfall/base/ids.h"
+
+#include <fstream>
+#include <optional>
+#include <sstream>
+#include <utility>
+
+namespace carobfall::tool {
+namespace {
+
+using json = nlohmann::json;
+
+// An accepted change is in force within 5 s; the rest covers a slow store.
+constexpr int confirmation_attempts = 20;
+constexpr absl::Duration confirmation_pause = absl::Milliseconds(500);
+
+result<std::string> read_documents(const std::vector<std::string>& files)
+{
+    std::string documents;
+    for (const std::string& name : files) {
+        std::ifstream file(name, std::ios::binary);
+        std::ostringstream text;
+        if (!file || !(text << file.rdbuf())) {
+            return failure(error_kind::invalid_request, "can't read " + name,
+                           "check that the file exists and isn't empty");
+        }
+        documents += (documents.empty() ? "" : "\n---\n") + text.str();
+    }
+    return documents;
+}
+
+} // namespace
+
+operator_commands::operator_commands(command_context& context,
+                                     std::function<void(absl::Duration)> sleep)
+    : context_(context), sleep_(std::move(sleep))
+{}
+
+exit_code operator_commands::apply(const std::vector<std::string>& files, bool dry_run,
+                                   bool as_diff)
+{
+    const auto documents = read_documents(files);
+    if (!documents) {
+        return report_error(context_, documents.error());
+    }
+    const json body{{"yaml", documents.value()}, {"dry_run", dry_run}, {"change_id", random_id()}};
+    return change({"POST", "/v1/apply", body.dump(-1, ' ', false, json::error_handler_t::replace)},
+                  as_diff);
+}
+
+exit_code operator_commands::set_data_centre(const std::string& name, bool out)
+{
+    return change(
+        {"POST", "/v1/data-centres/" + name + (out ? "/out" : "/in") + "?change_id=" + random_id()},
+        false);
+}
+
+exit_code operator_commands::change(api_request request, bool as_diff)
+{
+    for (int attempt = 1;; ++attempt) {
+        exit_code code = exit_code::ok;
+        const auto report = fetch(context_, request, code);
+        const bool unconfirmed = report && text_of(*report, "state") == "committed_not_confirmed";
+        if (report && !unconfirmed) {
+            print_change(*report, as_diff);
+            return exit_code::ok;
+        }
+        // The same change id makes it safe to send a change whose outcome is unknown again.
+        const bool may_repeat = unconfirmed || code == exit_code::outcome_unknown;
+        if (!may_repeat || attempt == confirmation_attempts) {
+            if (report) {
+                print_change(*report, as_diff);
+            }
+            return unconfirmed ? exit_code::outcome_unknown : code;
+        }
+        context_.progress << (unconfirmed ? "committed, waiting until it is confirmed in force\n"
+                                          : "sending the same change again\n");
+        sleep_(confirmation_pause);
+    }
+}
+
+void operator_commands::print_change(const json& report, bool as_diff)
+{
+    if (context_.json_output) {
+        context_.out << report.dump() << "\n";
+        return;
+    }
+    for (const json& row : report.value("rows", json::array())) {
+        context_.out << text_of(row, "action") << " " << text_of(row, "key") << "\n";
+        if (as_diff) {
+            context_.out << line_diff(text_of(row, "before"), text_of(row, "after"));
+        }
+    }
+    context_.out << text_of(report, "state") << ", version " << text_of(report, "version")
+                 << ", change " << text_of(report, "change_id") << "\n";
+}
+
+exit_code operator_commands::get_template(const std::string& name)
+{
+    exit_code code = exit_code::ok;
+    if (const auto row = fetch(context_, {"GET", "/v1/templates/" + name}, code)) {
+        context_.out << (context_.json_output ? row->dump() + "\n" : text_of(*row, "yaml"));
+    }
+    return code;
+}
+
+exit_code operator_commands::list_templates(const std::string& account)
+{
+    const std::string prefix = "template/" + (account.empty() ? "" : account + "/");
+    return print_list("/v1/configuration?prefix=" + prefix, "rows", {"key", "version"});
+}
+
+exit_code operator_commands::list_data_centres()
+{
+    return print_list("/v1/data-centres", "data_centres",
+                      {"name", "out", "agents", "slots", "running"});
+}
+
+exit_code operator_commands::list_backends()
+{
+    return print_list("/v1/backends", "backends",
+                      {"agent", "backend_server", "data_centre", "rack", "slots", "running",
+                       "queued", "available", "leaving", "backoff_ms", "backoff_reason"});
+}
+
+exit_code operator_commands::print_list(const std::string& path, const char* member,
+                                        const std::vector<const char*>& columns)
+{
+    exit_code code = exit_code::ok;
+    const auto document = fetch(context_, {"GET", path}, code);
+    if (!document) {
+        return code;
+    }
+    if (context_.json_output) {
+        context_.out << document->dump() << "\n";
+        return code;
+    }
+    std::vector<std::vector<std::string>> rows{{columns.begin(), columns.end()}};
+    for (const json& item : document->value(member, json::array())) {
+        std::vector<std::string>& row = rows.emplace_back();
+        for (const char* column : columns) {
+            row.push_back(text_of(item, column));
+        }
+    }
+    print_table(context_.out, rows);
+    return code;
+}
+
+exit_code operator_commands::list_entries()
+{
+    exit_code code = exit_code::ok;
+    const auto document = fetch(context_, {"GET", "/debug/state"}, code);
+    if (document) {
+        const json state = document->value("state", json::object());
+        context_.out << state.value("view", json::object()).dump(context_.json_output ? -1 : 2)
+                     << "\n";
+    }
+    return code;
+}
+
+exit_code operator_commands::forget_entry(const std::string& name)
+{
+    exit_code code = exit_code::ok;
+    if (const auto done = fetch(context_, {"POST", "/v1/entries/" + name + "/forget"}, code)) {
+        context_.out << (context_.json_output ? done->dump() : "forgotten " + name) << "\n";
+    }
+    return code;
+}
+
+exit_code operator_commands::retry_now(const std::string& agent)
+{
+    exit_code code = exit_code::ok;
+    const std::string query = agent.empty() ? "" : "?agent=" + agent;
+    if (const auto done = fetch(context_, {"POST", "/v1/retry-now" + query}, code)) {
+        context_.out << (context_.json_output ? done->dump()
+                                              : "cleared " + text_of(*done, "cleared"))
+                     << "\n";
+    }
+    return code;
+}
+
+exit_code operator_commands::dump()
+{
+    constexpr int indent = 2;
+    exit_code code = exit_code::ok;
+    if (const auto document = fetch(context_, {"GET", "/debug/state"}, code)) {
+        context_.out
+            << document->value("state", json::object()).dump(context_.json_output ? -1 : indent)
+            << "\n";
+    }
+    return code;
+}
+
+} // namespace carobfall::tool
--- /dev/null
+++ b/src/tools/carobfall/operator_commands.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "command_context.h"
+
+#include "carobfall/base/clock.h"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace carobfall::tool {
+
+/// Commands over the operators' interface.
+class operator_commands {
+public:
+    operator_commands(command_context& context, std::function<void(absl::Duration)> sleep);
+
+    /// Declares the documents of the files, all or none. A dry run changes nothing; with `as_diff`
+    /// the changed lines are printed.
+    exit_code apply(const std::vector<std::string>& files, bool dry_run, bool as_diff);
+    /// `name` is ACCOUNT/TEMPLATE.
+    exit_code get_template(const std::string& name);
+    /// Templates of one account, or of all if `account` is empty.
+    exit_code list_templates(const std::string& account);
+    exit_code set_data_centre(const std::string& name, bool out);
+    exit_code list_data_centres();
+    exit_code list_backends();
+    /// Members of the view as the entry's state dump has them.
+    exit_code list_entries();
+    exit_code forget_entry(const std::string& name);
+    exit_code retry_now(const std::string& agent);
+    exit_code dump();
+
+private:
+    /// Sends the change again, with the same change id, until it is confirmed in force.
+    exit_code change(api_request request, bool as_diff);
+    exit_code print_list(const std::string& path, const char* member,
+                         const std::vector<const char*>& columns);
+    void print_change(const nlohmann::json& report, bool as_diff);
+
+    command_context& context_;
+    std::function<void(absl::Duration)> sleep_;
+};
+
+} // namespace carobfall::tool
--- a/tests/auto/operators/tst_operator_server.cpp
+++ b/tests/auto/operators/tst_operator_server.cpp
@@ -1,3 +1,5 @@
+#include "mock_operator_service.h"
+
 #include "carobfall/operators/operator_server.h"
 
 #include <doctest/doctest.h>
@@ -8,26 +10,11 @@
 #include <trompeloeil.hpp>
 
 using namespace carobfall;
+using namespace carobfall::test;
 using trompeloeil::_;
 
 namespace {
 
-class mock_operator_service : public operator_service {
-public:
-    using report = result<change_report>;
-    MAKE_MOCK1(find_declaration, result<declared_row>(const std::string&), override);
-    MAKE_MOCK1(list_declarations, result<std::vector<declared_row>>(const std::string&), override);
-    MAKE_MOCK0(configuration_version, std::uint64_t(), override);
-    MAKE_MOCK3(apply, report(const std::string&, const std::string&, const change_options&),
-               override);
-    MAKE_MOCK2(remove, report(const std::string&, const change_options&), override);
-    MAKE_MOCK3(set_data_centre, report(const std::string&, bool, const change_options&), override);
-    MAKE_MOCK0(data_centres, result<std::vector<data_centre_status>>(), override);
-    MAKE_MOCK0(backends, result<std::vector<backend_status>>(), override);
-    MAKE_MOCK1(forget_entry, result<void>(const std::string&), override);
-    MAKE_MOCK1(retry_now, result<std::uint32_t>(const std::string&), override);
-};
-
 struct operator_fixture {
     operator_fixture()
         : server(
@@ -40,7 +27,7 @@
 
     static operator_settings settings()
     {
-        return {.http = {.threads = 4}, .token = "operator-token"};
+        return {.http = {.threads = 4}, .tokens = {"earlier-token", "operator-token"}};
     }
 
     nlohmann::json get(const std::string& path, int status = 200)
@@ -115,6 +102,9 @@
     operator_server server(fixture.service, fixture.dump, fixture.metrics,
                            [] { return std::vector<std::string>(); }, {});
     CHECK(server.start().error().kind == error_kind::invalid_request);
+    operator_server with_empty(fixture.service, fixture.dump, fixture.metrics,
+                               [] { return std::vector<std::string>(); }, {.tokens = {"a", ""}});
+    CHECK(with_empty.start().error().kind == error_kind::invalid_request);
 }
 
 // Guards against a change that is reported in force before a majority of the entries holds it.
