--- a/scripts/cluster.py
+++ b/scripts/cluster.py
@@ -176,7 +176,7 @@
         port = free_ports(1)[0]
         self.platform_address = f"127.0.0.1:{port}"
         self.platform_url = f"http://{self.platform_address}"
-        self.platform = Process("platform", [PLATFORM, "--port", port, *platform_flags],
+        self.platform = Process("platform", [PLATFORM, "--address", self.platform_address, *platform_flags],
                                 self.directory)
         self.entries = [Entry(self, i, self.data_centre(i)) for i in range(entries)]
         self.workers = [Worker(self, i, self.data_centre(i), backend_flags)
