--- a/src/libs/carobfall/config/configuration_builder.cpp
+++ b/src/libs/carobfall/config/configuration_builder.cpp
@@ -104,10 +104,18 @@
     return change;
 }
 
-result<void> validate_change(const rpc::configuration_change& change)
+result<rpc::configuration_change> canonical_change(const rpc::configuration_change& change)
 {
     configuration scratch;
-    return apply_to(scratch, change);
+    BOOST_OUTCOME_TRY(apply_to(scratch, change));
+    rpc::configuration_change canonical = change;
+    if (change.deleted()) {
+        canonical.clear_value();
+    } else if (!change.key().starts_with(data_centre_prefix)) {
+        BOOST_OUTCOME_TRY(const declaration value, parse_value(change));
+        canonical.set_value(to_yaml(value));
+    }
+    return canonical;
 }
 
 result<void> configuration_builder::apply(const rpc::push_configuration_request& update)
--- a/src/libs/carobfall/config/configuration_builder.h
+++ b/src/libs/carobfall/config/configuration_builder.h
@@ -14,8 +14,10 @@
 /// Change that takes a data centre out or brings it back, without version and change id.
 [[nodiscard]] rpc::configuration_change data_centre_change(const std::string& name, bool out);
 
-/// Checks key and value of a change. Errors: `invalid_request`.
-[[nodiscard]] result<void> validate_change(const rpc::configuration_change& change);
+/// The change with the canonical text of its value, so that equal declarations have equal values.
+/// Errors: `invalid_request` if key and value don't fit each other.
+[[nodiscard]] result<rpc::configuration_change>
+canonical_change(const rpc::configuration_change& change);
 
 /// Builds configurations from the rows and changes of the table service. The version never goes
 /// back: older changes and snapshots are ignored. Not thread-safe.
--- /dev/null
+++ b/src/libs/carobfall/platform/configuration_store.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "carobfall/platform/configuration_rows.h"
+
+#include <absl/time/clock.h>
+#include <absl/time/time.h>
+
+#include <cstddef>
+#include <functional>
+
+namespace carobfall {
+
+/// Log rows and change ids that are kept. A reader further behind loads a snapshot; a request that
+/// is repeated after so many later versions is no longer recognised.
+inline constexpr std::uint64_t kept_versions = 1000;
+
+/// Most changes of one transaction.
+inline constexpr std::size_t max_changes_at_once = 200;
+
+/// Changes that are applied together or not at all.
+struct configuration_change_set {
+    /// Key, value and `deleted` of each; version and change id are given by the store.
+    std::vector<rpc::configuration_change> changes;
+    /// Identity of the request. It stays the same when the request is repeated.
+    std::string change_id;
+    /// Version that the operator has seen. Nothing: the version at the start of the call.
+    std::optional<std::uint64_t> expected_version;
+};
+
+/// Attempts of a call and the pauses between them, each a random part of a doubling duration.
+struct store_retry_policy {
+    int attempts{8};
+    absl::Duration first_pause{absl::Milliseconds(50)};
+    absl::Duration longest_pause{absl::Seconds(1)};
+};
+
+/// The operators' configuration in the table service. Thread-safe; calls block for at most the
+/// attempts of the policy with their pauses.
+///
+/// Errors of all calls: `overloaded` if the service still throttles after the last attempt,
+/// `unavailable` during an outage, `internal` for a row that can't be read.
+class configuration_store {
+public:
+    using sleep_function = std::function<void(absl::Duration)>;
+
+    explicit configuration_store(table_service& table, store_retry_policy policy = {},
+                                 sleep_function sleep = absl::SleepFor);
+
+    /// A snapshot of everything.
+    result<rpc::push_configuration_request> load();
+
+    /// The changes after `version`; a snapshot if the log doesn't reach back to it. Costs one read
+    /// if there are none.
+    result<rpc::push_configuration_request> changes_since(std::uint64_t version);
+
+    /// Commits the changes that differ from what is stored and returns the version that holds them.
+    /// Repeating a request with its change id applies it at most once.
+    ///
+    /// Errors: `conflict` if one of the rows was changed to something else after the expected
+    /// version or if the change id stands for other changes, `invalid_request`, and
+    /// `outcome_unknown` if the changes may have been committed or may yet be.
+    result<std::uint64_t> apply(const configuration_change_set& request);
+
+private:
+    result<configuration_head> read_head();
+    result<rpc::push_configuration_request> load_once();
+    result<rpc::push_configuration_request> changes_once(std::uint64_t version);
+    /// Appends the log rows from `first` to `last`. False if one is missing.
+    result<bool> append_log(std::uint64_t first, std::uint64_t last,
+                            rpc::push_configuration_request& update);
+    void pause(int attempt);
+
+    template <typename T>
+    result<T> while_throttled(const std::function<result<T>()>& call);
+
+    table_service& table_;
+    store_retry_policy policy_;
+    sleep_function sleep_;
+};
+
+} // namespace carobfall
--- /dev/null
+++ b/src/libs/carobfall/platform/configuration_transaction.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "carobfall/platform/configuration_store.h"
+
+namespace carobfall::internal {
+
+/// The attempts of one `configuration_store::apply`. Not thread-safe.
+class configuration_transaction {
+public:
+    /// The changes are in canonical form.
+    configuration_transaction(table_service& table, const configuration_change_set& request);
+
+    enum class step { done, failed, repeat };
+
+    /// Reads what the decision needs and commits. `repeat`: another attempt may succeed.
+    step attempt();
+
+    /// Version that holds the changes, after `done`.
+    [[nodiscard]] std::uint64_t version() const { return version_; }
+    /// Why the last attempt did not succeed. `outcome_unknown` as long as a commit may have been
+    /// or may yet be applied.
+    [[nodiscard]] error failure_reason() const;
+
+private:
+    result<void> attempt_once();
+    /// True if the change id has been committed.
+    result<bool> find_committed();
+    /// Collects the changes that differ from the stored rows; checks that nobody else changed them.
+    result<std::vector<rpc::configuration_change>> differing_changes();
+    result<void> check_base();
+    result<void> commit(std::vector<rpc::configuration_change> changes);
+    /// Adds the deletion of the log row, its change id, and the row if it holds only a deletion.
+    result<void> add_trimming(std::uint64_t version, table_transaction& transaction);
+    [[nodiscard]] bool changes_row(const std::string& key) const;
+
+    table_service& table_;
+    const configuration_change_set& request_;
+    std::string digest_;
+    std::optional<std::uint64_t> base_;
+    configuration_head head_;
+    std::uint64_t version_{0};
+    error last_error_;
+    bool committing_{false}; ///< the last call was a commit
+    /// Row version of the head on which a commit without answer depends.
+    std::optional<std::uint64_t> open_commit_;
+};
+
+} // namespace carobfall::internal
--- a/tests/auto/config/tst_configuration_builder.cpp
+++ b/tests/auto/config/tst_configuration_builder.cpp
@@ -101,9 +101,20 @@
     CHECK(builder.build()->data_centres_out.empty());
     for (const char* key : {"", "account", "account/", "template/a", "template//b", "other/a",
                             "data_centre/a/b", "account/.a"}) {
-        CHECK_MESSAGE(!validate_change(deleted(key)).has_value(), key);
+        CHECK_MESSAGE(!canonical_change(deleted(key)).has_value(), key);
     }
     rpc::configuration_change sideways = data_centre_change("mapo", true);
     sideways.set_value("sideways");
-    CHECK_FALSE(validate_change(sideways).has_value());
+    CHECK_FALSE(canonical_change(sideways).has_value());
+}
+
+// Guards against two texts of one declaration being taken for a change.
+TEST_CASE("a change is brought to canonical form")
+{
+    const rpc::configuration_change canonical =
+        to_change(client_account{"a", "0123456789abcdef", {}});
+    rpc::configuration_change commented = canonical;
+    commented.set_value("# note\ntoken: 0123456789abcdef\nname: a\nkind: client_account\n");
+    CHECK(canonical_change(commented).value().value() == canonical.value());
+    CHECK(canonical_change(data_centre_change("mapo", true)).value().value() == "out");
 }
--- /dev/null
+++ b/tests/auto/platform/tst_configuration_race.cpp
@@ -0,0 +1,253 @@
+#include "../support/fake_table_service.h"
+#include "carobfall/config/configuration_builder.h"
+#include "carobfall/platform/configuration_store.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <cstdlib>
+#include <set>
+
+using namespace carobfall;
+using namespace carobfall::testing;
+
+namespace {
+
+enum class fault { none, outage, lost_answer, lost_commit, late_commit, throttling };
+
+/// One operator's request, what disturbs it, and when another operator's request comes in between.
+struct request_plan {
+    int data_centre{0};
+    int content{0}; ///< 0 in, 1 out, 2 deleted
+    bool expects_version{false};
+    fault disturbance{fault::none};
+    int disturbed_at{0};   ///< table operation of the request before which the fault begins
+    int interrupted_at{0}; ///< table operation before which the next request runs
+    bool repeated{false};  ///< after an unknown outcome
+};
+
+void showValue(const request_plan& plan, std::ostream& stream)
+{
+    stream << "{dc" << plan.data_centre << "=" << plan.content << " expects "
+           << plan.expects_version << " fault " << static_cast<int>(plan.disturbance) << "@"
+           << plan.disturbed_at << " next@" << plan.interrupted_at << " repeated " << plan.repeated
+           << "}";
+}
+
+rc::Gen<request_plan> any_plan()
+{
+    using rc::gen::inRange;
+    return rc::gen::build<request_plan>(
+        rc::gen::set(&request_plan::data_centre, inRange(0, 3)),
+        rc::gen::set(&request_plan::content, inRange(0, 3)),
+        rc::gen::set(&request_plan::expects_version),
+        rc::gen::set(&request_plan::disturbance,
+                     rc::gen::map(inRange(0, 6), [](int value) { return fault(value); })),
+        rc::gen::set(&request_plan::disturbed_at, inRange(1, 9)),
+        rc::gen::set(&request_plan::interrupted_at, inRange(1, 12)),
+        rc::gen::set(&request_plan::repeated));
+}
+
+/// Runs the requests nested into each other and keeps what the operators were told.
+class race {
+public:
+    explicit race(std::vector<request_plan> plans) : plans_(std::move(plans))
+    {
+        table_.set_hook([this](table_operation, std::string_view) { before_operation(); });
+    }
+
+    void run()
+    {
+        while (next_ < plans_.size()) {
+            run_next();
+            table_.release_commits();
+            follow();
+        }
+        check_outcome();
+    }
+
+private:
+    struct request_record {
+        configuration_change_set request;
+        std::uint64_t base{0};
+        std::optional<result<std::uint64_t>> told;
+    };
+
+    struct running_request {
+        request_plan plan;
+        int operations{0};
+    };
+
+    static constexpr std::size_t max_depth = 3; // operators at a time
+    static constexpr int outage_operations = 3;
+
+    void run_next()
+    {
+        const std::size_t index = next_++;
+        const request_plan plan = plans_[index];
+        rpc::configuration_change change =
+            data_centre_change("dc" + std::to_string(plan.data_centre), plan.content == 1);
+        change.set_deleted(plan.content == 2);
+        request_record record;
+        record.base = head();
+        record.request = {{change}, "c" + std::to_string(index), std::nullopt};
+        if (plan.expects_version) {
+            record.request.expected_version = record.base;
+        }
+        running_.push_back({plan});
+        record.told = store_.apply(record.request);
+        if (plan.repeated && !*record.told &&
+            record.told->error().kind == error_kind::outcome_unknown) {
+            record.base = plan.expects_version ? record.base : head();
+            record.told = store_.apply(record.request);
+        }
+        running_.pop_back();
+        records_.push_back(std::move(record));
+    }
+
+    void before_operation()
+    {
+        const std::uint64_t present = head();
+        RC_ASSERT(present >= highest_head_);
+        highest_head_ = present;
+        if (outage_left_ > 0 && --outage_left_ == 0) {
+            table_.set_outage(false);
+        }
+        if (running_.empty()) {
+            return;
+        }
+        const running_request top = running_.back();
+        ++running_.back().operations;
+        if (top.operations + 1 == top.plan.disturbed_at) {
+            disturb(top.plan.disturbance);
+        }
+        if (top.operations + 1 == top.plan.interrupted_at && running_.size() < max_depth &&
+            next_ < plans_.size()) {
+            run_next();
+            table_.release_commits();
+        }
+    }
+
+    void disturb(fault disturbance)
+    {
+        table_.lose_answers(disturbance == fault::lost_answer ? 1 : 0);
+        table_.lose_commits(disturbance == fault::lost_commit ? 2 : 0);
+        table_.delay_commits(disturbance == fault::late_commit ? 1 : 0);
+        table_.throttle(disturbance == fault::throttling ? 2 : 0);
+        if (disturbance == fault::outage) {
+            outage_left_ = outage_operations;
+            table_.set_outage(true);
+        }
+    }
+
+    /// A reader without faults holds exactly what the log says.
+    void follow()
+    {
+        disturb(fault::none);
+        outage_left_ = 0;
+        table_.set_outage(false);
+        const std::uint64_t before = follower_.version();
+        RC_ASSERT(follower_.apply(store_.changes_since(before).value()).has_value());
+        RC_ASSERT(follower_.version() == head());
+        configuration_builder loaded;
+        RC_ASSERT(loaded.apply(store_.load().value()).has_value());
+        const auto out = state_at(head());
+        for (const configuration_builder* reader : {&follower_, &loaded}) {
+            const configuration_ptr built = reader->build();
+            std::set<std::string> held;
+            for (const std::string& name : built->data_centres_out) {
+                held.insert("data_centre/" + name);
+            }
+            RC_ASSERT(held == out);
+        }
+    }
+
+    /// Keys of the data centres that are out at a version, by the log alone.
+    std::set<std::string> state_at(std::uint64_t version)
+    {
+        std::set<std::string> out;
+        for (std::uint64_t v = 1; v <= version; ++v) {
+            const rpc::configuration_change change = log_at(v);
+            if (!change.deleted() && change.value() == data_centre_out) {
+                out.insert(change.key());
+            } else {
+                out.erase(change.key());
+            }
+        }
+        return out;
+    }
+
+    rpc::configuration_change log_at(std::uint64_t version)
+    {
+        const auto rows = table_.rows();
+        const auto row = rows.find(configuration_log_key(version));
+        RC_ASSERT(row != rows.end());
+        return decode_change(row->second).value();
+    }
+
+    std::uint64_t head()
+    {
+        const auto rows = table_.rows();
+        const auto row = rows.find(configuration_head_key);
+        return row == rows.end() ? 0 : std::stoull(row->second.value);
+    }
+
+    void check_outcome()
+    {
+        std::map<std::string, std::vector<std::uint64_t>> versions;
+        for (std::uint64_t v = 1; v <= head(); ++v) {
+            versions[log_at(v).change_id()].push_back(v);
+        }
+        std::size_t committed = 0;
+        for (const request_record& record : records_) {
+            const std::vector<std::uint64_t>& found = versions[record.request.change_id];
+            committed += found.size();
+            check_record(record, found);
+        }
+        RC_ASSERT(committed == head());
+    }
+
+    void check_record(const request_record& record, const std::vector<std::uint64_t>& found)
+    {
+        const rpc::configuration_change& change = record.request.changes.front();
+        RC_ASSERT(found.size() <= 1U);
+        const result<std::uint64_t>& told = *record.told;
+        if (told.has_value()) {
+            RC_ASSERT((found.empty() || found.front() == told.value()));
+            const bool out = !change.deleted() && change.value() == data_centre_out;
+            RC_ASSERT(state_at(told.value()).count(change.key()) == (out ? 1U : 0U));
+        } else if (told.error().kind != error_kind::outcome_unknown) {
+            RC_ASSERT(found.empty());
+        }
+        const bool checked_base = record.request.expected_version || told.has_value();
+        for (std::uint64_t v = record.base + 1; checked_base && !found.empty() && v < found.front();
+             ++v) {
+            RC_ASSERT(log_at(v).key() != change.key()); // nobody else's change was overwritten
+        }
+    }
+
+    std::vector<request_plan> plans_;
+    std::size_t next_{0};
+    fake_table_service table_;
+    configuration_store store_{table_, {}, [](absl::Duration) {}};
+    configuration_builder follower_;
+    std::vector<running_request> running_;
+    std::vector<request_record> records_;
+    std::uint64_t highest_head_{0};
+    int outage_left_{0};
+};
+
+} // namespace
+
+// Guards against changes that are applied twice, lost, reported wrongly or overwritten when
+// operators race each other and the table service fails.
+TEST_CASE("accepted changes are applied exactly once whatever the operators and the store do")
+{
+    const char* runs = std::getenv("CAROBFALL_FUZZ_RUNS");
+    const std::string parameters =
+        std::string("seed=20261204 max_size=24 max_success=") + (runs != nullptr ? runs : "300");
+    setenv("RC_PARAMS", parameters.c_str(), 0);
+    CHECK(rc::check("racing operators", [] {
+        race(*rc::gen::container<std::vector<request_plan>>(any_plan())).run();
+    }));
+}
--- a/tests/auto/support/fake_table_service.h
+++ b/tests/auto/support/fake_table_service.h
@@ -48,6 +48,22 @@
         lost_commits_ = count;
     }
 
+    /// The next `count` commits report `outcome_unknown` and are held back, as by a slow network.
+    void delay_commits(int count)
+    {
+        const absl::MutexLock lock(&mutex_);
+        delayed_commits_ = count;
+    }
+
+    /// Applies the commits that were held back and whose conditions still hold.
+    void release_commits()
+    {
+        const absl::MutexLock lock(&mutex_);
+        for (const table_transaction& transaction : std::exchange(held_back_, {})) {
+            apply_if_held(transaction);
+        }
+    }
+
     /// The next `count` operations fail with `overloaded`.
     void throttle(int count)
     {
@@ -105,11 +121,12 @@
         if (take_one(lost_commits_)) {
             return failure(error_kind::outcome_unknown, "answer lost", "read the rows");
         }
-        if (!conditions_hold(transaction)) {
-            return failure(error_kind::conflict, "a condition does not hold", "read the rows");
+        if (take_one(delayed_commits_)) {
+            held_back_.push_back(transaction);
+            return failure(error_kind::outcome_unknown, "answer lost", "read the rows");
         }
-        for (const table_write& write : transaction.writes) {
-            apply(write);
+        if (!apply_if_held(transaction)) {
+            return failure(error_kind::conflict, "a condition does not hold", "read the rows");
         }
         if (take_one(lost_answers_)) {
             return failure(error_kind::outcome_unknown, "answer lost", "read the rows");
@@ -151,8 +168,7 @@
         return true;
     }
 
-    [[nodiscard]] bool conditions_hold(const table_transaction& transaction) const
-        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_)
+    bool apply_if_held(const table_transaction& transaction) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_)
     {
         for (const table_condition& condition : transaction.conditions) {
             const auto found = rows_.find(condition.key);
@@ -161,6 +177,9 @@
                 return false;
             }
         }
+        for (const table_write& write : transaction.writes) {
+            apply(write);
+        }
         return true;
     }
 
@@ -182,6 +201,8 @@
     bool outage_ ABSL_GUARDED_BY(mutex_){false};
     int lost_answers_ ABSL_GUARDED_BY(mutex_){0};
     int lost_commits_ ABSL_GUARDED_BY(mutex_){0};
+    int delayed_commits_ ABSL_GUARDED_BY(mutex_){0};
+    std::vector<table_transaction> held_back_ ABSL_GUARDED_BY(mutex_);
     int throttled_ ABSL_GUARDED_BY(mutex_){0};
 };
 
--- /dev/null
+++ b/tests/standins/platform/main.cpp
@@ -0,0 +1,38 @@
+#include "carobfall/config/ip_endpoint.h"
+#include "platform_server.h"
+
+#include <CLI/CLI.hpp>
+
+#include <csignal>
+#include <iostream>
+
+int main(int argc, char** argv)
+{
+    CLI::App app("Stand-in for the platform's table service and object store");
+    std::string address = "127.0.0.1:8070";
+    app.add_option("--address", address, "ip:port; port 0 lets the kernel choose")
+        ->capture_default_str();
+    CLI11_PARSE(app, argc, argv);
+
+    // Blocked before the server's threads are made, so that only sigwait receives the signals.
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+
+    const auto endpoint = carobfall::parse_ip_endpoint(address);
+    carobfall::testing::platform_server server;
+    const auto port = endpoint ? server.start(endpoint->ip, endpoint->port)
+                               : carobfall::result<std::uint16_t>(carobfall::failure(
+                                     carobfall::error_kind::invalid_request, "not an ip:port",
+                                     "use for example 127.0.0.1:8070"));
+    if (!port) {
+        std::cerr << "platform_standin: " << to_string(port.error()) << '\n';
+        return 1;
+    }
+    std::cout << "listening on " << endpoint->ip << ':' << port.value() << std::endl;
+    int signal = 0;
+    sigwait(&signals, &signal);
+    return 0;
+}
--- /dev/null
+++ b/tests/standins/platform/platform_server.cpp
@@ -0,0 +1,245 @@
+#include "platform_server.h"
+
+#include <absl/time/clock.h>
+#include <sys/socket.h>
+
+namespace carobfall::testing {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t server_threads = 64;
+constexpr const char* json_type = "application/json";
+constexpr const char* object_pattern = "/v1/objects/([^/]+)";
+
+void answer(httplib::Response& response, int status, const json& body)
+{
+    response.status = status;
+    response.set_content(body.dump(), json_type);
+}
+
+void refuse(httplib::Response& response, int status, const char* name)
+{
+    answer(response, status, {{"error", name}});
+}
+
+/// Announces a body and closes the connection instead of sending it.
+void break_connection(httplib::Response& response)
+{
+    response.set_content_provider(
+        1, json_type, [](std::size_t, std::size_t, httplib::DataSink&) { return false; });
+}
+
+json to_json(const table_row& row)
+{
+    return {{"key", row.key}, {"value", row.value}, {"version", row.version}};
+}
+
+} // namespace
+
+platform_server::platform_server()
+{
+    server_.new_task_queue = [] { return new httplib::ThreadPool(server_threads); };
+    server_.set_tcp_nodelay(true);
+    // The library's default lets several processes share the port.
+    server_.set_socket_options([](socket_t socket) {
+        const int yes = 1;
+        setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
+    });
+    add_table_routes();
+    add_object_routes();
+    add_control_routes();
+}
+
+platform_server::~platform_server()
+{
+    stop();
+}
+
+result<std::uint16_t> platform_server::start(const std::string& ip, std::uint16_t port)
+{
+    const int bound =
+        port == 0 ? server_.bind_to_any_port(ip) : (server_.bind_to_port(ip, port) ? port : -1);
+    if (bound < 0) {
+        return failure(error_kind::unavailable, "the address can't be bound", "choose another");
+    }
+    thread_ = std::thread([this] { server_.listen_after_bind(); });
+    while (!server_.is_running()) {
+        absl::SleepFor(absl::Milliseconds(1));
+    }
+    return static_cast<std::uint16_t>(bound);
+}
+
+void platform_server::stop()
+{
+    server_.stop();
+    if (thread_.joinable()) {
+        thread_.join();
+    }
+}
+
+void platform_server::set_faults(const platform_faults& faults)
+{
+    const absl::MutexLock lock(&mutex_);
+    faults_ = faults;
+}
+
+void platform_server::add_table_routes()
+{
+    const auto add = [this](const char* path, bool is_write, handler function) {
+        server_.Post(path, [=, this](const httplib::Request& request, httplib::Response& response) {
+            serve(request, response, is_write, function);
+        });
+    };
+    add("/v1/table/read", false, &platform_server::read);
+    add("/v1/table/scan", false, &platform_server::scan);
+    add("/v1/table/commit", true, &platform_server::commit);
+}
+
+void platform_server::add_object_routes()
+{
+    const auto serve = [this](const httplib::Request& request, httplib::Response& response) {
+        serve_object(request, response);
+    };
+    server_.Get(object_pattern, serve);
+    server_.Put(object_pattern, serve);
+    server_.Delete(object_pattern, serve);
+}
+
+void platform_server::add_control_routes()
+{
+    server_.Put("/control/faults", [this](const auto& request, auto& response) {
+        const json body = json::parse(request.body, nullptr, false);
+        const absl::MutexLock lock(&mutex_);
+        json merged = faults_;
+        merged.merge_patch(body);
+        try {
+            faults_ = merged.get<platform_faults>();
+            answer(response, 200, faults_);
+        } catch (const json::exception&) {
+            refuse(response, 400, "invalid");
+        }
+    });
+    server_.Get("/control/faults", [this](const auto&, auto& response) {
+        const absl::MutexLock lock(&mutex_);
+        answer(response, 200, faults_);
+    });
+}
+
+void platform_server::serve(const httplib::Request& request, httplib::Response& response,
+                            bool is_write, handler function)
+{
+    if (!admit(response, is_write)) {
+        return;
+    }
+    try {
+        const json reply = (this->*function)(json::parse(request.body));
+        if (reply.contains("error")) {
+            answer(response, 409, reply);
+        } else if (is_write && take_lost_answer()) {
+            break_connection(response);
+        } else {
+            answer(response, 200, reply);
+        }
+    } catch (const json::exception&) {
+        refuse(response, 400, "invalid");
+    }
+}
+
+void platform_server::serve_object(const httplib::Request& request, httplib::Response& response)
+{
+    const std::string name = request.matches[1];
+    if (!admit(response, request.method != "GET")) {
+        return;
+    }
+    const absl::MutexLock lock(&mutex_);
+    if (request.method == "PUT") {
+        objects_[name] = request.body;
+    } else if (objects_.count(name) == 0) {
+        refuse(response, 404, "not_found");
+    } else if (request.method == "GET") {
+        response.set_content(objects_[name], "application/octet-stream");
+    } else {
+        objects_.erase(name);
+    }
+}
+
+bool platform_server::admit(httplib::Response& response, bool is_write)
+{
+    absl::Duration delay;
+    {
+        const absl::MutexLock lock(&mutex_);
+        if (faults_.outage) {
+            refuse(response, 503, "unavailable");
+            return false;
+        }
+        rate_limit& limit = is_write ? writes_ : reads_;
+        if (!limit.take(is_write ? faults_.writes_per_second : faults_.reads_per_second,
+                        absl::Now())) {
+            refuse(response, 429, "throttled");
+            return false;
+        }
+        delay = absl::Milliseconds(faults_.delay_ms + (is_write ? faults_.sync_ms : 0));
+    }
+    absl::SleepFor(delay);
+    return true;
+}
+
+bool platform_server::take_lost_answer()
+{
+    const absl::MutexLock lock(&mutex_);
+    if (faults_.lost_answers == 0) {
+        return false;
+    }
+    --faults_.lost_answers;
+    return true;
+}
+
+json platform_server::read(const json& request)
+{
+    const absl::MutexLock lock(&mutex_);
+    const auto found = rows_.find(request.at("key").get<std::string>());
+    return {{"row", found == rows_.end() ? json() : to_json(found->second)}};
+}
+
+json platform_server::scan(const json& request)
+{
+    const auto prefix = request.at("prefix").get<std::string>();
+    json rows = json::array();
+    const absl::MutexLock lock(&mutex_);
+    for (auto row = rows_.lower_bound(prefix); row != rows_.end() && row->first.starts_with(prefix);
+         ++row) {
+        rows.push_back(to_json(row->second));
+    }
+    return {{"rows", std::move(rows)}};
+}
+
+json platform_server::commit(const json& request)
+{
+    const absl::MutexLock lock(&mutex_);
+    for (const json& condition : request.at("conditions")) {
+        const auto found = rows_.find(condition.at("key").get<std::string>());
+        const std::uint64_t version = found == rows_.end() ? 0 : found->second.version;
+        if (version != condition.at("version").get<std::uint64_t>()) {
+            return {{"error", "conflict"}};
+        }
+    }
+    // The writes are read before the first is applied, so that a malformed one changes nothing.
+    std::vector<table_write> writes;
+    for (const json& write : request.at("writes")) {
+        const json& value = write.at("value");
+        writes.push_back(
+            {write.at("key").get<std::string>(),
+             value.is_null() ? std::nullopt : std::optional(value.get<std::string>())});
+    }
+    for (table_write& write : writes) {
+        if (write.value) {
+            rows_[write.key] = {write.key, std::move(*write.value), ++last_version_};
+        } else {
+            rows_.erase(write.key);
+        }
+    }
+    return json::object();
+}
+
+} // namespace carobfall::testing
--- /dev/null
+++ b/tests/standins/platform/platform_server.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "carobfall/base/error.h"
+#include "carobfall/platform/table_service.h"
+#include "rate_limit.h"
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+#include <absl/time/time.h>
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <thread>
+
+namespace carobfall::testing {
+
+/// Faults of the stand-in; see docs/platform-protocol.md.
+struct platform_faults {
+    bool outage{false};
+    std::int64_t delay_ms{0};
+    std::int64_t sync_ms{4};
+    std::int64_t lost_answers{0};
+    double writes_per_second{500};
+    double reads_per_second{2000};
+
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(platform_faults, outage, delay_ms, sync_ms,
+                                                lost_answers, writes_per_second, reads_per_second)
+};
+
+/// In-memory stand-in for the platform's table service and object store over HTTP.
+class platform_server {
+public:
+    platform_server();
+    ~platform_server();
+    platform_server(const platform_server&) = delete;
+    platform_server& operator=(const platform_server&) = delete;
+
+    /// Binds and serves in a thread of its own; port 0 lets the kernel choose. Returns the port.
+    result<std::uint16_t> start(const std::string& ip, std::uint16_t port);
+    void stop();
+
+    void set_faults(const platform_faults& faults);
+
+private:
+    using handler = nlohmann::json (platform_server::*)(const nlohmann::json& request);
+
+    void add_table_routes();
+    void add_object_routes();
+    void add_control_routes();
+    void serve(const httplib::Request& request, httplib::Response& response, bool is_write,
+               handler function);
+    void serve_object(const httplib::Request& request, httplib::Response& response);
+    /// Waits as the faults say. False if the request was refused.
+    bool admit(httplib::Response& response, bool is_write);
+    bool take_lost_answer();
+
+    nlohmann::json read(const nlohmann::json& request);
+    nlohmann::json scan(const nlohmann::json& request);
+    nlohmann::json commit(const nlohmann::json& request);
+
+    httplib::Server server_;
+    std::thread thread_;
+    absl::Mutex mutex_;
+    platform_faults faults_ ABSL_GUARDED_BY(mutex_);
+    rate_limit reads_ ABSL_GUARDED_BY(mutex_);
+    rate_limit writes_ ABSL_GUARDED_BY(mutex_);
+    std::map<std::string, table_row, std::less<>> rows_ ABSL_GUARDED_BY(mutex_);
+    std::uint64_t last_version_ ABSL_GUARDED_BY(mutex_){0};
+    std::map<std::string, std::string> objects_ ABSL_GUARDED_BY(mutex_);
+};
+
+} // namespace carobfall::testing
