--- a/src/tools/carobfall/command_line.cpp
+++ b/src/tools/carobfall/command_line.cpp
@@ -60,7 +60,8 @@
 {
     app_.add_option("--entry", entries_,
                     "Address ip:port of an entry; several are tried in turn. The callers' port for "
-                    "submit, status and cancel, else the operators' port.");
+                    "submit, status and cancel, else the operators' port.")
+        ->allow_extra_args(false);
     app_.add_option("--token-file", token_file_, "File with the bearer token.");
     app_.add_option("--output", output_, "text or json")->check(CLI::IsMember({"text", "json"}));
 }
@@ -89,9 +90,11 @@
         ->check(check_name);
     submit_app->add_option("--file", submit_.file, "Whole body as JSON (docs/api.md).");
     submit_app->add_option("--template", submit_.template_name, "Template of the account.");
-    submit_app->add_option("--task", submit_.tasks, "Task as JSON; may be repeated.");
+    submit_app->add_option("--task", submit_.tasks, "Task as JSON; may be repeated.")
+        ->allow_extra_args(false);
     submit_app->add_option("--tasks-file", submit_.tasks_file, "File with one JSON task a line.");
-    submit_app->add_option("--parameter", submit_.parameters, "NAME=VALUE; may be repeated.");
+    submit_app->add_option("--parameter", submit_.parameters, "NAME=VALUE; may be repeated.")
+        ->allow_extra_args(false);
     submit_app->add_option("--deadline", submit_.deadline_seconds, "Seconds from now.")
         ->check(CLI::PositiveNumber);
     submit_app->add_flag("--wait,!--no-wait", submit_.wait, "Wait for the answer (default).");
