Agent: Test the sessions and the connected daemon

Cause: the sessions and the whole agent had run by hand only. Ruled out: starting processes from tests (no process starts another); the backend stand-in is a class that tests link. Before: `tasks_queued_total` also counted repeated requests, which the new test showed. After: `tasks_accepted_total` comes from the ledger and `start_replies_total` counts replies; tests with a mocked link, a fake entry over gRPC and the backend stand-in over HTTP.

--- a/src/libs/carobfall/agent/agent_daemon.cpp
+++ b/src/libs/carobfall/agent/agent_daemon.cpp
@@ -66,7 +66,7 @@
       server_(ledger_, {.tasks_queued = [this](std::size_t tasks) { executor_.notify(tasks); }},
               metrics_, clock_),
       operator_server_({.state_json = [this] { return state_json(); },
-                        .metrics_text = [this] { return metrics_.to_text(); },
+                        .metrics_text = [this] { return metrics_text(); },
                         .not_ready_reason = [this] { return not_ready_reason(); }})
 {}
 
@@ -232,6 +232,17 @@
     return to_json(state, lease_, clock_()).dump();
 }
 
+std::string agent_daemon::metrics_text() const
+{
+    const ledger_totals totals = ledger_.totals();
+    return absl::StrCat(
+        metrics_.to_text(), "tasks_accepted_total ", totals.accepted, "\ntasks_running ",
+        totals.load.running(), "\ntasks_queued ", totals.load.queued(), "\nledger_records ",
+        totals.records, "\nledger_result_bytes ", totals.result_bytes,
+        "\nledger_results_dropped_total ", totals.results_dropped, "\nlease_valid ",
+        lease_.is_valid(clock_()) ? 1 : 0, "\nreports_pending ", sessions_.pending_reports(), "\n");
+}
+
 std::string agent_daemon::not_ready_reason() const
 {
     const absl::Time now = clock_();
--- a/src/libs/carobfall/agent/agent_daemon.h
+++ b/src/libs/carobfall/agent/agent_daemon.h
@@ -67,6 +67,7 @@
     void maintain();
     void sweep();
     std::string state_json() const;
+    std::string metrics_text() const;
     std::string not_ready_reason() const;
     void wait_for_idle();
     void wait_for_reports();
--- a/src/libs/carobfall/agent/agent_server.cpp
+++ b/src/libs/carobfall/agent/agent_server.cpp
@@ -103,13 +103,12 @@
     for (const rpc::task_status& task : reply.tasks()) {
         if (task.state() == rpc::task_state_queued) {
             ++queued;
-        } else if (task.reason() != rpc::refusal_none) {
-            metrics_.add(absl::StrCat("tasks_refused_total{reason=\"",
-                                      rpc::refusal_reason_Name(task.reason()), "\"}"));
         }
+        metrics_.add(absl::StrCat("start_replies_total{state=\"",
+                                  rpc::task_state_Name(task.state()), "\",reason=\"",
+                                  rpc::refusal_reason_Name(task.reason()), "\"}"));
     }
     if (queued > 0) {
-        metrics_.add("tasks_queued_total", queued);
         events_.tasks_queued(queued);
     }
 }
--- a/src/libs/carobfall/agent/task_ledger.cpp
+++ b/src/libs/carobfall/agent/task_ledger.cpp
@@ -16,17 +16,6 @@
     return {from_message(submission), index};
 }
 
-rpc::task_status status_without_record(std::uint32_t index, std::uint32_t attempt,
-                                       rpc::task_state state, rpc::refusal_reason reason)
-{
-    rpc::task_status status;
-    status.set_index(index);
-    status.set_attempt(attempt);
-    status.set_state(state);
-    status.set_reason(reason);
-    return status;
-}
-
 std::shared_ptr<const start_context> context_of(const rpc::start_request& request)
 {
     auto context = std::make_shared<start_context>();
@@ -174,6 +163,7 @@
     record.payload = task.payload();
     queue_.push_back({key, task.attempt()});
     ++queued_;
+    ++accepted_;
 }
 
 rpc::revoke_reply task_ledger::revoke(const rpc::revoke_request& request, absl::Time now)
@@ -469,6 +459,7 @@
             .records = records_.size(),
             .result_bytes = records_.result_bytes(),
             .results_dropped = records_.results_dropped(),
+            .accepted = accepted_,
             .slots = slots_,
             .backend_valid_until = backend_valid_until_,
             .mean_run = mean_run_,
--- a/src/libs/carobfall/agent/task_ledger.h
+++ b/src/libs/carobfall/agent/task_ledger.h
@@ -44,6 +44,7 @@
     std::size_t records{0};
     std::size_t result_bytes{0};
     std::uint64_t results_dropped{0};
+    std::uint64_t accepted{0}; ///< tasks queued since the beginning, without repeated requests
     std::uint32_t slots{0};
     absl::Time backend_valid_until;
     absl::Duration mean_run;
@@ -163,6 +164,7 @@
     /// First in, first out. An entry whose record has changed since is skipped.
     std::deque<queue_entry> queue_ ABSL_GUARDED_BY(mutex_);
     std::vector<pending_report> refused_from_queue_ ABSL_GUARDED_BY(mutex_);
+    std::uint64_t accepted_ ABSL_GUARDED_BY(mutex_){0};
     std::uint32_t queued_ ABSL_GUARDED_BY(mutex_){0};
     std::uint32_t running_ ABSL_GUARDED_BY(mutex_){0};
     std::uint32_t slots_ ABSL_GUARDED_BY(mutex_){0};
--- a/src/libs/carobfall/agent/task_record.cpp
+++ b/src/libs/carobfall/agent/task_record.cpp
@@ -46,4 +46,15 @@
     return status;
 }
 
+rpc::task_status status_without_record(std::uint32_t index, std::uint32_t attempt,
+                                       rpc::task_state state, rpc::refusal_reason reason)
+{
+    rpc::task_status status;
+    status.set_index(index);
+    status.set_attempt(attempt);
+    status.set_state(state);
+    status.set_reason(reason);
+    return status;
+}
+
 } // namespace carobfall
--- a/src/libs/carobfall/agent/task_record.h
+++ b/src/libs/carobfall/agent/task_record.h
@@ -40,6 +40,11 @@
     [[nodiscard]] rpc::task_status status(std::uint32_t index) const;
 };
 
+/// Status of a task for which no record is kept.
+[[nodiscard]] rpc::task_status status_without_record(std::uint32_t index, std::uint32_t attempt,
+                                                     rpc::task_state state,
+                                                     rpc::refusal_reason reason);
+
 /// A task handed out to be run. The ledger has recorded it as started.
 struct startable_task {
     task_key key;
--- /dev/null
+++ b/tests/auto/agent/fake_entry.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "carobfall/rpc/carobfall.grpc.pb.h"
+
+#include <absl/synchronization/mutex.h>
+#include <absl/time/time.h>
+#include <grpcpp/grpcpp.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace carobfall {
+
+/// An entry that grants leases, and keeps the reports and the last heartbeat.
+class fake_entry : public rpc::entry_service::Service {
+public:
+    fake_entry()
+    {
+        grpc::ServerBuilder builder;
+        int port = 0;
+        builder.AddListeningPort("127.0.0.1:0", grpc::InsecureServerCredentials(), &port);
+        builder.RegisterService(this);
+        server_ = builder.BuildAndStart();
+        address = "127.0.0.1:" + std::to_string(port);
+    }
+
+    grpc::Status register_agent(grpc::ServerContext*, const rpc::register_request* request,
+                                rpc::register_reply* reply) override
+    {
+        const absl::MutexLock lock(&mutex);
+        agent = request->agent();
+        reply->set_registered(true);
+        return grpc::Status::OK;
+    }
+
+    grpc::Status beat(grpc::ServerContext*, const rpc::beat_request* request,
+                      rpc::beat_reply* reply) override
+    {
+        const absl::MutexLock lock(&mutex);
+        last_beat = *request;
+        reply->set_send_time_us(request->send_time_us());
+        reply->set_lease_ms(lease_ms);
+        reply->set_configuration_version(1);
+        reply->set_registered(true);
+        return grpc::Status::OK;
+    }
+
+    grpc::Status report(grpc::ServerContext*, const rpc::report_request* request,
+                        rpc::report_reply*) override
+    {
+        const absl::MutexLock lock(&mutex);
+        for (const rpc::task_report& entry : request->reports()) {
+            reports[entry.status().index()] = entry.status();
+        }
+        return grpc::Status::OK;
+    }
+
+    /// False if the condition, evaluated under the lock, doesn't become true in 10 s.
+    bool wait_until(const std::function<bool()>& condition)
+    {
+        const absl::MutexLock lock(&mutex);
+        return mutex.AwaitWithTimeout(absl::Condition(&condition), absl::Seconds(10));
+    }
+
+    absl::Mutex mutex;
+    std::string address;
+    std::uint32_t lease_ms{2000};
+    rpc::agent_info agent;
+    rpc::beat_request last_beat;
+    std::map<std::uint32_t, rpc::task_status> reports;
+
+private:
+    std::unique_ptr<grpc::Server> server_;
+};
+
+} // namespace carobfall
--- /dev/null
+++ b/tests/auto/agent/tst_agent_daemon.cpp
@@ -0,0 +1,158 @@
+#include "fake_entry.h"
+
+#include "backend_standin.h"
+#include "carobfall/agent/agent_daemon.h"
+#include "carobfall/agent/grpc_entry_link.h"
+#include "carobfall/base/clock.h"
+
+#include <absl/strings/str_cat.h>
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <optional>
+#include <thread>
+
+using namespace carobfall;
+
+namespace {
+
+/// One agent with its backend server and one entry, over the network.
+struct agent_environment {
+    explicit agent_environment(std::uint32_t run_ms)
+    {
+        agent_settings settings;
+        settings.name = "worker-1";
+        settings.region = "khomas";
+        settings.data_centre = "windhoek";
+        settings.rack = "r1";
+        settings.rpc_address = "127.0.0.1:0";
+        settings.announce_address = "127.0.0.1:0";
+        settings.operator_address = "127.0.0.1:0";
+        settings.entry_addresses = {entry.address};
+        settings.heartbeat = absl::Milliseconds(50);
+        daemon.emplace(
+            settings, agent_limits{},
+            [](const std::string& address) { return std::make_unique<grpc_entry_link>(address); },
+            monotonic_now);
+        REQUIRE(daemon->start());
+        standin_options options;
+        options.agent = absl::StrCat("127.0.0.1:", daemon->announcement_port());
+        options.slots = 2;
+        options.run_ms = options.run_max_ms = run_ms;
+        backend.emplace(options);
+        REQUIRE(backend->start());
+        // The heartbeat is sent before its reply grants the lease.
+        REQUIRE(entry.wait_until([this] { return entry.last_beat.backend_available(); }));
+        wait_until_ready();
+        stub = rpc::agent_service::NewStub(grpc::CreateChannel(
+            absl::StrCat("127.0.0.1:", daemon->grpc_port()), grpc::InsecureChannelCredentials()));
+    }
+
+    void wait_until_ready()
+    {
+        httplib::Client client("127.0.0.1", daemon->operator_port());
+        for (int i = 0; i < 1000; ++i) {
+            const httplib::Result reply = client.Get("/readyz");
+            if (reply && reply->status == 200) {
+                return;
+            }
+            std::this_thread::sleep_for(std::chrono::milliseconds(10));
+        }
+        FAIL("the agent did not become ready");
+    }
+
+    rpc::start_reply start(std::uint32_t tasks)
+    {
+        rpc::start_request request;
+        *request.mutable_submission() = to_message({"ombili", "s-1"});
+        request.set_deadline_unix_ms(to_unix_ms(monotonic_now() + absl::Seconds(20)));
+        request.set_request_path("/v1/run");
+        request.mutable_coordinator()->set_address(entry.address);
+        request.set_agent_incarnation(entry.agent.incarnation());
+        for (std::uint32_t i = 0; i < tasks; ++i) {
+            rpc::start_task* task = request.add_tasks();
+            task->set_index(i);
+            task->set_attempt(1);
+            task->set_payload("{}");
+        }
+        grpc::ClientContext context;
+        rpc::start_reply reply;
+        REQUIRE(stub->start(&context, request, &reply).ok());
+        return reply;
+    }
+
+    [[nodiscard]] std::ptrdiff_t starts() const
+    {
+        const std::string log = backend->starts();
+        return std::count(log.begin(), log.end(), '\n');
+    }
+
+    fake_entry entry;
+    std::optional<backend_standin> backend; // ends after the agent, which holds connections to it
+    std::optional<agent_daemon> daemon;
+    std::unique_ptr<rpc::agent_service::Stub> stub;
+};
+
+} // namespace
+
+// Guards against parts that work alone and not together: announcement, lease, start, run, report.
+TEST_CASE("tasks run once each and their results reach the coordinator")
+{
+    agent_environment e(20);
+    CHECK(e.entry.agent.backend_server().slots() == 2);
+    const rpc::start_reply reply = e.start(6);
+    for (const rpc::task_status& task : reply.tasks()) {
+        CHECK(task.state() == rpc::task_state_queued);
+    }
+    e.start(6);
+    REQUIRE(e.entry.wait_until([&] { return e.entry.reports.size() == 6; }));
+    for (const auto& [index, status] : e.entry.reports) {
+        CHECK(status.state() == rpc::task_state_finished);
+        CHECK(status.result().success());
+    }
+    CHECK(e.starts() == 6);
+
+    httplib::Client client("127.0.0.1", e.daemon->operator_port());
+    const auto state = nlohmann::json::parse(client.Get("/debug/state")->body);
+    CHECK(state["records"].size() == 6);
+    CHECK(state["lease"]["valid"] == true);
+    CHECK(client.Get("/metrics")->body.find("tasks_accepted_total 6") != std::string::npos);
+}
+
+// Guards against a shutdown that loses running work or keeps queued work from running elsewhere.
+TEST_CASE("a shutdown finishes running tasks, hands back the queue and tells the entry")
+{
+    agent_environment e(500);
+    e.start(6);
+    while (e.starts() < 2) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    e.daemon->drain();
+    const absl::MutexLock lock(&e.entry.mutex);
+    CHECK(e.entry.reports.size() == 6);
+    int finished = 0;
+    int handed_back = 0;
+    for (const auto& [index, status] : e.entry.reports) {
+        finished += status.state() == rpc::task_state_finished ? 1 : 0;
+        handed_back += status.reason() == rpc::refusal_leaving ? 1 : 0;
+    }
+    CHECK(finished == 2);
+    CHECK(handed_back == 4);
+    CHECK(e.entry.last_beat.leaving());
+    CHECK(e.entry.last_beat.load().running() == 0);
+}
+
+// Guards against work that fails task by task at a backend server that has gone.
+TEST_CASE("a backend server that stops gets no new work and its queue is handed back")
+{
+    agent_environment e(300);
+    e.start(6);
+    while (e.starts() < 2) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    e.backend->leave();
+    REQUIRE(e.entry.wait_until([&] { return e.entry.reports.size() == 6; }));
+    CHECK(e.starts() == 2);
+    CHECK(e.start(7).tasks(6).reason() == rpc::refusal_backend_unavailable);
+}
--- /dev/null
+++ b/tests/auto/agent/tst_entry_session.cpp
@@ -0,0 +1,183 @@
+#include "carobfall/agent/entry_session_set.h"
+
+#include <absl/synchronization/notification.h>
+#include <doctest/doctest.h>
+#include <doctest/trompeloeil.hpp>
+
+#include <atomic>
+#include <mutex>
+
+using namespace carobfall;
+using trompeloeil::_;
+
+namespace {
+
+constexpr absl::Duration time_limit = absl::Seconds(10);
+
+class mock_link : public entry_link {
+public:
+    MAKE_MOCK2(register_agent,
+               result<rpc::register_reply>(const rpc::register_request&, absl::Duration), override);
+    MAKE_MOCK2(beat, result<rpc::beat_reply>(const rpc::beat_request&, absl::Duration), override);
+    MAKE_MOCK2(report, result<rpc::report_reply>(const rpc::report_request&, absl::Duration),
+               override);
+};
+
+result<rpc::register_reply> registered()
+{
+    rpc::register_reply reply;
+    reply.set_registered(true);
+    return reply;
+}
+
+result<rpc::beat_reply> beat_reply_to(const rpc::beat_request& request, bool is_registered)
+{
+    rpc::beat_reply reply;
+    reply.set_send_time_us(request.send_time_us());
+    reply.set_registered(is_registered);
+    return reply;
+}
+
+template <typename Reply>
+result<Reply> lost()
+{
+    return failure(error_kind::outcome_unknown, "lost", "try again");
+}
+
+session_environment make_environment()
+{
+    session_environment environment;
+    environment.agent = [] { return rpc::agent_info(); };
+    environment.beat = [] { return rpc::beat_request(); };
+    environment.beat_answered = [](const rpc::beat_reply&, absl::Time) {};
+    environment.view_received = [](const rpc::entry_view&) {};
+    environment.report = [](const pending_report& pending) {
+        rpc::task_report report;
+        report.mutable_status()->set_index(pending.key.index);
+        return report;
+    };
+    environment.clock = monotonic_now;
+    environment.beat_interval = absl::Milliseconds(10);
+    return environment;
+}
+
+pending_report report_to(const std::string& address, std::uint32_t index)
+{
+    rpc::entry_member coordinator;
+    coordinator.set_address(address);
+    return {{{"dambi", "s-1"}, index}, 1, coordinator, absl::InfiniteFuture()};
+}
+
+} // namespace
+
+// Guards against reports that are lost with one call, and against endless repetition.
+TEST_CASE("reports are repeated until they are acknowledged, and not beyond their expiry")
+{
+    const session_environment environment = make_environment();
+    absl::Notification delivered;
+    auto link = std::make_unique<mock_link>();
+    ALLOW_CALL(*link, register_agent(_, _)).RETURN(registered());
+    ALLOW_CALL(*link, beat(_, _)).RETURN(beat_reply_to(_1, true));
+    trompeloeil::sequence order;
+    REQUIRE_CALL(*link, report(_, _)).TIMES(2).IN_SEQUENCE(order).RETURN(lost<rpc::report_reply>());
+    REQUIRE_CALL(*link, report(_, _))
+        .WITH(_1.reports_size() == 1 && _1.reports(0).status().index() == 1)
+        .IN_SEQUENCE(order)
+        .LR_SIDE_EFFECT(delivered.Notify())
+        .RETURN(rpc::report_reply());
+    entry_session session("a", std::move(link), environment, false);
+    pending_report expired = report_to("a", 2);
+    expired.expires_at = absl::InfinitePast();
+    session.post(expired);
+    session.post(report_to("a", 1));
+    REQUIRE(delivered.WaitForNotificationWithTimeout(time_limit));
+    const absl::Time limit = absl::Now() + time_limit;
+    while (session.pending_reports() > 0 && absl::Now() < limit) {
+        absl::SleepFor(absl::Milliseconds(1));
+    }
+    CHECK(session.pending_reports() == 0);
+}
+
+// Guards against an agent that an entry has forgotten and that never gets a lease again.
+TEST_CASE("a session registers again when the entry asks for it")
+{
+    const session_environment environment = make_environment();
+    absl::Notification again;
+    auto link = std::make_unique<mock_link>();
+    trompeloeil::sequence order;
+    REQUIRE_CALL(*link, register_agent(_, _)).IN_SEQUENCE(order).RETURN(registered());
+    REQUIRE_CALL(*link, beat(_, _)).IN_SEQUENCE(order).RETURN(beat_reply_to(_1, false));
+    REQUIRE_CALL(*link, register_agent(_, _)).IN_SEQUENCE(order).RETURN(registered());
+    REQUIRE_CALL(*link, beat(_, _))
+        .IN_SEQUENCE(order)
+        .LR_SIDE_EFFECT(again.Notify())
+        .RETURN(beat_reply_to(_1, true));
+    ALLOW_CALL(*link, beat(_, _)).IN_SEQUENCE(order).RETURN(beat_reply_to(_1, true));
+    entry_session session("a", std::move(link), environment, false);
+    CHECK(again.WaitForNotificationWithTimeout(time_limit));
+}
+
+namespace {
+
+/// Acknowledges everything; counts the links per address.
+class quiet_link : public entry_link {
+public:
+    result<rpc::register_reply> register_agent(const rpc::register_request&,
+                                               absl::Duration) override
+    {
+        return registered();
+    }
+    result<rpc::beat_reply> beat(const rpc::beat_request& request, absl::Duration) override
+    {
+        return beat_reply_to(request, true);
+    }
+    result<rpc::report_reply> report(const rpc::report_request&, absl::Duration) override
+    {
+        return rpc::report_reply();
+    }
+};
+
+std::string addresses_of(const entry_session_set& sessions)
+{
+    std::string text;
+    for (const session_state& state : sessions.states()) {
+        text += state.address + (state.report_only ? "? " : " ");
+    }
+    return text;
+}
+
+rpc::entry_view view_of(std::uint64_t number, const std::vector<std::string>& addresses)
+{
+    rpc::entry_view view;
+    view.set_number(number);
+    for (const std::string& address : addresses) {
+        view.add_members()->set_address(address);
+    }
+    return view;
+}
+
+} // namespace
+
+// Guards against agents that keep to replaced entries, and against an older view that arrives late.
+TEST_CASE("sessions follow the highest view and keep the seeds")
+{
+    const session_environment environment = make_environment();
+    entry_session_set sessions(
+        {"seed"}, [](const auto&) { return std::make_unique<quiet_link>(); }, environment);
+    sessions.start();
+    CHECK(sessions.adopt_view(view_of(2, {"a", "b"})));
+    CHECK(addresses_of(sessions) == "a b seed ");
+    CHECK_FALSE(sessions.adopt_view(view_of(1, {"x"})));
+    sessions.post(report_to("c", 1));
+    CHECK(addresses_of(sessions) == "a b c? seed ");
+    CHECK(sessions.adopt_view(view_of(3, {"b", "c"})));
+    CHECK(addresses_of(sessions) == "b c seed ");
+    sessions.post(report_to("d", 1));
+    sessions.collect(monotonic_now() + absl::Minutes(1));
+    const absl::Time limit = absl::Now() + time_limit;
+    while (sessions.states().size() > 3 && absl::Now() < limit) {
+        sessions.collect(monotonic_now() + absl::Minutes(1));
+        absl::SleepFor(absl::Milliseconds(1));
+    }
+    CHECK(addresses_of(sessions) == "b c seed ");
+}
--- a/tests/standins/backend/backend_standin.cpp
+++ b/tests/standins/backend/backend_standin.cpp
@@ -17,6 +17,8 @@
 constexpr const char* loopback = "127.0.0.1";
 constexpr absl::Duration first_announce_retry = absl::Milliseconds(100);
 constexpr absl::Duration hang_poll = absl::Milliseconds(10);
+/// Longer than the agent keeps an idle connection.
+constexpr std::time_t keep_alive_limit_s = 3;
 constexpr absl::Duration leave_grace = absl::Milliseconds(200);
 constexpr int control_connections = 8;
 
@@ -38,6 +40,7 @@
         return new httplib::ThreadPool(options_.slots + control_connections);
     };
     server_.set_tcp_nodelay(true);
+    server_.set_keep_alive_timeout(keep_alive_limit_s);
     server_.set_socket_options([](socket_t socket) {
         const int yes = 1;
         setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
