--- a/src/libs/carobfall/agent/agent_server.cpp
+++ b/src/libs/carobfall/agent/agent_server.cpp
@@ -40,8 +40,8 @@
 grpc::Status invalid_request()
 {
     return {grpc::StatusCode::INVALID_ARGUMENT,
-            "the submission key, the deadline or a task index is missing or out of bounds; "
-            "nothing was changed"};
+            "the submission key, the deadline, the coordinator or a task index is missing or out "
+            "of bounds; nothing was changed"};
 }
 
 } // namespace
@@ -89,7 +89,7 @@
                                  const rpc::start_request* request, rpc::start_reply* reply)
 {
     if (!is_valid(request->submission(), request->deadline_unix_ms()) ||
-        !has_valid_indexes(request->tasks())) {
+        !has_valid_indexes(request->tasks()) || request->coordinator().address().empty()) {
         return invalid_request();
     }
     *reply = ledger_.start(*request, clock_());
@@ -103,13 +103,12 @@
     for (const rpc::task_status& task : reply.tasks()) {
         if (task.state() == rpc::task_state_queued) {
             ++queued;
-        } else if (task.reason() != rpc::refusal_none) {
-            metrics_.add(absl::StrCat("tasks_refused_total{reason=\"",
-                                      rpc::refusal_reason_Name(task.reason()), "\"}"));
         }
+        metrics_.add(absl::StrCat("start_replies_total{state=\"",
+                                  rpc::task_state_Name(task.state()), "\",reason=\"",
+                                  rpc::refusal_reason_Name(task.reason()), "\"}"));
     }
     if (queued > 0) {
-        metrics_.add("tasks_queued_total", queued);
         events_.tasks_queued(queued);
     }
 }
--- a/src/libs/carobfall/agent/task_ledger.h
+++ b/src/libs/carobfall/agent/task_ledger.h
@@ -25,6 +25,9 @@
     /// Bound on queued tasks as a multiple of the slots of the backend server.
     double queue_per_slot{2.0};
     /// Bound on records. New work is refused beyond it; tombstones may take up as many again.
+    /// Measured on the heap with 100,500 records and submission ids of 33 to 39 bytes: 311 to 380
+    /// bytes per finished task with an empty result, 136 to 339 bytes per tombstone; the most with
+    /// one task per submission.
     std::size_t max_records{65'536};
     /// Bound on the bytes of results held for late requests.
     std::size_t max_result_bytes{std::size_t{32} * 1024 * 1024};
@@ -44,6 +47,7 @@
     std::size_t records{0};
     std::size_t result_bytes{0};
     std::uint64_t results_dropped{0};
+    std::uint64_t accepted{0}; ///< tasks queued since the beginning, without repeated requests
     std::uint32_t slots{0};
     absl::Time backend_valid_until;
     absl::Duration mean_run;
@@ -163,6 +167,7 @@
     /// First in, first out. An entry whose record has changed since is skipped.
     std::deque<queue_entry> queue_ ABSL_GUARDED_BY(mutex_);
     std::vector<pending_report> refused_from_queue_ ABSL_GUARDED_BY(mutex_);
+    std::uint64_t accepted_ ABSL_GUARDED_BY(mutex_){0};
     std::uint32_t queued_ ABSL_GUARDED_BY(mutex_){0};
     std::uint32_t running_ ABSL_GUARDED_BY(mutex_){0};
     std::uint32_t slots_ ABSL_GUARDED_BY(mutex_){0};
