--- a/tests/auto/dispatch/tst_job_runner.cpp
+++ b/tests/auto/dispatch/tst_job_runner.cpp
@@ -262,6 +262,25 @@
     CHECK(agent.starts() == 0);
 }
 
+// Guards against starts in a view that a majority may already have left.
+TEST_CASE("nothing new starts while ownership is in transition")
+{
+    dispatch_fixture fixture;
+    fake_agent& agent = fixture.add_agent("a1", agent_mode::refuse);
+    auto pending = submit_async(fixture, fixture.request(1));
+    while (agent.record(key, 0).state() != rpc::task_state_refused) {
+        absl::SleepFor(absl::Milliseconds(1));
+    }
+    fixture.owner.change([](ownership_snapshot& snapshot) { snapshot.in_transition = true; });
+    absl::SleepFor(absl::Milliseconds(20));
+    agent.set_mode(agent_mode::run);
+    absl::SleepFor(absl::Milliseconds(100));
+    CHECK(agent.starts() == 0);
+    fixture.owner.set_view(2, {entry_named("e1")});
+    CHECK(pending.get().state() == rpc::submission_complete);
+    CHECK(agent.last_view() == 2);
+}
+
 // Guards against starts by an entry that has been removed from the view.
 TEST_CASE("an entry outside the view starts nothing more and reports what it knows")
 {
