Entry: Wait for the delivery of claims on leaving and test the transfer

Cause: an entry that left the view ended before the others had fetched its claims, so that each leave used up the one missing delivery that a transfer tolerates. Every member also delivered all of its claims to every other, although a receiver keeps only its own.

Ruled out: a fixed time to wait on leaving; it is too long for a small region and says nothing about the delivery.

Before: `leave` returned when the view was in effect; the transfer had no focused tests.

After: `leave` also waits until all members have fetched, within its limit; the sender leaves out claims that don't concern the receiver. Focused tests cover the new witness, the loss of both holders, the view of one member, claims in transition and stale copies; the fuzz also loses requests. Hooks have the defaults of the real process.

--- a/src/libs/carobfall/entry/claim_transfer.cpp
+++ b/src/libs/carobfall/entry/claim_transfer.cpp
@@ -18,11 +18,29 @@
 // again before.
 constexpr int fetch_attempts_before_agents = 3;
 
+// Entries that were replaced meanwhile are dropped with all others; only leaving needs the list.
+constexpr std::size_t max_served_entries = 1000;
+
 std::string agent_id(const rpc::agent_info& agent)
 {
     return absl::StrCat(agent.name(), "/", agent.incarnation());
 }
 
+// The entry is coordinator or witness of the claim in the view, also through a coordinator that the
+// claim names.
+bool concerns(const rpc::entry_member& entry, const rpc::entry_view& view, const rpc::claim& claim)
+{
+    const submission_key key = from_message(claim.submission());
+    const auto is_entry = [&](const rpc::entry_member* member) {
+        return member != nullptr && same_incarnation(*member, entry);
+    };
+    if (is_entry(coordinator_of(view, key)) || is_entry(witness_of(view, key))) {
+        return true;
+    }
+    return find_member(view, claim.coordinator()) != nullptr &&
+           (is_entry(&claim.coordinator()) || is_entry(witness_of(view, key, claim.coordinator())));
+}
+
 } // namespace
 
 claim_transfer::claim_transfer(claim_transfer_settings settings, view_state& views,
@@ -95,7 +113,7 @@
                                      const rpc::fetch_claims_reply& reply)
 {
     for (const rpc::claim& claim : reply.claims()) {
-        if (is_wanted(proposal.view(), claim)) {
+        if (concerns(views_.self(), proposal.view(), claim)) {
             claims_.merge(claim, proposal.view());
         }
     }
@@ -105,20 +123,6 @@
     }
 }
 
-bool claim_transfer::is_wanted(const rpc::entry_view& view, const rpc::claim& claim) const
-{
-    const submission_key key = from_message(claim.submission());
-    const rpc::entry_member& self = views_.self();
-    const auto is_self = [&](const rpc::entry_member* member) {
-        return member != nullptr && same_incarnation(*member, self);
-    };
-    if (is_self(coordinator_of(view, key)) || is_self(witness_of(view, key))) {
-        return true;
-    }
-    return find_member(view, claim.coordinator()) != nullptr &&
-           (is_self(&claim.coordinator()) || is_self(witness_of(view, key, claim.coordinator())));
-}
-
 bool claim_transfer::has_delivered(const rpc::entry_member& member, bool as_complete,
                                    std::uint64_t base) const
 {
@@ -193,7 +197,7 @@
     return all_answered;
 }
 
-rpc::fetch_claims_reply claim_transfer::serve(const rpc::fetch_claims_request& request) const
+rpc::fetch_claims_reply claim_transfer::serve(const rpc::fetch_claims_request& request)
 {
     rpc::fetch_claims_reply reply;
     // Read before the claims: nothing is accepted in an older view once a later one is
@@ -207,9 +211,26 @@
     reply.set_complete(same && !acknowledged.history().empty() &&
                        views_.was_complete_in(acknowledged.history(0).number()));
     for (rpc::claim& claim : claims_.all()) {
-        *reply.add_claims() = std::move(claim);
+        if (!same || concerns(request.requester(), acknowledged.view(), claim)) {
+            *reply.add_claims() = std::move(claim);
+        }
     }
+    const absl::MutexLock lock(&mutex_);
+    if (served_.size() > max_served_entries) {
+        served_.clear();
+    }
+    served_[member_id(request.requester())] = request.view_number();
     return reply;
 }
 
+bool claim_transfer::has_served_all(const rpc::entry_view& view) const
+{
+    const absl::MutexLock lock(&mutex_);
+    return std::all_of(view.members().begin(), view.members().end(), [&](const auto& member) {
+        const auto served = served_.find(member_id(member));
+        return same_incarnation(member, views_.self()) ||
+               (served != served_.end() && served->second >= view.number());
+    });
+}
+
 } // namespace carobfall
--- a/src/libs/carobfall/entry/claim_transfer.h
+++ b/src/libs/carobfall/entry/claim_transfer.h
@@ -67,14 +67,16 @@
     void tick(absl::Time now);
     /// Answers the same transfer at another entry. Delivers claims only if the requested view or
     /// a later one has been acknowledged here; otherwise `view_number` is lower than the request.
-    [[nodiscard]] rpc::fetch_claims_reply serve(const rpc::fetch_claims_request& request) const;
+    [[nodiscard]] rpc::fetch_claims_reply serve(const rpc::fetch_claims_request& request);
+    /// Every other member of the view has fetched the claims held here, so that this entry may
+    /// end after it has left.
+    [[nodiscard]] bool has_served_all(const rpc::entry_view& view) const;
 
 private:
     void begin(const rpc::view_proposal& proposal);
     void fetch_missing(const rpc::view_proposal& proposal);
     void accept_delivery(const rpc::view_proposal& proposal, const rpc::entry_member& sender,
                          const rpc::fetch_claims_reply& reply);
-    [[nodiscard]] bool is_wanted(const rpc::entry_view& view, const rpc::claim& claim) const;
     [[nodiscard]] bool is_covered(const rpc::view_proposal& proposal) const;
     [[nodiscard]] bool has_delivered(const rpc::entry_member& member, bool as_complete,
                                      std::uint64_t base) const;
@@ -90,6 +92,8 @@
     std::uint64_t number_ ABSL_GUARDED_BY(mutex_){0}; ///< view that the fields below belong to
     int attempts_ ABSL_GUARDED_BY(mutex_){0};
     absl::flat_hash_map<std::string, bool> delivered_ ABSL_GUARDED_BY(mutex_); ///< as complete
+    /// Highest view number for which an entry has fetched the claims, by name and incarnation.
+    absl::flat_hash_map<std::string, std::uint64_t> served_ ABSL_GUARDED_BY(mutex_);
     absl::flat_hash_set<std::string> fenced_ ABSL_GUARDED_BY(mutex_);
 };
 
--- a/src/libs/carobfall/entry/configuration_keeper.h
+++ b/src/libs/carobfall/entry/configuration_keeper.h
@@ -11,6 +11,7 @@
 #include <absl/base/thread_annotations.h>
 #include <absl/container/flat_hash_map.h>
 #include <absl/synchronization/mutex.h>
+#include <absl/time/clock.h>
 
 #include <cstdint>
 #include <functional>
@@ -39,8 +40,8 @@
         apply;
     entry_channel_factory channels;
     parallel_runner run_parallel{[](const auto& calls) { run_in_threads(calls); }};
-    clock_function clock;
-    std::function<void(absl::Duration)> sleep;
+    clock_function clock{monotonic_now};
+    std::function<void(absl::Duration)> sleep{absl::SleepFor};
 };
 
 /// Holds the newest configuration known, never goes back to a lower version, and passes changes on
--- a/src/libs/carobfall/entry/membership.cpp
+++ b/src/libs/carobfall/entry/membership.cpp
@@ -323,17 +323,21 @@
 {
     leaving_ = true;
     const absl::Time end = now + settings_.leave_limit;
-    while (!has_left()) {
-        if (now >= end) {
-            return failure(error_kind::unavailable, "the view without this entry is not in effect",
-                           "none needed: the other entries remove it when it stops answering");
-        }
+    while (!has_left() && now < end) {
         tick(now);
         if (!has_left()) {
             hooks_.sleep(settings_.heartbeat_interval);
             now += settings_.heartbeat_interval;
         }
     }
+    if (!has_left()) {
+        return failure(error_kind::unavailable, "the view without this entry is not in effect",
+                       "none needed: the other entries remove it when it stops answering");
+    }
+    for (; !hooks_.claims_delivered(state_.effective().view()) && now < end;
+         now += settings_.heartbeat_interval) {
+        hooks_.sleep(settings_.heartbeat_interval);
+    }
     return success();
 }
 
--- a/src/libs/carobfall/entry/membership.h
+++ b/src/libs/carobfall/entry/membership.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "carobfall/entry/agent_membership_table.h"
+#include "carobfall/entry/connection_probe.h"
 #include "carobfall/entry/entry_channel.h"
 #include "carobfall/entry/ownership.h"
 #include "carobfall/entry/parallel.h"
@@ -12,6 +13,7 @@
 #include <absl/base/thread_annotations.h>
 #include <absl/container/flat_hash_set.h>
 #include <absl/synchronization/mutex.h>
+#include <absl/time/clock.h>
 
 #include <atomic>
 #include <functional>
@@ -21,6 +23,9 @@
 
 namespace carobfall {
 
+/// Longest time of an attempt to connect to an entry that may be dead.
+inline constexpr absl::Duration probe_limit = absl::Milliseconds(200);
+
 struct membership_settings {
     rpc::entry_member self;
     std::string region;
@@ -37,15 +42,19 @@
 struct membership_hooks {
     entry_channel_factory channels;
     /// True only if the address refuses TCP connections (ECONNREFUSED).
-    std::function<bool(const std::string& address)> connection_refused;
+    std::function<bool(const std::string& address)> connection_refused{
+        [](const auto& address) { return carobfall::connection_refused(address, probe_limit); }};
     parallel_runner run_parallel{[](const auto& calls) { run_in_threads(calls); }};
-    std::function<void(absl::Duration)> sleep;
+    std::function<void(absl::Duration)> sleep{absl::SleepFor};
     std::function<std::uint64_t()> configuration_version{[] { return 0; }};
     /// Answers to the heartbeats that were sent at `sent` while `view` was in effect here.
     std::function<void(absl::Time sent, const rpc::entry_view& view,
                        const std::vector<peer_answer>& answers)>
         on_answers{[](auto&&...) {}};
     std::function<void()> on_superseded{[] {}};
+    /// The members of the view have fetched the claims held here; see `claim_transfer`.
+    std::function<bool(const rpc::entry_view& view)> claims_delivered{
+        [](auto&&...) { return true; }};
 };
 
 /// Takes part in the agreement on the region's view, which is ordered by compare-and-set on one
@@ -72,8 +81,9 @@
     /// Reads the row, completes what is proposed there and proposes what has to change; called
     /// every heartbeat interval. A call during another one returns at once.
     void tick(absl::Time now);
-    /// Leaves the view. Errors: `unavailable` if the view without this entry is not in effect
-    /// after `leave_limit`; the others then remove it when it stops answering.
+    /// Leaves the view and waits until the others have fetched the claims held here. Errors:
+    /// `unavailable` if the view without this entry is not in effect after `leave_limit`; the
+    /// others then remove it when it stops answering.
     result<void> leave(absl::Time now);
     /// An operator declares that every known incarnation of this entry is dead. Errors:
     /// `not_found`, or `invalid_request` for this entry itself.
--- a/tests/auto/entry/region_simulation.cpp
+++ b/tests/auto/entry/region_simulation.cpp
@@ -83,6 +83,10 @@
     auto call(const Action& action, simulated_entry* entry)
         -> result<decltype(action(std::declval<simulated_entry&>()))>
     {
+        if (region_.lost_requests > 0) {
+            --region_.lost_requests;
+            return unavailable();
+        }
         if (entry == nullptr) {
             return unavailable();
         }
@@ -155,6 +159,9 @@
     hooks.on_answers = [&entry](auto sent, const auto& view, const auto& answers) {
         entry.keeper->on_answers(sent, view, answers);
     };
+    hooks.claims_delivered = [&entry](const auto& view) {
+        return entry.transfer->has_served_all(view);
+    };
     hooks.on_superseded = [&entry] { entry.superseded = true; };
     return hooks;
 }
--- a/tests/auto/entry/region_simulation.h
+++ b/tests/auto/entry/region_simulation.h
@@ -53,6 +53,7 @@
     std::vector<simulated_agent> agents;
     std::set<std::pair<int, int>> cuts; ///< pairs of entries, lower index first
     bool hosts_refuse{true};            ///< addresses of dead entries refuse connections
+    int lost_requests{0};               ///< this many calls between entries don't arrive
     int lost_replies{0}; ///< this many calls between entries take effect without an answer
 
     void start(int index);
--- /dev/null
+++ b/tests/auto/entry/tst_claim_transfer.cpp
@@ -0,0 +1,147 @@
+#include "carobfall/base/clock.h"
+#include "carobfall/entry/rendezvous.h"
+#include "region_simulation.h"
+
+#include <absl/strings/str_cat.h>
+#include <doctest/doctest.h>
+
+using namespace carobfall;
+using namespace carobfall::test;
+
+namespace {
+
+const submission_key key{"dambi", "s"};
+
+int index_of(const rpc::entry_member* member)
+{
+    return region_simulation::index_of(member->address());
+}
+
+rpc::claim claim_of(region_simulation& region, int coordinator)
+{
+    rpc::claim claim;
+    *claim.mutable_submission() = to_message(key);
+    claim.set_deadline_unix_ms(to_unix_ms(region.now + absl::Minutes(4)));
+    *claim.mutable_coordinator() = region.at(coordinator).self;
+    return claim;
+}
+
+// Claims the submission in the present view; returns coordinator and witness.
+std::pair<int, int> make_claim(region_simulation& region)
+{
+    const rpc::entry_view view = region.view_at(0).view;
+    const std::pair pair(index_of(coordinator_of(view, key)), index_of(witness_of(view, key)));
+    rpc::claim_request request;
+    request.set_view_number(view.number());
+    *request.mutable_claim() = claim_of(region, pair.first);
+    simulated_entry& witness = region.at(pair.second);
+    REQUIRE(accept_claim(request, witness.members->state(), witness.claims).accepted());
+    region.at(pair.first).claims.put(request.claim());
+    return pair;
+}
+
+} // namespace
+
+// Guards against a claim that exists once after its witness was lost.
+TEST_CASE("the new witness of a claim has a copy before it is complete")
+{
+    region_simulation region(4, 0);
+    region.run(12);
+    const auto [coordinator, witness] = make_claim(region);
+    region.kill(witness);
+    region.run(10);
+    const rpc::entry_view view = region.view_at(coordinator).view;
+    REQUIRE(view.members_size() == 3);
+    simulated_entry& next = region.at(index_of(witness_of(view, key)));
+    CHECK(next.members->snapshot().complete);
+    REQUIRE(next.claims.find(key));
+    CHECK(same_incarnation(next.claims.find(key)->coordinator(), region.at(coordinator).self));
+}
+
+// Guards against an entry that takes a submission for new after both holders of its claim died.
+TEST_CASE("without both holders an entry is complete only when every agent has answered")
+{
+    region_simulation region(4, 2);
+    region.run(12);
+    for (simulated_agent& agent : region.agents) {
+        REQUIRE(region.at(0).agents->record_join(agent.info, region.now));
+    }
+    const auto [coordinator, witness] = make_claim(region);
+    region.agents[0].started[key] = 0;
+    region.agents[1].reachable = false;
+    region.kill(coordinator);
+    region.kill(witness);
+    region.run(12);
+    int survivor = 0;
+    while (region.entries[static_cast<std::size_t>(survivor)] == nullptr) {
+        ++survivor;
+    }
+    REQUIRE(region.view_at(survivor).view.members_size() == 2);
+    CHECK_FALSE(region.view_at(survivor).complete);
+
+    SUBCASE("the agent answers")
+    {
+        region.agents[1].reachable = true;
+    }
+    SUBCASE("the agent is lost and all deadlines have passed")
+    {
+        region.restart_agent(1);
+        REQUIRE(region.at(survivor).agents->record_join(region.agents[1].info, region.now));
+        region.run(4);
+        CHECK_FALSE(region.view_at(survivor).complete);
+        region.now += max_deadline + record_retention;
+    }
+    region.run(4);
+    CHECK(region.view_at(survivor).complete);
+    CHECK(region.at(survivor).known_from_agents.contains(key));
+    CHECK(region.agents[0].highest_view == region.view_at(survivor).view.number());
+}
+
+// Guards against a single copy that is treated like one of two.
+TEST_CASE("after a view with one member its successor needs that member's claims or all agents")
+{
+    region_simulation region(2, 1);
+    region.step(0);
+    region.step(0);
+    REQUIRE(region.at(0).agents->record_join(region.agents[0].info, region.now));
+    region.agents[0].reachable = false;
+    region.kill(0);
+    region.run(10);
+    CHECK(region.view_at(1).usable());
+    CHECK_FALSE(region.view_at(1).complete);
+}
+
+// Guards against a claim that is accepted after its witness has delivered to a later view.
+TEST_CASE("a claim is refused once a later view has been acknowledged")
+{
+    region_simulation region(2, 0);
+    region.run(8);
+    const rpc::entry_view view = region.view_at(0).view;
+    rpc::prepare_view_request prepare;
+    *prepare.mutable_proposal()->mutable_view() = view;
+    prepare.mutable_proposal()->mutable_view()->set_number(view.number() + 1);
+    REQUIRE(region.at(1).members->prepare(prepare).acknowledged());
+    rpc::claim_request request;
+    request.set_view_number(view.number());
+    *request.mutable_claim() = claim_of(region, 0);
+    const auto reply = accept_claim(request, region.at(1).members->state(), region.at(1).claims);
+    CHECK_FALSE(reply.accepted());
+    CHECK(reply.view_number() == view.number() + 1);
+    CHECK_FALSE(region.at(1).claims.find(key));
+}
+
+// Guards against a stale copy that names a former coordinator beside the one that took over.
+TEST_CASE("a delivered copy doesn't replace a coordinator that is a member")
+{
+    region_simulation region(2, 0);
+    region.run(8);
+    rpc::claim stale = claim_of(region, 0);
+    stale.mutable_coordinator()->set_incarnation("former");
+    claim_store claims;
+    claims.put(claim_of(region, 1));
+    claims.merge(stale, region.view_at(0).view);
+    CHECK(same_incarnation(claims.find(key)->coordinator(), region.at(1).self));
+    claims.put(stale);
+    claims.merge(claim_of(region, 1), region.view_at(0).view);
+    CHECK(same_incarnation(claims.find(key)->coordinator(), region.at(1).self));
+}
--- a/tests/auto/entry/tst_entry_server.cpp
+++ b/tests/auto/entry/tst_entry_server.cpp
@@ -151,10 +151,9 @@
     {
         membership_hooks hooks;
         hooks.channels = channels_;
-        hooks.connection_refused = [](const std::string& address) {
-            return connection_refused(address, absl::Milliseconds(200));
+        hooks.claims_delivered = [this](const auto& view) {
+            return transfer_.has_served_all(view);
         };
-        hooks.sleep = absl::SleepFor;
         hooks.configuration_version = [this] { return keeper_.reported_version(); };
         hooks.on_answers = [this](auto sent, const auto& view, const auto& answers) {
             keeper_.on_answers(sent, view, answers);
@@ -169,8 +168,6 @@
             return result<rpc::push_configuration_request>(rpc::push_configuration_request());
         };
         hooks.channels = channels_;
-        hooks.clock = monotonic_now;
-        hooks.sleep = absl::SleepFor;
         return hooks;
     }
 
--- a/tests/auto/entry/tst_region_fuzz.cpp
+++ b/tests/auto/entry/tst_region_fuzz.cpp
@@ -26,6 +26,7 @@
     resume,
     outage,
     lose_commit,
+    lose_requests,
     lose_replies,
     refuse,
     restart_agent,
@@ -60,6 +61,7 @@
                                                         {4, action::resume},
                                                         {2, action::outage},
                                                         {3, action::lose_commit},
+                                                        {4, action::lose_requests},
                                                         {4, action::lose_replies},
                                                         {2, action::refuse},
                                                         {2, action::restart_agent},
@@ -164,6 +166,9 @@
     case action::lose_commit:
         region_.table.lost_answers = 1;
         return;
+    case action::lose_requests:
+        region_.lost_requests = 1 + happened.second % 5;
+        return;
     case action::lose_replies:
         region_.lost_replies = 1 + happened.second % 5;
         return;
@@ -184,6 +189,7 @@
     region_.hosts_refuse = true;
     region_.table.outage = false;
     region_.table.lost_answers = 0;
+    region_.lost_requests = 0;
     region_.lost_replies = 0;
     for (int attempt = 0; attempt < 6; ++attempt) {
         for (int i = 0; i < static_cast<int>(region_.entries.size()); ++i) {
