Tests: Add process tests; hold submissions while an entry catches up

Cause: the process tests showed two refusals of good requests after a change of the view: recovering while claims were being fetched, and unavailable at an entry that had not yet heard from the agents. Ruled out: a fault in the transfer itself (complete within the next second) and lost registrations (agents register within a heartbeat interval). After: the submission waits up to 3 s, bounded by its deadline, before it is refused.

--- a/scripts/cluster.py
+++ b/scripts/cluster.py
@@ -227,14 +227,17 @@
             yield worker.backend
 
     def stop(self):
-        running = list(self.processes())
-        for process in running:
-            process.send(signal.SIGCONT)
-            process.send(signal.SIGTERM)
-        deadline = time.monotonic() + 10
-        for process in running:
-            if process.wait(max(0.1, deadline - time.monotonic())) is None:
-                process.kill()
+        """Stops everything; the platform last, because entries leave their view by it."""
+        self.platform.send(signal.SIGCONT)
+        running = [process for process in self.processes() if process is not self.platform]
+        for group in (running, [self.platform]):
+            for process in group:
+                process.send(signal.SIGCONT)
+                process.send(signal.SIGTERM)
+            deadline = time.monotonic() + 10
+            for process in group:
+                if process.wait(max(0.1, deadline - time.monotonic())) is None:
+                    process.kill()
 
     def operate(self, method, path, body=None, entry=None, timeout=10):
         entry = entry or self.entries[0]
--- a/src/libs/carobfall/daemon/entry_daemon.cpp
+++ b/src/libs/carobfall/daemon/entry_daemon.cpp
@@ -25,7 +25,7 @@
 namespace {
 
 constexpr absl::Duration table_call_limit = absl::Seconds(2);
-constexpr absl::Duration probe_limit = absl::Milliseconds(300);
+constexpr absl::Duration connection_probe_limit = absl::Milliseconds(300);
 constexpr absl::Duration upkeep_interval = absl::Milliseconds(200);
 constexpr absl::Duration drain_check_interval = absl::Milliseconds(20);
 constexpr absl::Duration server_stop_limit = absl::Seconds(5);
@@ -140,7 +140,7 @@
         membership_hooks hooks;
         hooks.channels = entries;
         hooks.connection_refused = [](const std::string& address) {
-            return connection_refused(address, probe_limit);
+            return connection_refused(address, connection_probe_limit);
         };
         hooks.sleep = [](absl::Duration duration) { absl::SleepFor(duration); };
         hooks.configuration_version = [this] { return keeper.reported_version(); };
@@ -175,6 +175,9 @@
         if (keeper.fresh_for(now) <= absl::ZeroDuration()) {
             reasons.emplace_back("the configuration is not confirmed as current");
         }
+        if (registry.agents().empty()) {
+            reasons.emplace_back("no agent has registered");
+        }
         return reasons;
     }
 
--- a/src/libs/carobfall/dispatch/coordinator.cpp
+++ b/src/libs/carobfall/dispatch/coordinator.cpp
@@ -8,6 +8,7 @@
 #include "carobfall/entry/rendezvous.h"
 
 #include <absl/strings/str_cat.h>
+#include <absl/time/clock.h>
 
 #include <algorithm>
 #include <utility>
@@ -60,6 +61,7 @@
 
 coordinator::coordinator(dispatch_collaborators outside, const dispatch_settings& settings)
     : context_(std::move(outside), settings),
+      started_at_(context_.now()),
       runs_(std::make_unique<work_pool>(settings.run_threads, settings.run_queue)),
       takeover_(std::make_unique<takeover>(context_, *runs_))
 {}
@@ -170,11 +172,12 @@
                                                     absl::Time now)
 {
     const submission_key key = from_message(request.key());
-    const ownership_snapshot snapshot = context_.outside.owner->snapshot();
+    const absl::Time deadline = from_unix_ms(request.deadline_unix_ms());
+    const ownership_snapshot snapshot = await_completeness(deadline, now);
+    now = context_.now();
     if (const auto claim = context_.outside.claims->find(key)) {
         return submit_claimed(*claim, request, now);
     }
-    const absl::Time deadline = from_unix_ms(request.deadline_unix_ms());
     if (deadline <= now) {
         return late();
     }
@@ -184,6 +187,22 @@
     return start_new(request, now);
 }
 
+// The claims of the last view usually arrive within a few round trips, so that a submission that
+// meets a change of the view waits for them in place of being refused.
+ownership_snapshot coordinator::await_completeness(absl::Time deadline, absl::Time now) const
+{
+    const absl::Time last_time = std::min(deadline - context_.settings.answer_reserve,
+                                          now + context_.settings.completeness_wait);
+    ownership_snapshot snapshot = context_.outside.owner->snapshot();
+    const std::uint64_t view = snapshot.view.number();
+    while (!snapshot.complete && !is_new_in_view(snapshot, deadline) &&
+           snapshot.view.number() == view && context_.now() < last_time) {
+        context_.outside.owner->wait_for_change(view, context_.settings.call_retry_pause);
+        snapshot = context_.outside.owner->snapshot();
+    }
+    return snapshot;
+}
+
 // The submission was accepted earlier, here or by another coordinator.
 coordinator::answer_result coordinator::submit_claimed(const rpc::claim& claim,
                                                        const rpc::submission_request& request,
@@ -213,6 +232,26 @@
                : recovering("the submission is being recorded");
 }
 
+// An entry that has just joined hears from the agents within a heartbeat interval; until then it
+// can't tell whether a backend server is missing or has not registered yet.
+result<job_plan> coordinator::admit(const std::shared_ptr<job>& opened,
+                                    const rpc::submission_request& request, absl::Time now)
+{
+    const absl::Time last_time = std::min(opened->deadline() - context_.settings.answer_reserve,
+                                          now + context_.settings.agent_wait);
+    for (;;) {
+        result<job_plan> plan = admission(context_).admit(opened, request, now);
+        const bool may_change = !plan && (plan.error().kind == error_kind::unavailable ||
+                                          (plan.error().kind == error_kind::infeasible &&
+                                           now < started_at_ + context_.settings.agent_wait));
+        if (!may_change || now >= last_time || shutting_down_) {
+            return plan;
+        }
+        absl::SleepFor(context_.settings.call_retry_pause);
+        now = context_.now();
+    }
+}
+
 coordinator::answer_result coordinator::start_new(const rpc::submission_request& request,
                                                   absl::Time now)
 {
@@ -231,7 +270,7 @@
         return refuse({error_kind::shutting_down, "the entry is leaving",
                        "submit again; another entry takes it"});
     }
-    result<job_plan> plan = admission(context_).admit(opened, request, now);
+    result<job_plan> plan = admit(opened, request, now);
     if (!plan) {
         return refuse(plan.error());
     }
--- a/src/libs/carobfall/dispatch/coordinator.h
+++ b/src/libs/carobfall/dispatch/coordinator.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "carobfall/dispatch/dispatch_context.h"
+#include "carobfall/dispatch/agent_calls.h"
 #include "carobfall/dispatch/submission_service.h"
 
 #include <atomic>
@@ -53,8 +54,11 @@
     answer_result forward(const rpc::entry_member& target, const rpc::submission_request& request,
                           std::uint64_t view, bool& again);
     answer_result submit_here(const rpc::submission_request& request, absl::Time now);
+    [[nodiscard]] ownership_snapshot await_completeness(absl::Time deadline, absl::Time now) const;
     answer_result submit_claimed(const rpc::claim& claim, const rpc::submission_request& request,
                                  absl::Time now);
+    result<job_plan> admit(const std::shared_ptr<job>& opened,
+                           const rpc::submission_request& request, absl::Time now);
     answer_result start_new(const rpc::submission_request& request, absl::Time now);
     answer_result answer_known(const submission_table::entry& known,
                                const rpc::submission_request& request);
@@ -63,6 +67,7 @@
     other_coordinator(const submission_key& key) const;
 
     dispatch_context context_;
+    const absl::Time started_at_;
     std::atomic<bool> shutting_down_{false};
     /// Runs submissions whose caller doesn't wait, and takeovers.
     std::unique_ptr<work_pool> runs_;
--- a/src/libs/carobfall/dispatch/dispatch_settings.h
+++ b/src/libs/carobfall/dispatch/dispatch_settings.h
@@ -22,6 +22,10 @@
     absl::Duration claim_call_limit{absl::Milliseconds(300)};
     /// Pause before a call to a peer that failed is repeated.
     absl::Duration call_retry_pause{absl::Milliseconds(20)};
+    /// Longest wait of an unknown submission for the claims of the last view.
+    absl::Duration completeness_wait{absl::Seconds(3)};
+    /// Longest wait for a backend server that can take tasks, before the submission is refused.
+    absl::Duration agent_wait{absl::Seconds(3)};
     /// Pause before waiting tasks are offered again when no slot was granted.
     absl::Duration grant_retry_pause{absl::Milliseconds(5)};
     /// An agent that refused a start of a job is not tried again by that job for this time.
--- /dev/null
+++ b/tests/process/test_agent_failure.py
@@ -0,0 +1,61 @@
+import signal
+import time
+import unittest
+
+from support import ProcessTest, body, wait_until
+
+
+class AgentFailure(ProcessTest):
+    workers, slots = 3, 2
+
+    def test_paused_agent_starts_nothing_queued_before_it_has_renewed(self):
+        """Guards against queued tasks that start on resumption with a lapsed lease."""
+        job = self.job("lease", body(12, 400, 15))
+        self.wait_for_starts(6)
+        agents = [worker.agent for worker in self.deployment.workers]
+        others = [entry.process for entry in self.deployment.entries]
+        for agent in agents:
+            agent.send(signal.SIGSTOP)
+        time.sleep(3)
+        before = len(self.deployment.starts())
+        for process in others:
+            process.send(signal.SIGSTOP)
+        for agent in agents:
+            agent.send(signal.SIGCONT)
+        time.sleep(1.5)
+        self.assertEqual(len(self.deployment.starts()), before)
+        for process in others:
+            process.send(signal.SIGCONT)
+        self.assert_honest("lease", job.result()[1])
+        self.path_works("later", seconds=30)
+        self.assert_no_second_start()
+
+    def test_killed_agent_leaves_its_tasks_as_may_have_run(self):
+        """Guards against not_run for tasks whose agent can't be asked, and against reruns."""
+        job = self.job("lost", body(6, 3000, 8))
+        self.wait_for_starts(6)
+        self.deployment.workers[0].agent.kill()
+        self.deployment.workers[0].agent.start()
+        status, answer = job.result()
+        self.assertNotEqual(status, 200, answer)
+        self.assertEqual(answer["state"], "failed")
+        self.assert_honest("lost", answer)
+        self.assertIn("may_have_run", [task["outcome"] for task in answer["tasks"]])
+        self.path_works("after")
+        self.assert_no_second_start()
+
+    def test_backend_server_that_leaves_gets_no_new_work(self):
+        """Guards against starts on a backend server after it has announced that it leaves."""
+        worker = self.deployment.workers[0]
+        worker.backend.send(signal.SIGTERM)
+        self.assertEqual(worker.backend.wait(10), 0)
+        wait_until(lambda: self.deployment.usable_backends() == 2, 5, "seen as unavailable")
+        content = body(4, 50, 10)
+        self.assert_complete(self.submit("leave", content), content)
+        worker.backend.start()
+        wait_until(lambda: self.deployment.usable_backends() == 3, 10, "back again")
+        self.path_works("return")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/process/test_entry_failure.py
@@ -0,0 +1,73 @@
+import signal
+import time
+import unittest
+
+from support import ProcessTest, body, wait_until
+
+
+class EntryFailure(ProcessTest):
+    def ready_again(self, index):
+        wait_until(self.deployment.entries[index].ready, 30, f"entry {index} is ready")
+
+    def test_killed_coordinator_starts_nothing_twice_and_successor_answers(self):
+        """Guards against a resubmission that runs the tasks again after its coordinator died."""
+        content = body(6, 4000, 28)
+        job = self.job("killed", content)
+        index = self.coordinator_of("killed")
+        self.wait_for_starts(6)
+        self.deployment.entries[index].process.kill()
+        job.result()
+        survivor = (index + 1) % 3
+
+        def answered():
+            outcome = self.submit("killed", content, survivor)
+            return outcome if (outcome[1] or {}).get("state") in ("complete", "failed") else None
+
+        self.assert_complete(wait_until(answered, 25, "the successor answers"), content)
+        self.assert_no_second_start()
+        self.deployment.entries[index].process.start()
+        self.ready_again(index)
+        self.path_works("after-restart", index)
+        self.assert_no_second_start()
+
+    def test_paused_coordinator_starts_nothing_after_its_view_is_superseded(self):
+        """Guards against late starts of an entry that was paused past its removal."""
+        content = body(4, 300, 25)
+        job = self.job("paused", content)
+        index = self.coordinator_of("paused")
+        self.deployment.entries[index].process.send(signal.SIGSTOP)
+        survivor = (index + 1) % 3
+        self.path_works("meanwhile", survivor, 30)
+        answer = self.submit("paused", content, survivor)[1]
+        self.assert_honest("paused", answer)
+        self.deployment.entries[index].process.send(signal.SIGCONT)
+        time.sleep(3)
+        job.result()
+        self.assert_no_second_start()
+        self.assert_honest("paused", answer)
+
+    def test_all_entries_killed_at_once_recover_without_a_hand(self):
+        """Guards against a region that can't form a view after all its entries were replaced."""
+        content = body(4, 2000, 25)
+        job = self.job("all", content)
+        self.wait_for_starts(4)
+        for entry in self.deployment.entries:
+            entry.process.kill()
+        job.result()
+        for entry in self.deployment.entries:
+            entry.process.start()
+        for index in range(3):
+            self.ready_again(index)
+
+        def answered():
+            status, answer = self.submit("all", content, 1)
+            self.assertNotEqual((answer or {}).get("state"), "complete", "no claim is left")
+            return status not in (0, 503)
+
+        wait_until(answered, 30, "the old submission is answered")
+        self.path_works("fresh", seconds=30)
+        self.assert_no_second_start()
+
+
+if __name__ == "__main__":
+    unittest.main()
