Agent: Use std::mutex, which ThreadSanitizer understands

Cause: Debian's Abseil is built without ThreadSanitizer, so that tst_agent and tst_backend reported races for data under an absl::Mutex. Ruled out: suppressing reports by our own functions. Before: agent and backend failed under ThreadSanitizer.

--- a/src/libs/carobfall/agent/agent_daemon.cpp
+++ b/src/libs/carobfall/agent/agent_daemon.cpp
@@ -78,7 +78,7 @@
     executor_.stop();
     sessions_.stop();
     if (maintenance_.joinable()) {
-        stopped_.Notify();
+        stopped_ = true;
         maintenance_.join();
     }
 }
@@ -201,7 +201,7 @@
 /// The lock makes a shutdown wait for reports that the maintenance thread is about to post.
 void agent_daemon::sweep()
 {
-    const absl::MutexLock lock(&sweep_mutex_);
+    const std::lock_guard lock(sweep_mutex_);
     for (pending_report& report : ledger_.sweep(clock_())) {
         metrics_.add("tasks_handed_back_total");
         post(std::move(report));
@@ -211,7 +211,8 @@
 void agent_daemon::maintain()
 {
     absl::Time next_expire = clock_() + expire_interval;
-    while (!stopped_.WaitForNotificationWithTimeout(sweep_interval)) {
+    while (!stopped_) {
+        absl::SleepFor(sweep_interval);
         const absl::Time now = clock_();
         sweep();
         sessions_.collect(now);
--- a/src/libs/carobfall/agent/agent_daemon.h
+++ b/src/libs/carobfall/agent/agent_daemon.h
@@ -12,12 +12,12 @@
 #include "carobfall/base/histogram.h"
 #include "carobfall/config/agent_settings.h"
 
-#include <absl/synchronization/mutex.h>
-#include <absl/synchronization/notification.h>
 #include <absl/time/time.h>
 
+#include <atomic>
 #include <cstddef>
 #include <cstdint>
+#include <mutex>
 #include <optional>
 #include <string>
 #include <thread>
@@ -87,8 +87,8 @@
     task_executor executor_;
     agent_server server_;
     agent_operator_server operator_server_;
-    absl::Notification stopped_;
-    absl::Mutex sweep_mutex_;
+    std::atomic<bool> stopped_{false};
+    std::mutex sweep_mutex_;
     std::thread maintenance_;
 };
 
--- a/src/libs/carobfall/agent/entry_session.cpp
+++ b/src/libs/carobfall/agent/entry_session.cpp
@@ -15,6 +15,9 @@
 constexpr std::size_t max_batch_reports = 64;
 constexpr std::size_t max_batch_bytes = std::size_t{2} * 1024 * 1024;
 
+/// Bounds a wait without a due time.
+constexpr absl::Duration max_wait = absl::Minutes(1);
+
 constexpr absl::Duration min_delivery_backoff = absl::Milliseconds(50);
 constexpr absl::Duration max_delivery_backoff = absl::Seconds(2);
 
@@ -46,42 +49,42 @@
 void entry_session::post(pending_report report)
 {
     const absl::Time now = environment_.clock();
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     last_post_ = now;
     outbox_.push_back(std::move(report));
-    changed_.Signal();
+    changed_.notify_one();
 }
 
 void entry_session::promote()
 {
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     state_.report_only = false;
-    changed_.Signal();
+    changed_.notify_one();
 }
 
 void entry_session::beat_now()
 {
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     beat_requested_ = true;
-    changed_.Signal();
+    changed_.notify_one();
 }
 
 void entry_session::request_stop()
 {
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     stopping_ = true;
-    changed_.Signal();
+    changed_.notify_one();
 }
 
 std::size_t entry_session::pending_reports() const
 {
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     return outbox_.size();
 }
 
 session_state entry_session::state() const
 {
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     session_state state = state_;
     state.pending_reports = outbox_.size();
     return state;
@@ -89,13 +92,13 @@
 
 absl::Time entry_session::last_post() const
 {
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     return last_post_;
 }
 
 bool entry_session::stopping() const
 {
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     return stopping_;
 }
 
@@ -111,7 +114,7 @@
 void entry_session::keep_contact(absl::Time now)
 {
     {
-        const absl::MutexLock lock(&mutex_);
+        const std::lock_guard lock(mutex_);
         const bool requested = std::exchange(beat_requested_, false);
         if (state_.report_only || (now < next_contact_ && !requested)) {
             return;
@@ -200,7 +203,7 @@
 {
     std::deque<pending_report> candidates;
     {
-        const absl::MutexLock lock(&mutex_);
+        const std::lock_guard lock(mutex_);
         const std::size_t count = std::min(outbox_.size(), max_batch_reports);
         candidates.assign(outbox_.begin(), outbox_.begin() + static_cast<std::ptrdiff_t>(count));
     }
@@ -228,26 +231,26 @@
 
 void entry_session::remove_front(std::size_t count)
 {
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     outbox_.erase(outbox_.begin(), outbox_.begin() + static_cast<std::ptrdiff_t>(count));
 }
 
 void entry_session::wait_until_due()
 {
     const absl::Time now = environment_.clock();
-    const absl::MutexLock lock(&mutex_);
+    std::unique_lock lock(mutex_);
     absl::Time due = state_.report_only ? absl::InfiniteFuture() : next_contact_;
     if (!outbox_.empty()) {
         due = std::min(due, next_delivery_);
     }
     if (!stopping_ && !beat_requested_ && due > now) {
-        changed_.WaitWithTimeout(&mutex_, due - now);
+        changed_.wait_for(lock, absl::ToChronoMicroseconds(std::min(due - now, max_wait)));
     }
 }
 
 void entry_session::note_success(absl::Time now)
 {
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     state_.last_contact = now;
     state_.registered = registered_as_.has_value();
     state_.last_error.clear();
@@ -255,7 +258,7 @@
 
 void entry_session::note_failure(const error& problem)
 {
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     ++state_.failed_calls;
     if (state_.last_error.empty()) {
         LOG(WARNING) << log_fields("entry_call_failed")
--- a/src/libs/carobfall/agent/entry_session.h
+++ b/src/libs/carobfall/agent/entry_session.h
@@ -5,15 +5,15 @@
 #include "carobfall/base/clock.h"
 #include "carobfall/rpc/carobfall.pb.h"
 
-#include <absl/base/thread_annotations.h>
-#include <absl/synchronization/mutex.h>
 #include <absl/time/time.h>
 
+#include <condition_variable>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <functional>
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <string>
 #include <thread>
@@ -95,13 +95,13 @@
     absl::Time next_delivery_{absl::InfinitePast()};
     absl::Duration delivery_backoff_{absl::ZeroDuration()};
 
-    mutable absl::Mutex mutex_;
-    absl::CondVar changed_;
-    std::deque<pending_report> outbox_ ABSL_GUARDED_BY(mutex_);
-    session_state state_ ABSL_GUARDED_BY(mutex_);
-    absl::Time last_post_ ABSL_GUARDED_BY(mutex_);
-    bool beat_requested_ ABSL_GUARDED_BY(mutex_){false};
-    bool stopping_ ABSL_GUARDED_BY(mutex_){false};
+    mutable std::mutex mutex_;
+    std::condition_variable changed_;
+    std::deque<pending_report> outbox_;
+    session_state state_;
+    absl::Time last_post_;
+    bool beat_requested_{false};
+    bool stopping_{false};
 
     std::thread thread_; // last, so that it starts with all members in place
 };
--- a/src/libs/carobfall/agent/entry_session_set.cpp
+++ b/src/libs/carobfall/agent/entry_session_set.cpp
@@ -29,7 +29,7 @@
 
 void entry_session_set::start()
 {
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     for (const std::string& address : seeds_) {
         add(address, false);
     }
@@ -53,7 +53,7 @@
 
 bool entry_session_set::adopt_view(const rpc::entry_view& view)
 {
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     if (view.number() <= view_number_) {
         return false;
     }
@@ -83,7 +83,7 @@
 void entry_session_set::post(pending_report report)
 {
     const std::string address = report.coordinator.address();
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     if (!sessions_.contains(address)) {
         add(address, true);
     }
@@ -96,7 +96,7 @@
 {
     std::vector<std::unique_ptr<entry_session>> ended;
     {
-        const absl::MutexLock lock(&mutex_);
+        const std::lock_guard lock(mutex_);
         for (auto session = sessions_.begin(); session != sessions_.end();) {
             const session_state state = session->second->state();
             const bool idle = state.report_only && state.pending_reports == 0 &&
@@ -109,7 +109,7 @@
 
 void entry_session_set::beat_now()
 {
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     for (const auto& [address, session] : sessions_) {
         session->beat_now();
     }
@@ -120,7 +120,7 @@
     session_map sessions;
     std::vector<std::unique_ptr<entry_session>> retired;
     {
-        const absl::MutexLock lock(&mutex_);
+        const std::lock_guard lock(mutex_);
         stopped_ = true;
         for (const auto& [address, session] : sessions_) {
             session->request_stop();
@@ -132,7 +132,7 @@
 
 std::size_t entry_session_set::pending_reports() const
 {
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     std::size_t count = 0;
     for (const auto& [address, session] : sessions_) {
         count += session->pending_reports();
@@ -142,7 +142,7 @@
 
 std::vector<session_state> entry_session_set::states() const
 {
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     std::vector<session_state> states;
     for (const auto& [address, session] : sessions_) {
         states.push_back(session->state());
@@ -152,7 +152,7 @@
 
 std::uint64_t entry_session_set::view_number() const
 {
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     return view_number_;
 }
 
--- a/src/libs/carobfall/agent/entry_session_set.h
+++ b/src/libs/carobfall/agent/entry_session_set.h
@@ -2,12 +2,10 @@
 
 #include "carobfall/agent/entry_session.h"
 
-#include <absl/base/thread_annotations.h>
-#include <absl/synchronization/mutex.h>
-
 #include <cstddef>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <set>
 #include <string>
 #include <vector>
@@ -49,20 +47,19 @@
 private:
     using session_map = std::map<std::string, std::unique_ptr<entry_session>, std::less<>>;
 
-    void add(const std::string& address, bool report_only) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
-    session_map::iterator retire(session_map::iterator session)
-        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    void add(const std::string& address, bool report_only);
+    session_map::iterator retire(session_map::iterator session);
 
     const std::set<std::string> seeds_;
     const entry_link_factory make_link_;
     const session_environment& environment_;
 
-    mutable absl::Mutex mutex_;
-    std::uint64_t view_number_ ABSL_GUARDED_BY(mutex_){0};
-    session_map sessions_ ABSL_GUARDED_BY(mutex_);
+    mutable std::mutex mutex_;
+    std::uint64_t view_number_{0};
+    session_map sessions_;
     /// A session can be retired by its own thread, which can't join itself.
-    std::vector<std::unique_ptr<entry_session>> retired_ ABSL_GUARDED_BY(mutex_);
-    bool stopped_ ABSL_GUARDED_BY(mutex_){false};
+    std::vector<std::unique_ptr<entry_session>> retired_;
+    bool stopped_{false};
 };
 
 } // namespace carobfall
--- a/src/libs/carobfall/agent/start_lease.cpp
+++ b/src/libs/carobfall/agent/start_lease.cpp
@@ -8,7 +8,7 @@
 
 bool start_lease::renew(const rpc::beat_reply& reply, absl::Time send_time)
 {
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     if (!reply.registered() || reply.send_time_us() != absl::ToUnixMicros(send_time) ||
         reply.configuration_version() < configuration_version_) {
         return false;
@@ -29,31 +29,31 @@
 
 bool start_lease::is_valid(absl::Time now) const
 {
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     return now < valid_until_;
 }
 
 bool start_lease::is_out(std::string_view data_centre) const
 {
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     return out_.contains(to_absl(data_centre));
 }
 
 absl::Time start_lease::valid_until() const
 {
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     return valid_until_;
 }
 
 std::uint64_t start_lease::configuration_version() const
 {
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     return configuration_version_;
 }
 
 std::vector<std::string> start_lease::data_centres_out() const
 {
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     std::vector<std::string> names(out_.begin(), out_.end());
     std::sort(names.begin(), names.end());
     return names;
--- a/src/libs/carobfall/agent/start_lease.h
+++ b/src/libs/carobfall/agent/start_lease.h
@@ -2,12 +2,11 @@
 
 #include "carobfall/rpc/carobfall.pb.h"
 
-#include <absl/base/thread_annotations.h>
 #include <absl/container/flat_hash_set.h>
-#include <absl/synchronization/mutex.h>
 #include <absl/time/time.h>
 
 #include <cstdint>
+#include <mutex>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -35,10 +34,10 @@
     [[nodiscard]] std::vector<std::string> data_centres_out() const;
 
 private:
-    mutable absl::Mutex mutex_;
-    absl::Time valid_until_ ABSL_GUARDED_BY(mutex_){absl::InfinitePast()};
-    std::uint64_t configuration_version_ ABSL_GUARDED_BY(mutex_){0};
-    absl::flat_hash_set<std::string> out_ ABSL_GUARDED_BY(mutex_);
+    mutable std::mutex mutex_;
+    absl::Time valid_until_{absl::InfinitePast()};
+    std::uint64_t configuration_version_{0};
+    absl::flat_hash_set<std::string> out_;
 };
 
 } // namespace carobfall
--- a/src/libs/carobfall/agent/task_executor.cpp
+++ b/src/libs/carobfall/agent/task_executor.cpp
@@ -43,7 +43,7 @@
 
 void task_executor::provide_slots(std::size_t slots)
 {
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     while (!stopping_ && threads_.size() < slots) {
         threads_.emplace_back([this] { work(); });
     }
@@ -51,10 +51,10 @@
 
 void task_executor::notify(std::size_t tasks)
 {
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     wakeups_ = std::min(wakeups_ + tasks, threads_.size());
     for (std::size_t i = 0; i < std::min(tasks, threads_.size()); ++i) {
-        work_available_.Signal();
+        work_available_.notify_one();
     }
 }
 
@@ -62,9 +62,9 @@
 {
     std::vector<std::thread> threads;
     {
-        const absl::MutexLock lock(&mutex_);
+        const std::lock_guard lock(mutex_);
         stopping_ = true;
-        work_available_.SignalAll();
+        work_available_.notify_all();
         threads.swap(threads_);
     }
     for (std::thread& thread : threads) {
@@ -74,7 +74,7 @@
 
 bool task_executor::stopping() const
 {
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     return stopping_;
 }
 
@@ -93,9 +93,9 @@
 
 void task_executor::wait_for_work()
 {
-    const absl::MutexLock lock(&mutex_);
+    std::unique_lock lock(mutex_);
     if (wakeups_ == 0 && !stopping_) {
-        work_available_.WaitWithTimeout(&mutex_, idle_poll);
+        work_available_.wait_for(lock, absl::ToChronoMicroseconds(idle_poll));
     }
     wakeups_ -= std::min<std::size_t>(wakeups_, 1);
 }
--- a/src/libs/carobfall/agent/task_executor.h
+++ b/src/libs/carobfall/agent/task_executor.h
@@ -5,11 +5,10 @@
 #include "carobfall/base/clock.h"
 #include "carobfall/base/histogram.h"
 
-#include <absl/base/thread_annotations.h>
-#include <absl/synchronization/mutex.h>
-
+#include <condition_variable>
 #include <cstddef>
 #include <functional>
+#include <mutex>
 #include <thread>
 #include <vector>
 
@@ -50,11 +49,11 @@
     metrics_registry& metrics_;
     const clock_function clock_;
 
-    mutable absl::Mutex mutex_;
-    absl::CondVar work_available_;
-    std::size_t wakeups_ ABSL_GUARDED_BY(mutex_){0};
-    bool stopping_ ABSL_GUARDED_BY(mutex_){false};
-    std::vector<std::thread> threads_ ABSL_GUARDED_BY(mutex_);
+    mutable std::mutex mutex_;
+    std::condition_variable work_available_;
+    std::size_t wakeups_{0};
+    bool stopping_{false};
+    std::vector<std::thread> threads_;
 };
 
 } // namespace carobfall
--- a/src/libs/carobfall/agent/task_ledger.cpp
+++ b/src/libs/carobfall/agent/task_ledger.cpp
@@ -43,7 +43,7 @@
 {
     const context_ptr context = context_of(request);
     rpc::start_reply reply;
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     now = advance(now);
     const bool meant_for_this = request.agent_incarnation() == options_.agent_incarnation;
     if (meant_for_this) {
@@ -169,7 +169,7 @@
 rpc::revoke_reply task_ledger::revoke(const rpc::revoke_request& request, absl::Time now)
 {
     rpc::revoke_reply reply;
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     advance(now);
     const bool meant_for_this = request.agent_incarnation() == options_.agent_incarnation;
     if (meant_for_this) {
@@ -212,7 +212,7 @@
     rpc::fence_reply reply;
     reply.set_incarnation(options_.agent_incarnation);
     {
-        const absl::MutexLock lock(&mutex_);
+        const std::lock_guard lock(mutex_);
         view_number_ = std::max(view_number_, request.view().number());
         reply.set_view_number(view_number_);
     }
@@ -227,13 +227,13 @@
 
 void task_ledger::observe_view(std::uint64_t number)
 {
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     view_number_ = std::max(view_number_, number);
 }
 
 std::optional<startable_task> task_ledger::take_startable(absl::Time now)
 {
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     now = advance(now);
     while (!queue_.empty()) {
         const queue_entry entry = queue_.front();
@@ -264,7 +264,7 @@
 
 bool task_ledger::confirm_start(const startable_task& task, absl::Time now)
 {
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     now = advance(now);
     task_record* record = started_record(task.key, task.attempt);
     if (record == nullptr) {
@@ -289,7 +289,7 @@
 std::optional<pending_report> task_ledger::finish(const task_key& key, std::uint32_t attempt,
                                                   rpc::task_result result, absl::Time now)
 {
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     now = advance(now);
     task_record* record = started_record(key, attempt);
     if (record == nullptr) {
@@ -310,7 +310,7 @@
 std::optional<pending_report> task_ledger::refuse_unsent(const task_key& key, std::uint32_t attempt,
                                                          rpc::refusal_reason reason, absl::Time now)
 {
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     advance(now);
     task_record* record = started_record(key, attempt);
     if (record == nullptr) {
@@ -324,7 +324,7 @@
 
 std::vector<pending_report> task_ledger::sweep(absl::Time now)
 {
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     sweep_queue(advance(now));
     return std::exchange(refused_from_queue_, {});
 }
@@ -378,38 +378,38 @@
 
 void task_ledger::announce_backend(std::uint32_t slots, absl::Time valid_until)
 {
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     slots_ = slots;
     backend_valid_until_ = valid_until;
 }
 
 void task_ledger::remove_backend()
 {
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     backend_valid_until_ = absl::InfinitePast();
 }
 
 bool task_ledger::backend_available(absl::Time now) const
 {
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     return slots_ != 0 && now < backend_valid_until_;
 }
 
 void task_ledger::begin_leaving()
 {
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     leaving_ = true;
 }
 
 bool task_ledger::leaving() const
 {
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     return leaving_;
 }
 
 std::size_t task_ledger::expire(absl::Time now)
 {
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     now = advance(now);
     // A queued task must not lose its record before it has left the queue.
     sweep_queue(now);
@@ -418,7 +418,7 @@
 
 rpc::agent_load task_ledger::load() const
 {
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     return load_locked();
 }
 
@@ -433,14 +433,14 @@
 
 std::uint64_t task_ledger::view_number() const
 {
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     return view_number_;
 }
 
 std::optional<rpc::task_report> task_ledger::report_of(const task_key& key,
                                                        std::uint32_t attempt) const
 {
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     const task_record* record = records_.find(key);
     if (record == nullptr || record->attempt != attempt) {
         return std::nullopt;
@@ -453,7 +453,7 @@
 
 ledger_totals task_ledger::totals() const
 {
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     return {.load = load_locked(),
             .view_number = view_number_,
             .records = records_.size(),
@@ -468,7 +468,7 @@
 
 std::vector<ledger_dump_entry> task_ledger::dump() const
 {
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     std::vector<ledger_dump_entry> entries;
     entries.reserve(records_.size());
     for (const auto& [submission, records] : records_.submissions()) {
--- a/src/libs/carobfall/agent/task_ledger.h
+++ b/src/libs/carobfall/agent/task_ledger.h
@@ -5,13 +5,12 @@
 #include "carobfall/agent/task_record.h"
 #include "carobfall/rpc/carobfall.pb.h"
 
-#include <absl/base/thread_annotations.h>
-#include <absl/synchronization/mutex.h>
 #include <absl/time/time.h>
 
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <mutex>
 #include <optional>
 #include <string>
 #include <vector>
@@ -128,53 +127,44 @@
 
     using context_ptr = std::shared_ptr<const start_context>;
 
-    absl::Time advance(absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    absl::Time advance(absl::Time now);
     rpc::task_status decide(const rpc::start_request& request, const rpc::start_task& task,
-                            const context_ptr& context, absl::Time now)
-        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
-    rpc::task_status revoke_task(const rpc::revoke_request& request, const rpc::task_attempt& task)
-        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+                            const context_ptr& context, absl::Time now);
+    rpc::task_status revoke_task(const rpc::revoke_request& request, const rpc::task_attempt& task);
     [[nodiscard]] rpc::refusal_reason refusal_for(const rpc::start_request& request,
-                                                  absl::Time now) const
-        ABSL_SHARED_LOCKS_REQUIRED(mutex_);
-    [[nodiscard]] rpc::refusal_reason start_obstacle(absl::Time now) const
-        ABSL_SHARED_LOCKS_REQUIRED(mutex_);
+                                                  absl::Time now) const;
+    [[nodiscard]] rpc::refusal_reason start_obstacle(absl::Time now) const;
     [[nodiscard]] rpc::refusal_reason queue_obstacle(const task_record& record,
-                                                     absl::Time now) const
-        ABSL_SHARED_LOCKS_REQUIRED(mutex_);
-    [[nodiscard]] bool is_reachable(std::int64_t deadline_unix_ms, absl::Time now) const
-        ABSL_SHARED_LOCKS_REQUIRED(mutex_);
-    [[nodiscard]] std::size_t queue_bound() const ABSL_SHARED_LOCKS_REQUIRED(mutex_);
+                                                     absl::Time now) const;
+    [[nodiscard]] bool is_reachable(std::int64_t deadline_unix_ms, absl::Time now) const;
+    [[nodiscard]] std::size_t queue_bound() const;
 
-    void sweep_queue(absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    void sweep_queue(absl::Time now);
     void enqueue(const task_key& key, task_record& record, const rpc::start_task& task,
-                 const context_ptr& context) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
-    void refuse_queued(const task_key& key, task_record& record, rpc::refusal_reason reason)
-        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
-    task_record* queued_record(const queue_entry& entry) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
-    task_record* started_record(const task_key& key, std::uint32_t attempt)
-        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
-    [[nodiscard]] pending_report report_for(const task_key& key, const task_record& record) const
-        ABSL_SHARED_LOCKS_REQUIRED(mutex_);
-    [[nodiscard]] rpc::agent_load load_locked() const ABSL_SHARED_LOCKS_REQUIRED(mutex_);
+                 const context_ptr& context);
+    void refuse_queued(const task_key& key, task_record& record, rpc::refusal_reason reason);
+    task_record* queued_record(const queue_entry& entry);
+    task_record* started_record(const task_key& key, std::uint32_t attempt);
+    [[nodiscard]] pending_report report_for(const task_key& key, const task_record& record) const;
+    [[nodiscard]] rpc::agent_load load_locked() const;
 
     const ledger_options options_;
     const start_lease& lease_;
 
-    mutable absl::Mutex mutex_;
-    absl::Time latest_ ABSL_GUARDED_BY(mutex_){absl::InfinitePast()};
-    record_table records_ ABSL_GUARDED_BY(mutex_);
+    mutable std::mutex mutex_;
+    absl::Time latest_{absl::InfinitePast()};
+    record_table records_;
     /// First in, first out. An entry whose record has changed since is skipped.
-    std::deque<queue_entry> queue_ ABSL_GUARDED_BY(mutex_);
-    std::vector<pending_report> refused_from_queue_ ABSL_GUARDED_BY(mutex_);
-    std::uint64_t accepted_ ABSL_GUARDED_BY(mutex_){0};
-    std::uint32_t queued_ ABSL_GUARDED_BY(mutex_){0};
-    std::uint32_t running_ ABSL_GUARDED_BY(mutex_){0};
-    std::uint32_t slots_ ABSL_GUARDED_BY(mutex_){0};
-    std::uint64_t view_number_ ABSL_GUARDED_BY(mutex_){0};
-    absl::Time backend_valid_until_ ABSL_GUARDED_BY(mutex_){absl::InfinitePast()};
-    absl::Duration mean_run_ ABSL_GUARDED_BY(mutex_){absl::ZeroDuration()};
-    bool leaving_ ABSL_GUARDED_BY(mutex_){false};
+    std::deque<queue_entry> queue_;
+    std::vector<pending_report> refused_from_queue_;
+    std::uint64_t accepted_{0};
+    std::uint32_t queued_{0};
+    std::uint32_t running_{0};
+    std::uint32_t slots_{0};
+    std::uint64_t view_number_{0};
+    absl::Time backend_valid_until_{absl::InfinitePast()};
+    absl::Duration mean_run_{absl::ZeroDuration()};
+    bool leaving_{false};
 };
 
 } // namespace carobfall
--- a/src/libs/carobfall/backend/backend_registration.cpp
+++ b/src/libs/carobfall/backend/backend_registration.cpp
@@ -14,7 +14,7 @@
 {
     const absl::Time valid_until = now + validity_;
     {
-        const absl::MutexLock lock(&mutex_);
+        const std::lock_guard lock(mutex_);
         if (current_ && current_->info.name() != backend.info.name() && now < valid_until_) {
             return failure(error_kind::conflict,
                            absl::StrCat("backend server '", current_->info.name(),
@@ -31,7 +31,7 @@
 result<void> backend_registration::leave(const std::string& name, absl::Time now)
 {
     {
-        const absl::MutexLock lock(&mutex_);
+        const std::lock_guard lock(mutex_);
         if (!current_ || current_->info.name() != name) {
             return failure(error_kind::not_found,
                            absl::StrCat("backend server '", name, "' is not registered here"),
@@ -45,13 +45,13 @@
 
 std::optional<announcement> backend_registration::current() const
 {
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     return current_;
 }
 
 std::uint16_t backend_registration::port() const
 {
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     return current_ ? current_->port : 0;
 }
 
--- a/src/libs/carobfall/backend/backend_registration.h
+++ b/src/libs/carobfall/backend/backend_registration.h
@@ -3,11 +3,10 @@
 #include "carobfall/backend/announcement.h"
 #include "carobfall/base/error.h"
 
-#include <absl/base/thread_annotations.h>
-#include <absl/synchronization/mutex.h>
 #include <absl/time/time.h>
 
 #include <functional>
+#include <mutex>
 #include <optional>
 #include <string>
 
@@ -39,9 +38,9 @@
 private:
     const absl::Duration validity_;
     const backend_events events_;
-    mutable absl::Mutex mutex_;
-    std::optional<announcement> current_ ABSL_GUARDED_BY(mutex_);
-    absl::Time valid_until_ ABSL_GUARDED_BY(mutex_){absl::InfinitePast()};
+    mutable std::mutex mutex_;
+    std::optional<announcement> current_;
+    absl::Time valid_until_{absl::InfinitePast()};
 };
 
 } // namespace carobfall
--- a/tests/auto/agent/fake_entry.h
+++ b/tests/auto/agent/fake_entry.h
@@ -2,14 +2,15 @@
 
 #include "carobfall/rpc/carobfall.grpc.pb.h"
 
-#include <absl/synchronization/mutex.h>
-#include <absl/time/time.h>
 #include <grpcpp/grpcpp.h>
 
+#include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <string>
+#include <thread>
 
 namespace carobfall {
 
@@ -29,7 +30,7 @@
     grpc::Status register_agent(grpc::ServerContext*, const rpc::register_request* request,
                                 rpc::register_reply* reply) override
     {
-        const absl::MutexLock lock(&mutex);
+        const std::lock_guard lock(mutex);
         agent = request->agent();
         reply->set_registered(true);
         return grpc::Status::OK;
@@ -38,7 +39,7 @@
     grpc::Status beat(grpc::ServerContext*, const rpc::beat_request* request,
                       rpc::beat_reply* reply) override
     {
-        const absl::MutexLock lock(&mutex);
+        const std::lock_guard lock(mutex);
         last_beat = *request;
         reply->set_send_time_us(request->send_time_us());
         reply->set_lease_ms(lease_ms);
@@ -50,7 +51,7 @@
     grpc::Status report(grpc::ServerContext*, const rpc::report_request* request,
                         rpc::report_reply*) override
     {
-        const absl::MutexLock lock(&mutex);
+        const std::lock_guard lock(mutex);
         for (const rpc::task_report& entry : request->reports()) {
             reports[entry.status().index()] = entry.status();
         }
@@ -60,11 +61,19 @@
     /// False if the condition, evaluated under the lock, doesn't become true in 10 s.
     bool wait_until(const std::function<bool()>& condition)
     {
-        const absl::MutexLock lock(&mutex);
-        return mutex.AwaitWithTimeout(absl::Condition(&condition), absl::Seconds(10));
+        for (int i = 0; i < 2000; ++i) {
+            {
+                const std::lock_guard lock(mutex);
+                if (condition()) {
+                    return true;
+                }
+            }
+            std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        }
+        return false;
     }
 
-    absl::Mutex mutex;
+    std::mutex mutex;
     std::string address;
     std::uint32_t lease_ms{2000};
     rpc::agent_info agent;
--- a/tests/auto/agent/tst_agent_daemon.cpp
+++ b/tests/auto/agent/tst_agent_daemon.cpp
@@ -10,6 +10,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <mutex>
 #include <optional>
 #include <thread>
 
@@ -129,7 +130,7 @@
         std::this_thread::sleep_for(std::chrono::milliseconds(5));
     }
     e.daemon->drain();
-    const absl::MutexLock lock(&e.entry.mutex);
+    const std::lock_guard lock(e.entry.mutex);
     CHECK(e.entry.reports.size() == 6);
     int finished = 0;
     int handed_back = 0;
--- a/tests/auto/agent/tst_entry_session.cpp
+++ b/tests/auto/agent/tst_entry_session.cpp
@@ -1,11 +1,10 @@
 #include "carobfall/agent/entry_session_set.h"
 
-#include <absl/synchronization/notification.h>
+#include <absl/time/clock.h>
 #include <doctest/doctest.h>
 #include <doctest/trompeloeil.hpp>
 
-#include <atomic>
-#include <mutex>
+#include <future>
 
 using namespace carobfall;
 using trompeloeil::_;
@@ -14,6 +13,12 @@
 
 constexpr absl::Duration time_limit = absl::Seconds(10);
 
+bool is_set(std::promise<void>& promise)
+{
+    return promise.get_future().wait_for(absl::ToChronoSeconds(time_limit)) ==
+           std::future_status::ready;
+}
+
 class mock_link : public entry_link {
 public:
     MAKE_MOCK2(register_agent,
@@ -74,7 +79,7 @@
 TEST_CASE("reports are repeated until they are acknowledged, and not beyond their expiry")
 {
     const session_environment environment = make_environment();
-    absl::Notification delivered;
+    std::promise<void> delivered;
     auto link = std::make_unique<mock_link>();
     ALLOW_CALL(*link, register_agent(_, _)).RETURN(registered());
     ALLOW_CALL(*link, beat(_, _)).RETURN(beat_reply_to(_1, true));
@@ -83,14 +88,14 @@
     REQUIRE_CALL(*link, report(_, _))
         .WITH(_1.reports_size() == 1 && _1.reports(0).status().index() == 1)
         .IN_SEQUENCE(order)
-        .LR_SIDE_EFFECT(delivered.Notify())
+        .LR_SIDE_EFFECT(delivered.set_value())
         .RETURN(rpc::report_reply());
     entry_session session("a", std::move(link), environment, false);
     pending_report expired = report_to("a", 2);
     expired.expires_at = absl::InfinitePast();
     session.post(expired);
     session.post(report_to("a", 1));
-    REQUIRE(delivered.WaitForNotificationWithTimeout(time_limit));
+    REQUIRE(is_set(delivered));
     const absl::Time limit = absl::Now() + time_limit;
     while (session.pending_reports() > 0 && absl::Now() < limit) {
         absl::SleepFor(absl::Milliseconds(1));
@@ -102,7 +107,7 @@
 TEST_CASE("a session registers again when the entry asks for it")
 {
     const session_environment environment = make_environment();
-    absl::Notification again;
+    std::promise<void> again;
     auto link = std::make_unique<mock_link>();
     trompeloeil::sequence order;
     REQUIRE_CALL(*link, register_agent(_, _)).IN_SEQUENCE(order).RETURN(registered());
@@ -110,11 +115,11 @@
     REQUIRE_CALL(*link, register_agent(_, _)).IN_SEQUENCE(order).RETURN(registered());
     REQUIRE_CALL(*link, beat(_, _))
         .IN_SEQUENCE(order)
-        .LR_SIDE_EFFECT(again.Notify())
+        .LR_SIDE_EFFECT(again.set_value())
         .RETURN(beat_reply_to(_1, true));
     ALLOW_CALL(*link, beat(_, _)).IN_SEQUENCE(order).RETURN(beat_reply_to(_1, true));
     entry_session session("a", std::move(link), environment, false);
-    CHECK(again.WaitForNotificationWithTimeout(time_limit));
+    CHECK(is_set(again));
 }
 
 namespace {
--- a/tests/auto/backend/tst_http_task_runner.cpp
+++ b/tests/auto/backend/tst_http_task_runner.cpp
@@ -1,13 +1,13 @@
 #include "carobfall/backend/http_listener.h"
 #include "carobfall/backend/http_task_runner.h"
 
-#include <absl/synchronization/mutex.h>
-#include <absl/synchronization/notification.h>
 #include <doctest/doctest.h>
 #include <httplib.h>
 
 #include <atomic>
+#include <future>
 #include <map>
+#include <mutex>
 
 using namespace carobfall;
 
@@ -33,24 +33,25 @@
         });
         server.Post("/hang", [this](const httplib::Request& request, httplib::Response&) {
             note(request);
-            released.WaitForNotification();
+            released_future.wait();
         });
         REQUIRE(listener.start("127.0.0.1", 0));
     }
 
-    ~fake_backend() { released.Notify(); }
+    ~fake_backend() { released.set_value(); }
 
     void note(const httplib::Request& request)
     {
-        const absl::MutexLock lock(&mutex);
+        const std::lock_guard lock(mutex);
         ++requests;
         last = request;
         ++ports[request.remote_port];
     }
 
     httplib::Server server;
-    absl::Notification released;
-    absl::Mutex mutex;
+    std::promise<void> released;
+    std::shared_future<void> released_future{released.get_future()};
+    std::mutex mutex;
     int requests{0};
     httplib::Request last;
     std::map<int, int> ports;
@@ -90,7 +91,7 @@
         CHECK(outcome.result.success());
         CHECK(outcome.result.body() == "done");
     }
-    const absl::MutexLock lock(&backend.mutex);
+    const std::lock_guard lock(backend.mutex);
     CHECK(backend.ports.size() == 1);
     CHECK(backend.last.get_header_value("X-Carobfall-Account") == "dambi");
     CHECK(backend.last.get_header_value("X-Carobfall-Submission") == "s-1");
@@ -124,7 +125,7 @@
     CHECK(hung.result.run_ms() >= 150);
 
     CHECK(run(runner, "/v1/run").result.success());
-    const absl::MutexLock lock(&backend.mutex);
+    const std::lock_guard lock(backend.mutex);
     CHECK(backend.requests == 4);
 }
 
@@ -153,6 +154,6 @@
     CHECK(run(runner, "/v1/run").result.success());
     port = second.listener.port();
     CHECK(run(runner, "/v1/run").result.success());
-    const absl::MutexLock lock(&second.mutex);
+    const std::lock_guard lock(second.mutex);
     CHECK(second.requests == 1);
 }
--- a/tests/standins/backend/backend_standin.cpp
+++ b/tests/standins/backend/backend_standin.cpp
@@ -59,7 +59,7 @@
 backend_standin::~backend_standin()
 {
     {
-        const absl::MutexLock lock(&mutex_);
+        const std::lock_guard lock(mutex_);
         stopping_ = true;
         hang_ = false;
     }
@@ -94,7 +94,7 @@
 void backend_standin::leave()
 {
     {
-        const absl::MutexLock lock(&mutex_);
+        const std::lock_guard lock(mutex_);
         announcing_ = false;
     }
     send_leave();
@@ -104,13 +104,13 @@
 
 std::string backend_standin::starts() const
 {
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     return starts_;
 }
 
 bool backend_standin::hanging() const
 {
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     return hang_;
 }
 
@@ -122,7 +122,7 @@
     while (hanging()) {
         absl::SleepFor(hang_poll);
     }
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     if (fail_) {
         response.status = 500;
         response.set_content("{\"failed\":true}", "application/json");
@@ -141,7 +141,7 @@
         {"task", std::atoi(request.get_header_value("X-Carobfall-Task").c_str())},
         {"attempt", std::atoi(request.get_header_value("X-Carobfall-Attempt").c_str())},
         {"time_unix_ms", absl::ToUnixMillis(absl::Now())}};
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     absl::StrAppend(&starts_, line.dump(), "\n");
 }
 
@@ -152,7 +152,7 @@
         (*task)["run_ms"].is_number_unsigned()) {
         return (*task)["run_ms"].get<std::uint32_t>();
     }
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     if (std::uniform_real_distribution<double>()(random_) < options_.straggler_share) {
         return options_.straggler_ms;
     }
@@ -165,7 +165,7 @@
     const json body = parse_object(request.body);
     bool leaving = false;
     {
-        const absl::MutexLock lock(&mutex_);
+        const std::lock_guard lock(mutex_);
         fail_ = body.value("fail", fail_);
         hang_ = body.value("hang", hang_);
         announcing_ = body.value("announce", announcing_);
@@ -183,7 +183,7 @@
     absl::Time last = absl::InfinitePast();
     while (true) {
         {
-            const absl::MutexLock lock(&mutex_);
+            const std::lock_guard lock(mutex_);
             if (stopping_) {
                 return;
             }
--- a/tests/standins/backend/backend_standin.h
+++ b/tests/standins/backend/backend_standin.h
@@ -1,12 +1,11 @@
 #pragma once
 
-#include <absl/base/thread_annotations.h>
-#include <absl/synchronization/mutex.h>
 #include <absl/time/time.h>
 #include <httplib.h>
 #include <nlohmann/json_fwd.hpp>
 
 #include <cstdint>
+#include <mutex>
 #include <random>
 #include <string>
 #include <thread>
@@ -63,13 +62,13 @@
     std::thread server_thread_;
     std::thread announcer_;
 
-    mutable absl::Mutex mutex_;
-    std::mt19937_64 random_ ABSL_GUARDED_BY(mutex_);
-    std::string starts_ ABSL_GUARDED_BY(mutex_);
-    bool fail_ ABSL_GUARDED_BY(mutex_);
-    bool hang_ ABSL_GUARDED_BY(mutex_);
-    bool announcing_ ABSL_GUARDED_BY(mutex_){true};
-    bool stopping_ ABSL_GUARDED_BY(mutex_){false};
+    mutable std::mutex mutex_;
+    std::mt19937_64 random_;
+    std::string starts_;
+    bool fail_;
+    bool hang_;
+    bool announcing_{true};
+    bool stopping_{false};
 };
 
 } // namespace carobfall
