--- a/src/libs/carobfall/platform/configuration_store.h
+++ b/src/libs/carobfall/platform/configuration_store.h
@@ -23,7 +23,7 @@
     std::vector<rpc::configuration_change> changes;
     /// Identity of the request. It stays the same when the request is repeated.
     std::string change_id;
-    /// Version that the operator has seen. Nothing: the version at the start of the call.
+    /// Version that the operator has seen. Nothing: the version that the call reads first.
     std::optional<std::uint64_t> expected_version;
 };
 
@@ -58,7 +58,8 @@
     ///
     /// Errors: `conflict` if one of the rows was changed to something else after the expected
     /// version or if the change id stands for other changes, `invalid_request`, and
-    /// `outcome_unknown` if the changes may have been committed or may yet be.
+    /// `outcome_unknown` if the changes may have been committed or may yet be. `unavailable` and
+    /// `overloaded` describe this call only: they don't settle an earlier unknown outcome.
     result<std::uint64_t> apply(const configuration_change_set& request);
 
 private:
--- a/src/libs/carobfall/platform/configuration_transaction.cpp
+++ b/src/libs/carobfall/platform/configuration_transaction.cpp
@@ -74,6 +74,7 @@
     // The head is read before the change id: a commit that moved the head is then seen by its id.
     BOOST_OUTCOME_TRY(const std::optional<table_row> row, table_.read(configuration_head_key));
     BOOST_OUTCOME_TRY(head_, decode_head(row));
+    base_ = base_.value_or(head_.version);
     BOOST_OUTCOME_TRY(const bool committed, find_committed());
     if (committed) {
         return success();
@@ -81,7 +82,6 @@
     if (open_commit_ && *open_commit_ != head_.row_version) {
         open_commit_.reset(); // its condition can't hold any more
     }
-    base_ = base_.value_or(head_.version);
     BOOST_OUTCOME_TRY(check_base());
     version_ = head_.version;
     BOOST_OUTCOME_TRY(std::vector<rpc::configuration_change> changes, differing_changes());
