Caller: Test compressed bodies and connections after a refusal

Cause: the limit of a decompressed body and the framing after a refusal without reading the body were untested. Before: untested; a keep-alive below 1 s closed every connection. After: tested; at least 1 s.

--- a/src/libs/carobfall/base/http_server.cpp
+++ b/src/libs/carobfall/base/http_server.cpp
@@ -14,6 +14,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstdint>
 #include <utility>
 
 namespace carobfall {
@@ -118,7 +119,9 @@
     };
     listener_->set_payload_max_length(settings_.max_body_bytes);
     listener_->set_keep_alive_max_count(max_requests_per_connection);
-    listener_->set_keep_alive_timeout(absl::ToInt64Seconds(settings_.keep_alive));
+    // The library counts whole seconds; 0 would close every connection at once.
+    listener_->set_keep_alive_timeout(
+        std::max<std::int64_t>(1, absl::ToInt64Seconds(settings_.keep_alive)));
     listener_->set_read_timeout(absl::ToChronoMilliseconds(settings_.read_limit));
     listener_->set_write_timeout(absl::ToChronoMilliseconds(settings_.write_limit));
     listener_->set_tcp_nodelay(true);
--- a/src/libs/carobfall/operators/operator_service.h
+++ b/src/libs/carobfall/operators/operator_service.h
@@ -12,8 +12,8 @@
 
 namespace carobfall {
 
-/// One declared row. Keys are those of `rpc::configuration_change`, for example
-/// "template/dambi/eligibility-check".
+/// One declared row with its canonical YAML (no anchors or aliases). Keys are those of
+/// `rpc::configuration_change`, for example "template/dambi/eligibility-check".
 struct declared_row {
     std::string key;
     std::string yaml;
@@ -38,8 +38,8 @@
 struct row_change {
     std::string key;
     change_action action{change_action::unchanged};
-    std::string before; ///< YAML, empty if there was no row
-    std::string after;  ///< YAML, empty if there is none now
+    std::string before; ///< canonical YAML, empty if there was no row
+    std::string after;  ///< canonical YAML, empty if there is none now
 };
 
 /// Outcome of a change.
--- a/tests/auto/caller/tst_malformed.cpp
+++ b/tests/auto/caller/tst_malformed.cpp
@@ -105,6 +105,36 @@
     }
 }
 
+// Guards against a small compressed body that fills the memory when it is unpacked.
+TEST_CASE("a compressed body over the limit is refused")
+{
+    caller_fixture fixture;
+    auto client = fixture.client();
+    client.set_compress(true);
+    const std::string spaces(std::size_t{4} * 1024 * 1024, ' ');
+    const auto response = client.Post(path, spaces, "application/json");
+    REQUIRE(response);
+    CHECK(response->status == 413);
+    CHECK(error_kind_in(response->body) == "payload_too_large");
+}
+
+// Guards against a body that is left on the connection and read as the next request.
+TEST_CASE("a refusal that needs no body leaves the connection usable or closes it")
+{
+    caller_fixture fixture;
+    httplib::Client client("127.0.0.1", fixture.server.port());
+    client.set_keep_alive(true);
+    const std::string next = "GET /v1/nothing HTTP/1.1\r\n\r\n";
+    for (int i = 0; i < 3; ++i) {
+        const auto refused = client.Post(path, next, "application/json");
+        REQUIRE(refused);
+        CHECK(refused->status == 401);
+        const auto unknown = client.Post("/v1/unknown", next, "application/json");
+        REQUIRE(unknown);
+        CHECK(unknown->status == 404);
+    }
+}
+
 TEST_CASE("paths, methods and headers out of bounds get a typed refusal")
 {
     caller_fixture fixture;
