Base: Use std::mutex in the metrics and the state dump

Ruled out: a suppression of metrics_registry, which would hide real races. Before: tst_caller failed under ThreadSanitizer. After: std::mutex. Two linter findings are fixed as well.

--- a/src/libs/carobfall/base/histogram.cpp
+++ b/src/libs/carobfall/base/histogram.cpp
@@ -22,7 +22,7 @@
 
 void histogram::record(double value)
 {
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     bins_(value);
     ++count_;
     sum_ += value;
@@ -30,19 +30,19 @@
 
 std::uint64_t histogram::count() const
 {
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     return count_;
 }
 
 double histogram::sum() const
 {
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     return sum_;
 }
 
 double histogram::quantile(double q) const
 {
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     const double wanted = q * static_cast<double>(count_);
     double seen = 0;
     for (int i = -1; i <= static_cast<int>(bin_count); ++i) {
@@ -56,7 +56,7 @@
 
 void metrics_registry::add(std::string_view counter, std::uint64_t amount)
 {
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     auto found = counters_.find(counter);
     if (found == counters_.end()) {
         found = counters_.emplace(std::string(counter), 0).first;
@@ -66,14 +66,14 @@
 
 std::uint64_t metrics_registry::counter(std::string_view name) const
 {
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     const auto found = counters_.find(name);
     return found == counters_.end() ? 0 : found->second;
 }
 
 histogram& metrics_registry::distribution(std::string_view name)
 {
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     auto found = histograms_.find(name);
     if (found == histograms_.end()) {
         found = histograms_.emplace(std::string(name), std::make_unique<histogram>()).first;
@@ -83,7 +83,7 @@
 
 std::string metrics_registry::to_text() const
 {
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     std::string text;
     for (const auto& [name, value] : counters_) {
         absl::StrAppend(&text, "carobfall_", name, " ", value, "\n");
--- a/src/libs/carobfall/base/histogram.h
+++ b/src/libs/carobfall/base/histogram.h
@@ -1,13 +1,12 @@
 #pragma once
 
-#include <absl/base/thread_annotations.h>
 #include <absl/container/flat_hash_map.h>
-#include <absl/synchronization/mutex.h>
 #include <boost/histogram.hpp>
 
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <string_view>
 
@@ -29,10 +28,10 @@
     using axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
     using storage = decltype(boost::histogram::make_histogram(std::declval<axis>()));
 
-    mutable absl::Mutex mutex_;
-    storage bins_ ABSL_GUARDED_BY(mutex_);
-    std::uint64_t count_ ABSL_GUARDED_BY(mutex_){0};
-    double sum_ ABSL_GUARDED_BY(mutex_){0};
+    mutable std::mutex mutex_;
+    storage bins_;
+    std::uint64_t count_{0};
+    double sum_{0};
 };
 
 /// Named counters and histograms of a process. Thread-safe; the references stay valid for the
@@ -47,10 +46,9 @@
     [[nodiscard]] std::string to_text() const;
 
 private:
-    mutable absl::Mutex mutex_;
-    std::map<std::string, std::uint64_t, std::less<>> counters_ ABSL_GUARDED_BY(mutex_);
-    std::map<std::string, std::unique_ptr<histogram>, std::less<>>
-        histograms_ ABSL_GUARDED_BY(mutex_);
+    mutable std::mutex mutex_;
+    std::map<std::string, std::uint64_t, std::less<>> counters_;
+    std::map<std::string, std::unique_ptr<histogram>, std::less<>> histograms_;
 };
 
 } // namespace carobfall
--- a/src/libs/carobfall/operators/operator_json.cpp
+++ b/src/libs/carobfall/operators/operator_json.cpp
@@ -73,7 +73,7 @@
     }
     std::string shown;
     try {
-        for (YAML::Node document : YAML::LoadAll(yaml)) {
+        for (const YAML::Node& document : YAML::LoadAll(yaml)) {
             hide_tokens(document, 0);
             absl::StrAppend(&shown, shown.empty() ? "" : "---\n", YAML::Dump(document), "\n");
         }
--- a/src/libs/carobfall/operators/state_dump.cpp
+++ b/src/libs/carobfall/operators/state_dump.cpp
@@ -6,7 +6,7 @@
 
 void state_dump::add(std::string name, section collect)
 {
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     sections_[std::move(name)] = std::move(collect);
 }
 
@@ -15,7 +15,7 @@
     std::map<std::string, section> sections;
     {
         // A section may take locks of its own, so it is not called with the lock held.
-        const absl::MutexLock lock(&mutex_);
+        const std::lock_guard lock(mutex_);
         sections = sections_;
     }
     nlohmann::json dump = nlohmann::json::object();
--- a/src/libs/carobfall/operators/state_dump.h
+++ b/src/libs/carobfall/operators/state_dump.h
@@ -1,11 +1,10 @@
 #pragma once
 
-#include <absl/base/thread_annotations.h>
-#include <absl/synchronization/mutex.h>
 #include <nlohmann/json.hpp>
 
 #include <functional>
 #include <map>
+#include <mutex>
 #include <string>
 
 namespace carobfall {
@@ -23,8 +22,8 @@
     [[nodiscard]] nlohmann::json collect() const;
 
 private:
-    mutable absl::Mutex mutex_;
-    std::map<std::string, section> sections_ ABSL_GUARDED_BY(mutex_);
+    mutable std::mutex mutex_;
+    std::map<std::string, section> sections_;
 };
 
 } // namespace carobfall
--- a/src/tools/carobfall/operator_commands.cpp
+++ b/src/tools/carobfall/operator_commands.cpp
@@ -59,7 +59,7 @@
         false);
 }
 
-exit_code operator_commands::change(api_request request, bool as_diff)
+exit_code operator_commands::change(const api_request& request, bool as_diff)
 {
     for (int attempt = 1;; ++attempt) {
         exit_code code = exit_code::ok;
--- a/src/tools/carobfall/operator_commands.h
+++ b/src/tools/carobfall/operator_commands.h
@@ -33,7 +33,7 @@
 
 private:
     /// Sends the change again, with the same change id, until it is confirmed in force.
-    exit_code change(api_request request, bool as_diff);
+    exit_code change(const api_request& request, bool as_diff);
     exit_code print_list(const std::string& path, const char* member,
                          const std::vector<const char*>& columns);
     void print_change(const nlohmann::json& report, bool as_diff);
