--- a/src/libs/carobfall/dispatch/coordinator.h
+++ b/src/libs/carobfall/dispatch/coordinator.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "carobfall/dispatch/dispatch_context.h"
 #include "carobfall/dispatch/agent_calls.h"
+#include "carobfall/dispatch/dispatch_context.h"
 #include "carobfall/dispatch/submission_service.h"
 
 #include <atomic>
