Platform: Guard the stand-in with a lock that ThreadSanitizer sees

Cause: scripts/test thread failed in tst_platform: Debian's Abseil is built without ThreadSanitizer, so that accesses under absl::Mutex from the server's threads are reported as races. Ruled out: a suppression, which would hide real races in the stand-in. Before: race reports in rate_limit; the test of a late write read the row once and found none under ThreadSanitizer. After: std::mutex in the stand-in; the test reads up to ten times, each 400 ms long, and still requires the write.

--- a/tests/auto/platform/tst_http_table_service.cpp
+++ b/tests/auto/platform/tst_http_table_service.cpp
@@ -1,6 +1,7 @@
 #include "carobfall/platform/http_table_service.h"
 #include "platform_server.h"
 
+#include <absl/time/clock.h>
 #include <doctest/doctest.h>
 #include <httplib.h>
 
@@ -95,7 +96,13 @@
     CHECK(hasty.read("a").error().kind == error_kind::unavailable);
     CHECK(hasty.commit({{}, {{"a", "late"}}}).error().kind == error_kind::outcome_unknown);
     CHECK(absl::Now() - start < absl::Milliseconds(600));
-    CHECK(served.table.read("a").value()->value == "late");
+    // The write takes effect 400 ms after it was sent, whatever the scheduling of the threads.
+    std::optional<table_row> row;
+    for (int attempt = 0; attempt < 10 && !row; ++attempt) {
+        row = served.table.read("a").value();
+    }
+    REQUIRE(row.has_value());
+    CHECK(row->value == "late");
 }
 
 // Guards against an answer of something between client and service being taken for the service's.
--- a/tests/standins/platform/platform_server.cpp
+++ b/tests/standins/platform/platform_server.cpp
@@ -80,7 +80,7 @@
 
 void platform_server::set_faults(const platform_faults& faults)
 {
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     faults_ = faults;
 }
 
@@ -110,7 +110,7 @@
 {
     server_.Put("/control/faults", [this](const auto& request, auto& response) {
         const json body = json::parse(request.body, nullptr, false);
-        const absl::MutexLock lock(&mutex_);
+        const std::lock_guard lock(mutex_);
         json merged = faults_;
         merged.merge_patch(body);
         try {
@@ -121,7 +121,7 @@
         }
     });
     server_.Get("/control/faults", [this](const auto&, auto& response) {
-        const absl::MutexLock lock(&mutex_);
+        const std::lock_guard lock(mutex_);
         answer(response, 200, faults_);
     });
 }
@@ -152,7 +152,7 @@
     if (!admit(response, request.method != "GET")) {
         return;
     }
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     if (request.method == "PUT") {
         objects_[name] = request.body;
     } else if (objects_.count(name) == 0) {
@@ -168,7 +168,7 @@
 {
     absl::Duration delay;
     {
-        const absl::MutexLock lock(&mutex_);
+        const std::lock_guard lock(mutex_);
         if (faults_.outage) {
             refuse(response, 503, "unavailable");
             return false;
@@ -187,7 +187,7 @@
 
 bool platform_server::take_lost_answer()
 {
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     if (faults_.lost_answers == 0) {
         return false;
     }
@@ -197,7 +197,7 @@
 
 json platform_server::read(const json& request)
 {
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     const auto found = rows_.find(request.at("key").get<std::string>());
     return {{"row", found == rows_.end() ? json() : to_json(found->second)}};
 }
@@ -206,7 +206,7 @@
 {
     const auto prefix = request.at("prefix").get<std::string>();
     json rows = json::array();
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     for (auto row = rows_.lower_bound(prefix); row != rows_.end() && row->first.starts_with(prefix);
          ++row) {
         rows.push_back(to_json(row->second));
@@ -216,7 +216,7 @@
 
 json platform_server::commit(const json& request)
 {
-    const absl::MutexLock lock(&mutex_);
+    const std::lock_guard lock(mutex_);
     for (const json& condition : request.at("conditions")) {
         const auto found = rows_.find(condition.at("key").get<std::string>());
         const std::uint64_t version = found == rows_.end() ? 0 : found->second.version;
--- a/tests/standins/platform/platform_server.h
+++ b/tests/standins/platform/platform_server.h
@@ -4,14 +4,13 @@
 #include "carobfall/platform/table_service.h"
 #include "rate_limit.h"
 
-#include <absl/base/thread_annotations.h>
-#include <absl/synchronization/mutex.h>
 #include <absl/time/time.h>
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 
 #include <cstdint>
 #include <map>
+#include <mutex>
 #include <string>
 #include <thread>
 
@@ -63,13 +62,14 @@
 
     httplib::Server server_;
     std::thread thread_;
-    absl::Mutex mutex_;
-    platform_faults faults_ ABSL_GUARDED_BY(mutex_);
-    rate_limit reads_ ABSL_GUARDED_BY(mutex_);
-    rate_limit writes_ ABSL_GUARDED_BY(mutex_);
-    std::map<std::string, table_row, std::less<>> rows_ ABSL_GUARDED_BY(mutex_);
-    std::uint64_t last_version_ ABSL_GUARDED_BY(mutex_){0};
-    std::map<std::string, std::string> objects_ ABSL_GUARDED_BY(mutex_);
+    /// Guards the members below. Not absl::Mutex, whose Debian build ThreadSanitizer does not see.
+    std::mutex mutex_;
+    platform_faults faults_;
+    rate_limit reads_;
+    rate_limit writes_;
+    std::map<std::string, table_row, std::less<>> rows_;
+    std::uint64_t last_version_{0};
+    std::map<std::string, std::string> objects_;
 };
 
 } // namespace carobfall::testing
