Daemon: Use every entry setting and bound memory by default

Cause: limits.max_answer_bytes and both intervals were read and not used; the defaults of the ledger and the recorded answers exceeded 64 MB.

--- a/src/libs/carobfall/config/entry_settings.cpp
+++ b/src/libs/carobfall/config/entry_settings.cpp
@@ -49,10 +49,6 @@
         integer_field<settings, std::uint64_t>(
             "limits.max_body_bytes", [](settings & s) -> auto& { return s.limits.max_body_bytes; },
             min_bytes, max_message_bytes),
-        integer_field<settings, std::uint64_t>(
-            "limits.max_answer_bytes",
-            [](settings & s) -> auto& { return s.limits.max_answer_bytes; }, min_bytes,
-            max_message_bytes),
         integer_field<settings, std::uint64_t>(
             "limits.held_answer_bytes",
             [](settings & s) -> auto& { return s.limits.held_answer_bytes; }, min_bytes,
--- a/src/libs/carobfall/config/entry_settings.h
+++ b/src/libs/carobfall/config/entry_settings.h
@@ -14,9 +14,8 @@
 
 /// Bounds of an entry's use of memory and threads.
 struct entry_limit_settings {
-    std::uint64_t max_body_bytes{16ULL << 20U};     ///< body of a caller's request
-    std::uint64_t max_answer_bytes{16ULL << 20U};   ///< results of one submission together
-    std::uint64_t held_answer_bytes{256ULL << 20U}; ///< recorded answers of all submissions
+    std::uint64_t max_body_bytes{8ULL << 20U};     ///< body of a caller's request
+    std::uint64_t held_answer_bytes{32ULL << 20U}; ///< recorded answers of all submissions
     std::uint32_t caller_threads{256}; ///< requests served at once; a waiting one holds a thread
 };
 
--- a/src/libs/carobfall/daemon/entry_daemon.cpp
+++ b/src/libs/carobfall/daemon/entry_daemon.cpp
@@ -8,7 +8,6 @@
 #include "carobfall/daemon/entry_state_dump.h"
 #include "carobfall/dispatch/coordinator_builder.h"
 #include "carobfall/dispatch/grpc_agent_channel.h"
-#include "carobfall/entry/connection_probe.h"
 #include "carobfall/entry/entry_server.h"
 #include "carobfall/entry/entry_threads.h"
 #include "carobfall/entry/grpc_entry_channel.h"
@@ -25,7 +24,6 @@
 namespace {
 
 constexpr absl::Duration table_call_limit = absl::Seconds(2);
-constexpr absl::Duration connection_probe_limit = absl::Milliseconds(300);
 constexpr absl::Duration upkeep_interval = absl::Milliseconds(200);
 constexpr absl::Duration drain_check_interval = absl::Milliseconds(20);
 constexpr absl::Duration server_stop_limit = absl::Seconds(5);
@@ -55,6 +53,7 @@
     caller_settings made;
     made.http = http_settings(settings.caller_address, threads);
     made.http.max_body_bytes = settings.limits.max_body_bytes;
+    made.max_deadline = settings.max_deadline;
     made.max_waiting = static_cast<std::size_t>(static_cast<double>(threads) * waiting_share);
     return made;
 }
@@ -108,11 +107,12 @@
                   membership_environment(on_superseded)),
           keeper(members, keeper_environment(clock)),
           agent_rows(table, settings.region, [this] { return members.may_record_joins(); }),
-          transfer({}, members.state(), claims, agent_rows,
-                   {.entries = entries,
-                    .agents = agents,
-                    .on_agent_records =
-                        [this](const rpc::fence_reply& reply) { submissions->learn_records(reply); }}),
+          transfer(
+              {}, members.state(), claims, agent_rows,
+              {.entries = entries,
+               .agents = agents,
+               .on_agent_records =
+                   [this](const rpc::fence_reply& reply) { submissions->learn_records(reply); }}),
           registry(agent_rows, keeper, members),
           submissions(coordinator_builder()
                           .with_ownership(members)
@@ -129,8 +129,9 @@
           rpc_server({.address = settings.rpc_address, .limits = {}},
                      {members, claims, transfer, keeper, registry, *submissions, clock}),
           callers(*submissions, keeper, metrics, caller_settings_of(settings), clock),
-          operators(operations, dump, metrics, [this, clock] { return obstacles(clock()); },
-                    operator_settings_of(settings))
+          operators(
+              operations, dump, metrics, [this, clock] { return obstacles(clock()); },
+              operator_settings_of(settings))
     {
         add_entry_sections(dump, members, claims, keeper, registry, *submissions, clock);
     }
@@ -139,10 +140,9 @@
     {
         membership_hooks hooks;
         hooks.channels = entries;
-        hooks.connection_refused = [](const std::string& address) {
-            return connection_refused(address, connection_probe_limit);
+        hooks.claims_delivered = [this](const rpc::entry_view& view) {
+            return transfer.has_served_all(view);
         };
-        hooks.sleep = [](absl::Duration duration) { absl::SleepFor(duration); };
         hooks.configuration_version = [this] { return keeper.reported_version(); };
         hooks.on_answers = [this](auto&&... arguments) { keeper.on_answers(arguments...); };
         hooks.on_superseded = on_superseded;
@@ -231,8 +231,9 @@
     BOOST_OUTCOME_TRY(parts_->rpc_server.start());
     BOOST_OUTCOME_TRY(parts_->operators.start());
     BOOST_OUTCOME_TRY(parts_->callers.start());
-    parts_->threads = std::make_unique<entry_threads>(parts_->members, parts_->transfer,
-                                                      parts_->claims, parts_->keeper, clock_);
+    parts_->threads = std::make_unique<entry_threads>(
+        parts_->members, parts_->transfer, parts_->claims, parts_->keeper, clock_,
+        entry_thread_intervals{settings_.intervals.heartbeat, settings_.intervals.poll});
     parts_->upkeep_thread = std::make_unique<periodic_task>(
         upkeep_interval, clock_, [this](absl::Time now) { parts_->upkeep(now); });
     LOG(INFO) << log_fields("started")
--- a/src/libs/carobfall/entry/entry_threads.h
+++ b/src/libs/carobfall/entry/entry_threads.h
@@ -8,13 +8,19 @@
 
 namespace carobfall {
 
+struct entry_thread_intervals {
+    absl::Duration heartbeat{absl::Milliseconds(500)};
+    absl::Duration poll{absl::Seconds(1)}; ///< of the configuration head
+};
+
 /// The threads that keep an entry in its region's view and its configuration current. Each has its
 /// own pace, so that a slow table service delays neither heartbeats nor pushes. Started once the
 /// entry's server listens; the destructor stops them.
 class entry_threads {
 public:
     entry_threads(membership& members, claim_transfer& transfer, claim_store& claims,
-                  configuration_keeper& keeper, const clock_function& clock);
+                  configuration_keeper& keeper, const clock_function& clock,
+                  entry_thread_intervals intervals = {});
 
 private:
     periodic_task poll_;
--- a/tests/auto/dispatch/fakes.cpp
+++ b/tests/auto/dispatch/fakes.cpp
@@ -189,6 +189,8 @@
 dispatch_fixture::dispatch_fixture()
 {
     settings.run_threads = 4;
+    settings.completeness_wait = absl::Milliseconds(30);
+    settings.agent_wait = absl::Milliseconds(30);
     settings.call_threads = 2;
     settings.revoke_call_limit = absl::Milliseconds(50);
     owner.set_view(1, {entry_named("e1")});
--- a/tests/auto/dispatch/tst_coordinator.cpp
+++ b/tests/auto/dispatch/tst_coordinator.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <thread>
+
 #include <future>
 
 using namespace carobfall;
@@ -104,6 +106,22 @@
     CHECK(answer.value().state() == rpc::submission_complete);
 }
 
+// Guards against refusals of good requests during the short transfer of claims after a view change.
+TEST_CASE("an unknown submission runs once the records are complete")
+{
+    dispatch_fixture fixture;
+    fixture.add_agent("a1");
+    fixture.settings.completeness_wait = absl::Seconds(2);
+    fixture.owner.change([](ownership_snapshot& snapshot) { snapshot.complete = false; });
+    std::thread transfer([&fixture] {
+        absl::SleepFor(absl::Milliseconds(100));
+        fixture.owner.change([](ownership_snapshot& snapshot) { snapshot.complete = true; });
+    });
+    const auto answer = fixture.submit(fixture.request(1));
+    transfer.join();
+    CHECK(answer.value().state() == rpc::submission_complete);
+}
+
 TEST_CASE("refusals before the claim say that nothing has run, and the id may be used again")
 {
     dispatch_fixture fixture;
