Base: Define the longest start lease once

Cause: max_start_lease was defined in agent/start_lease.h and in dispatch/dispatch_settings.h, so that no file could include both, and entry_daemon.cpp defined a probe_limit that became ambiguous with the one of membership.h. Ruled out: keeping the headers apart in the tests; the stateful test needs agents and coordinators in one program. Before: entry_daemon.cpp did not compile ('reference to probe_limit is ambiguous'); two definitions of the lease. Conclusion: the library builds. The wait on leaving has no daemon test yet.

--- a/src/libs/carobfall/agent/start_lease.h
+++ b/src/libs/carobfall/agent/start_lease.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "carobfall/base/lease_limit.h"
 #include "carobfall/rpc/carobfall.pb.h"
 
 #include <absl/base/thread_annotations.h>
@@ -14,9 +15,6 @@
 
 namespace carobfall {
 
-/// Longest validity that an agent accepts from one heartbeat, whatever the entry grants.
-inline constexpr absl::Duration max_start_lease = absl::Seconds(2);
-
 /// Permission to start tasks, renewed by the replies to heartbeats, together with the
 /// configuration version and the data centres out that came with it. Thread-safe.
 class start_lease {
--- a/src/libs/carobfall/daemon/entry_daemon.cpp
+++ b/src/libs/carobfall/daemon/entry_daemon.cpp
@@ -8,7 +8,6 @@
 #include "carobfall/daemon/entry_state_dump.h"
 #include "carobfall/dispatch/coordinator_builder.h"
 #include "carobfall/dispatch/grpc_agent_channel.h"
-#include "carobfall/entry/connection_probe.h"
 #include "carobfall/entry/entry_server.h"
 #include "carobfall/entry/entry_threads.h"
 #include "carobfall/entry/grpc_entry_channel.h"
@@ -25,7 +24,6 @@
 namespace {
 
 constexpr absl::Duration table_call_limit = absl::Seconds(2);
-constexpr absl::Duration probe_limit = absl::Milliseconds(300);
 constexpr absl::Duration upkeep_interval = absl::Milliseconds(200);
 constexpr absl::Duration drain_check_interval = absl::Milliseconds(20);
 constexpr absl::Duration server_stop_limit = absl::Seconds(5);
@@ -139,13 +137,13 @@
     {
         membership_hooks hooks;
         hooks.channels = entries;
-        hooks.connection_refused = [](const std::string& address) {
-            return connection_refused(address, probe_limit);
-        };
         hooks.sleep = [](absl::Duration duration) { absl::SleepFor(duration); };
         hooks.configuration_version = [this] { return keeper.reported_version(); };
         hooks.on_answers = [this](auto&&... arguments) { keeper.on_answers(arguments...); };
         hooks.on_superseded = on_superseded;
+        hooks.claims_delivered = [this](const rpc::entry_view& view) {
+            return transfer.has_served_all(view);
+        };
         return hooks;
     }
 
--- a/src/libs/carobfall/dispatch/dispatch_settings.h
+++ b/src/libs/carobfall/dispatch/dispatch_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "carobfall/base/lease_limit.h"
 #include "carobfall/entry/claim_store.h"
 
 #include <absl/time/time.h>
@@ -9,9 +10,6 @@
 
 namespace carobfall {
 
-/// Longest validity of a start lease.
-inline constexpr absl::Duration max_start_lease = absl::Seconds(2);
-
 /// Settings of the dispatching part of an entry.
 struct dispatch_settings {
     /// An agent whose last heartbeat is older gets no new tasks.
