--- a/tests/auto/stateful/agent_process.h
+++ b/tests/auto/stateful/agent_process.h
@@ -27,6 +27,8 @@
     task_ledger& ledger() { return *ledger_; }
     start_lease& lease() { return lease_; }
 
+    /// The backend server renews its announcement, unless it leaves.
+    void announce_backend();
     /// Registers where needed and sends a heartbeat to every entry.
     void keep_contact();
     /// Takes queued tasks, the first half of a start.
@@ -51,7 +53,6 @@
         rpc::entry_member coordinator;
     };
 
-    void announce_backend();
     void beat(const std::string& entry);
     void add_reports(const std::vector<pending_report>& reports);
     void deliver_reports();
--- a/tests/auto/stateful/world.cpp
+++ b/tests/auto/stateful/world.cpp
@@ -246,6 +246,7 @@
         if (target->gate.dead) {
             return facts_.on_lost(call);
         }
+        if (getenv("ST_DEBUG")) { fprintf(stderr,"%s: %s\n", target->self.name().c_str(), answer ? answer.value().ShortDebugString().c_str() : to_string(answer.error()).c_str()); }
         facts_.on_answer(call, answer);
     });
 }
