--- a/src/libs/carobfall/daemon/entry_daemon.cpp
+++ b/src/libs/carobfall/daemon/entry_daemon.cpp
@@ -146,9 +146,6 @@
         hooks.configuration_version = [this] { return keeper.reported_version(); };
         hooks.on_answers = [this](auto&&... arguments) { keeper.on_answers(arguments...); };
         hooks.on_superseded = on_superseded;
-        hooks.claims_delivered = [this](const rpc::entry_view& view) {
-            return transfer.has_served_all(view);
-        };
         return hooks;
     }
 
