Scripts: Give each port out once

Cause: one start in about ten of a test deployment failed; worker-3 could not listen on a port that entry-2 had been given, because the kernel hands a port out again once the probing socket is closed. Ruled out: membership and registration, whose logs were regular. After: ports come from a block per process below the ephemeral range.

--- a/scripts/cluster.py
+++ b/scripts/cluster.py
@@ -24,15 +24,29 @@
 CLI = BUILD / "src/tools/carobfall/carobfall"
 
 
+FIRST_PORT = 10000  # below the ephemeral ports, which outgoing connections take at any time
+PORTS_PER_PROCESS = 100
+BLOCKS = 200
+_ports = iter(())
+
+
 def free_ports(count):
-    """Ports of loopback that nobody listens on at the moment."""
-    sockets = [socket.socket() for _ in range(count)]
-    for sock in sockets:
-        sock.bind(("127.0.0.1", 0))
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
-    return ports
+    """Ports of loopback that nobody listens on, each given out once.
+
+    Ports chosen by the kernel were given out twice when a socket had been closed again.
+    """
+    global _ports
+    found = []
+    while len(found) < count:
+        port = next(_ports, None)
+        if port is None:
+            first = FIRST_PORT + os.getpid() % BLOCKS * PORTS_PER_PROCESS
+            _ports = iter(range(first, first + PORTS_PER_PROCESS))
+            continue
+        with socket.socket() as sock:
+            if sock.connect_ex(("127.0.0.1", port)) != 0:
+                found.append(port)
+    return found
 
 
 def http(method, url, body=None, token=None, timeout=10):
