Scripts: Measure the cost of agents, records, submissions and the table service

Cause: docs/CAPACITY.md needs slopes from runs for memory, processor time and traffic of each part. Before: no measurement of a whole deployment. Traffic is read per connection with ss, because /proc/PID/io leaves out socket calls and /proc/net/dev includes other users. Conclusion: not run yet.

--- /dev/null
+++ b/scripts/process_probe.py
@@ -0,0 +1,101 @@
+"""Reads the use of memory, processor time and loopback traffic of single processes.
+
+Traffic comes from the kernel's counters of each TCP connection (`ss`), because /proc/PID/io does
+not count socket calls and /proc/net/dev also counts the traffic of other users of the machine.
+"""
+import os
+import re
+import subprocess
+import time
+
+TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+TRAFFIC_FIELDS = ("bytes_sent", "bytes_received", "data_segs_out", "data_segs_in")
+
+
+def resident_kb(pid):
+    """Resident memory without the pages of files, which processes on one machine share."""
+    with open(f"/proc/{pid}/statm", encoding="ascii") as statm:
+        _, resident, shared = [int(field) for field in statm.read().split()[:3]]
+    return (resident - shared) * PAGE_BYTES / 1024
+
+
+def total_resident_kb(pid):
+    """Resident memory with the pages of files: what a limit of the platform would count."""
+    with open(f"/proc/{pid}/statm", encoding="ascii") as statm:
+        return int(statm.read().split()[1]) * PAGE_BYTES / 1024
+
+
+def processor_seconds(pid):
+    with open(f"/proc/{pid}/stat", encoding="ascii") as stat:
+        fields = stat.read().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS_PER_SECOND
+
+
+def threads(pid):
+    return len(os.listdir(f"/proc/{pid}/task"))
+
+
+def connections(pid):
+    """Counters of the open TCP connections of the process by pair of addresses."""
+    listing = subprocess.run(["ss", "-tinpHO"], capture_output=True, text=True, check=True).stdout
+    found = {}
+    for line in listing.splitlines():
+        if f"pid={pid}," not in line:
+            continue
+        columns = line.split()
+        counters = {}
+        for field in TRAFFIC_FIELDS:
+            match = re.search(rf"\b{field}:(\d+)", line)
+            counters[field] = int(match.group(1)) if match else 0
+        found[(columns[3], columns[4])] = counters
+    return found
+
+
+def traffic(before, after, ports=None):
+    """Growth of the counters; of the connections with one of these ports at either end only.
+
+    The traffic of connections that were closed in between is not included.
+    """
+    total = dict.fromkeys(TRAFFIC_FIELDS, 0)
+    for pair, counters in after.items():
+        ends = {int(address.rsplit(":", 1)[1]) for address in pair}
+        if ports is not None and not ends & ports:
+            continue
+        earlier = before.get(pair, {})
+        for field in TRAFFIC_FIELDS:
+            total[field] += counters[field] - earlier.get(field, 0)
+    return total
+
+
+def observe(pids, seconds, ports=None):
+    """Use of each process over the time: per second where a rate makes sense."""
+    first = {pid: (processor_seconds(pid), connections(pid)) for pid in pids}
+    started = time.monotonic()
+    time.sleep(seconds)
+    rows = {}
+    for pid, (processor, open_before) in first.items():
+        elapsed = time.monotonic() - started
+        moved = traffic(open_before, connections(pid), ports)
+        rows[pid] = {"seconds": round(elapsed, 2),
+                     "core_share": round((processor_seconds(pid) - processor) / elapsed, 5),
+                     "private_kb": round(resident_kb(pid)),
+                     "resident_kb": round(total_resident_kb(pid)),
+                     "threads": threads(pid),
+                     **{f"{field}_per_s": round(moved[field] / elapsed, 1)
+                        for field in TRAFFIC_FIELDS}}
+    return rows
+
+
+def slope(points):
+    """Least-squares slope and intercept of (x, y) points."""
+    count = len(points)
+    mean_x = sum(x for x, _ in points) / count
+    mean_y = sum(y for _, y in points) / count
+    spread = sum((x - mean_x) ** 2 for x, _ in points)
+    rise = sum((x - mean_x) * (y - mean_y) for x, y in points) / spread
+    return {"slope": rise, "intercept": mean_y - rise * mean_x}
+
+
+def load_average():
+    return [round(value, 1) for value in os.getloadavg()]
