--- a/scripts/cluster.py
+++ b/scripts/cluster.py
@@ -25,8 +25,8 @@
 
 
 FIRST_PORT = 10000  # below the ephemeral ports, which outgoing connections take at any time
-PORTS_PER_PROCESS = 100
-BLOCKS = 200
+PORTS_PER_PROCESS = 400
+BLOCKS = 50
 _ports = iter(())
 
 
