Stateful: Run random sequences with a rule removed by hand

Cause: the random sequences have to show that they notice a removed rule. Before: mutations were run by the directed schedules only. After: CAROBFALL_FUZZ_MUTATION=N.

--- a/tests/auto/stateful/tst_random_faults.cpp
+++ b/tests/auto/stateful/tst_random_faults.cpp
@@ -150,6 +150,19 @@
 
 } // namespace
 
+// Shows that the oracle notices a removed rule; by hand, with its number in the environment.
+TEST_CASE("random faults show a removed rule")
+{
+    const int rule = setting("CAROBFALL_FUZZ_MUTATION", 0);
+    if (rule == 0) {
+        return;
+    }
+    const campaign outcome =
+        run_campaign(static_cast<rule_removed>(rule), setting("CAROBFALL_FUZZ_RUNS", default_runs));
+    CHECK(outcome.violation != "");
+    MESSAGE(outcome.violation);
+}
+
 // Guards against a task that starts twice, a wrong or partial answer, an untrue `not_run`, starts
 // in a data centre that is out, and a configuration that goes back, under any combination of
 // faults; and against a region that doesn't recover from them.
