Tools: Add the workload file, the arrivals and the report of carobfall load

Cause: there was no open-loop load with stated arrivals. Before: only submit, one submission at a time.

--- a/src/libs/carobfall/daemon/entry_daemon.cpp
+++ b/src/libs/carobfall/daemon/entry_daemon.cpp
@@ -108,11 +108,12 @@
                   membership_environment(on_superseded)),
           keeper(members, keeper_environment(clock)),
           agent_rows(table, settings.region, [this] { return members.may_record_joins(); }),
-          transfer({}, members.state(), claims, agent_rows,
-                   {.entries = entries,
-                    .agents = agents,
-                    .on_agent_records =
-                        [this](const rpc::fence_reply& reply) { submissions->learn_records(reply); }}),
+          transfer(
+              {}, members.state(), claims, agent_rows,
+              {.entries = entries,
+               .agents = agents,
+               .on_agent_records =
+                   [this](const rpc::fence_reply& reply) { submissions->learn_records(reply); }}),
           registry(agent_rows, keeper, members),
           submissions(coordinator_builder()
                           .with_ownership(members)
@@ -129,8 +130,9 @@
           rpc_server({.address = settings.rpc_address, .limits = {}},
                      {members, claims, transfer, keeper, registry, *submissions, clock}),
           callers(*submissions, keeper, metrics, caller_settings_of(settings), clock),
-          operators(operations, dump, metrics, [this, clock] { return obstacles(clock()); },
-                    operator_settings_of(settings))
+          operators(
+              operations, dump, metrics, [this, clock] { return obstacles(clock()); },
+              operator_settings_of(settings))
     {
         add_entry_sections(dump, members, claims, keeper, registry, *submissions, clock);
     }
--- a/src/tools/carobfall/command_line.cpp
+++ b/src/tools/carobfall/command_line.cpp
@@ -18,6 +18,7 @@
 
 constexpr const char* default_caller_entry = "127.0.0.1:8080";
 constexpr const char* default_operator_entry = "127.0.0.1:8081";
+constexpr std::size_t max_load_threads = 4096;
 constexpr const char* token_variable = "CAROBFALL_TOKEN";
 
 void sleep_for(absl::Duration duration)
@@ -54,6 +55,7 @@
     add_template_commands();
     add_state_commands();
     add_list_commands();
+    add_load_command();
 }
 
 void command_line::add_common_options()
@@ -194,6 +196,34 @@
                          [](auto& commands) { return commands.dump(); });
 }
 
+void command_line::add_load_command()
+{
+    CLI::App* command = app_.add_subcommand(
+        "load", "Sends the submissions of a workload file at their times and prints a report.");
+    command->add_option("workload", load_.workload_file, "YAML file; see examples/workloads.")
+        ->required();
+    command->add_option("--threads", load_.threads, "Most submissions that wait at once.")
+        ->check(CLI::Range(std::size_t{1}, max_load_threads));
+    command->add_option("--plot", load_.plot_file, "SVG file with the distribution.");
+    command->add_option("--operator-entry", load_.operator_entry,
+                        "Operators' address that gives the data centres of the agents.");
+    command->add_option("--operator-token-file", load_.operator_token_file,
+                        "File with the token for --operator-entry.");
+    command
+        ->add_option("--start-log", load_.start_logs,
+                     "Backend stand-in whose log of starts is counted; may be repeated.")
+        ->allow_extra_args(false);
+    command->add_flag("--allow-remote", load_.allow_remote,
+                      "Permit addresses that are not on loopback.");
+    command->callback([this] {
+        choose(default_caller_entry, [this](command_context& context) {
+            load_.entries = entries_;
+            load_.token = token().value();
+            return load(context, load_);
+        });
+    });
+}
+
 result<std::string> command_line::token() const
 {
     std::string text;
--- a/src/tools/carobfall/command_line.h
+++ b/src/tools/carobfall/command_line.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "load_command.h"
 #include "submit_command.h"
 
 #include <CLI/CLI.hpp>
@@ -29,6 +30,7 @@
     void add_template_commands();
     void add_state_commands();
     void add_list_commands();
+    void add_load_command();
     CLI::App* add_operator_command(CLI::App& parent, const std::string& name,
                                    const std::string& description, operator_action action);
     void add_caller_command(CLI::App* command, std::function<exit_code(command_context&)> action);
@@ -42,6 +44,7 @@
     std::string token_file_;
     std::string output_{"text"};
     submit_options submit_;
+    load_options load_;
     std::string first_name_;
     std::string second_name_;
     std::vector<std::string> files_;
--- /dev/null
+++ b/src/tools/carobfall/load_workload.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "carobfall/base/error.h"
+
+#include <absl/time/time.h>
+#include <nlohmann/json.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace carobfall::tool {
+
+/// Share of the jobs that have so many tasks.
+struct job_size {
+    double share{1};
+    std::uint32_t tasks{1};
+};
+
+/// Share of the tasks whose run time is uniform between two bounds.
+struct run_range {
+    double share{1};
+    absl::Duration least;
+    absl::Duration most;
+};
+
+/// Submissions of one template.
+struct load_class {
+    std::string template_name;
+    nlohmann::json parameters = nlohmann::json::object();
+    double submissions_per_second{0}; ///< mean of the Poisson arrivals
+    double slot_share{0};             ///< the same as a share of the workload's slots
+    absl::Duration burst_every;       ///< zero: no bursts
+    std::uint32_t burst_submissions{0};
+    absl::Duration deadline{absl::Seconds(30)}; ///< from the intended send time
+    std::vector<job_size> jobs{job_size()};
+    std::vector<run_range> run;
+
+    [[nodiscard]] double mean_tasks() const;
+    [[nodiscard]] double mean_run_seconds() const;
+};
+
+/// What `carobfall load` sends, as read from a YAML file.
+struct load_workload {
+    std::string client_account;
+    std::uint64_t seed{1};
+    absl::Duration duration{absl::Seconds(10)};
+    std::size_t max_submissions{10'000};
+    std::uint32_t slots{0}; ///< of all backend servers together, for `slot_share`
+    /// Of one message between two processes; the ideal response time has `round_trips` of them.
+    absl::Duration round_trip;
+    std::vector<load_class> classes;
+
+    /// Mean Poisson arrivals per second of the class.
+    [[nodiscard]] double rate_of(const load_class& part) const;
+};
+
+/// Caller to entry, entry to witness, entry to agent, agent to backend server.
+inline constexpr int round_trips = 4;
+
+/// Errors: `invalid_request` with line, key and remedy.
+[[nodiscard]] result<load_workload> parse_workload(std::string_view text, std::string_view source);
+
+} // namespace carobfall::tool
