Daemon: Rename a constant that a merge made ambiguous

Cause: membership.h and entry_daemon.cpp both define probe_limit since the merge of 'entry', so that entry_daemon.cpp does not compile. Ruled out: use of the constant of membership.h, which is 200 ms and not 300 ms. Before: 'reference to probe_limit is ambiguous'. After: the daemon's constant is address_probe_limit; carobfall-entry links.

--- a/scripts/process_probe.py
+++ b/scripts/process_probe.py
@@ -36,19 +36,20 @@
     return len(os.listdir(f"/proc/{pid}/task"))
 
 
-def connections(pid):
-    """Counters of the open TCP connections of the process by pair of addresses."""
+def connections(pids):
+    """Counters of the open TCP connections of each process, by pair of addresses."""
     listing = subprocess.run(["ss", "-tinpHO"], capture_output=True, text=True, check=True).stdout
-    found = {}
+    found = {pid: {} for pid in pids}
     for line in listing.splitlines():
-        if f"pid={pid}," not in line:
+        owner = re.search(r"pid=(\d+),", line)
+        if not owner or int(owner.group(1)) not in found:
             continue
         columns = line.split()
         counters = {}
         for field in TRAFFIC_FIELDS:
             match = re.search(rf"\b{field}:(\d+)", line)
             counters[field] = int(match.group(1)) if match else 0
-        found[(columns[3], columns[4])] = counters
+        found[int(owner.group(1))][(columns[3], columns[4])] = counters
     return found
 
 
@@ -68,21 +69,27 @@
     return total
 
 
+def read_use(pids):
+    """Processor time and connections of the processes, with the times of reading."""
+    processor = {pid: (time.monotonic(), processor_seconds(pid)) for pid in pids}
+    return processor, time.monotonic(), connections(pids)
+
+
 def observe(pids, seconds, ports=None):
     """Use of each process over the time: per second where a rate makes sense."""
-    first = {pid: (processor_seconds(pid), connections(pid)) for pid in pids}
-    started = time.monotonic()
+    processor_before, listed_before, open_before = read_use(pids)
     time.sleep(seconds)
+    processor_after, listed_after, open_after = read_use(pids)
     rows = {}
-    for pid, (processor, open_before) in first.items():
-        elapsed = time.monotonic() - started
-        moved = traffic(open_before, connections(pid), ports)
-        rows[pid] = {"seconds": round(elapsed, 2),
-                     "core_share": round((processor_seconds(pid) - processor) / elapsed, 5),
+    for pid in pids:
+        moved = traffic(open_before[pid], open_after[pid], ports)
+        elapsed = processor_after[pid][0] - processor_before[pid][0]
+        used = processor_after[pid][1] - processor_before[pid][1]
+        rows[pid] = {"seconds": round(elapsed, 2), "core_share": round(used / elapsed, 5),
                      "private_kb": round(resident_kb(pid)),
                      "resident_kb": round(total_resident_kb(pid)),
                      "threads": threads(pid),
-                     **{f"{field}_per_s": round(moved[field] / elapsed, 1)
+                     **{f"{field}_per_s": round(moved[field] / (listed_after - listed_before), 1)
                         for field in TRAFFIC_FIELDS}}
     return rows
 
--- a/src/libs/carobfall/daemon/configuration_service.cpp
+++ b/src/libs/carobfall/daemon/configuration_service.cpp
@@ -150,8 +150,9 @@
     return commit({data_centre_change(name, out)}, options);
 }
 
-result<change_report> configuration_service::commit(std::vector<rpc::configuration_change> changes,
-                                                    const change_options& options)
+result<change_report>
+configuration_service::commit(std::vector<rpc::configuration_change> changes,
+                              const change_options& options)
 {
     BOOST_OUTCOME_TRY(const auto snapshot, parts_.store.load());
     BOOST_OUTCOME_TRY(check_expected(options, snapshot.version()));
@@ -165,10 +166,10 @@
     if (options.dry_run) {
         return report;
     }
-    BOOST_OUTCOME_TRY(report.version,
-                      parts_.store.apply({.changes = std::move(changes),
-                                          .change_id = options.change_id,
-                                          .expected_version = options.expected_version}));
+    BOOST_OUTCOME_TRY(report.version, parts_.store.apply({.changes = std::move(changes),
+                                                          .change_id = options.change_id,
+                                                          .expected_version =
+                                                              options.expected_version}));
     report.committed = true;
     parts_.keeper.poll(parts_.clock());
     report.in_force_everywhere = parts_.keeper.publish(report.version, publish_limit).has_value();
--- a/src/libs/carobfall/daemon/entry_daemon.cpp
+++ b/src/libs/carobfall/daemon/entry_daemon.cpp
@@ -25,7 +25,7 @@
 namespace {
 
 constexpr absl::Duration table_call_limit = absl::Seconds(2);
-constexpr absl::Duration probe_limit = absl::Milliseconds(300);
+constexpr absl::Duration address_probe_limit = absl::Milliseconds(300);
 constexpr absl::Duration upkeep_interval = absl::Milliseconds(200);
 constexpr absl::Duration drain_check_interval = absl::Milliseconds(20);
 constexpr absl::Duration server_stop_limit = absl::Seconds(5);
@@ -108,12 +108,11 @@
                   membership_environment(on_superseded)),
           keeper(members, keeper_environment(clock)),
           agent_rows(table, settings.region, [this] { return members.may_record_joins(); }),
-          transfer(
-              {}, members.state(), claims, agent_rows,
-              {.entries = entries,
-               .agents = agents,
-               .on_agent_records =
-                   [this](const rpc::fence_reply& reply) { submissions->learn_records(reply); }}),
+          transfer({}, members.state(), claims, agent_rows,
+                   {.entries = entries,
+                    .agents = agents,
+                    .on_agent_records =
+                        [this](const rpc::fence_reply& reply) { submissions->learn_records(reply); }}),
           registry(agent_rows, keeper, members),
           submissions(coordinator_builder()
                           .with_ownership(members)
@@ -130,9 +129,8 @@
           rpc_server({.address = settings.rpc_address, .limits = {}},
                      {members, claims, transfer, keeper, registry, *submissions, clock}),
           callers(*submissions, keeper, metrics, caller_settings_of(settings), clock),
-          operators(
-              operations, dump, metrics, [this, clock] { return obstacles(clock()); },
-              operator_settings_of(settings))
+          operators(operations, dump, metrics, [this, clock] { return obstacles(clock()); },
+                    operator_settings_of(settings))
     {
         add_entry_sections(dump, members, claims, keeper, registry, *submissions, clock);
     }
@@ -142,7 +140,7 @@
         membership_hooks hooks;
         hooks.channels = entries;
         hooks.connection_refused = [](const std::string& address) {
-            return connection_refused(address, probe_limit);
+            return connection_refused(address, address_probe_limit);
         };
         hooks.sleep = [](absl::Duration duration) { absl::SleepFor(duration); };
         hooks.configuration_version = [this] { return keeper.reported_version(); };
--- a/src/libs/carobfall/daemon/entry_state_dump.cpp
+++ b/src/libs/carobfall/daemon/entry_state_dump.cpp
@@ -79,7 +79,8 @@
 {
     dump.add("view", [&members] { return view_section(members); });
     dump.add("claims", [&claims] { return claims_section(claims); });
-    dump.add("configuration", [&keeper, clock] { return configuration_section(keeper, clock()); });
+    dump.add("configuration",
+             [&keeper, clock] { return configuration_section(keeper, clock()); });
     dump.add("agents", [&agents, clock] { return agents_section(agents, clock()); });
     dump.add("submissions", [&submissions] {
         return nlohmann::json{{"running", submissions.running_jobs()}};
