--- a/scripts/cluster.py
+++ b/scripts/cluster.py
@@ -24,12 +24,23 @@
 CLI = BUILD / "src/tools/carobfall/carobfall"
 
 
+GIVEN_PORTS = set()
+
+
 def free_ports(count):
-    """Ports of loopback that nobody listens on at the moment."""
-    sockets = [socket.socket() for _ in range(count)]
-    for sock in sockets:
+    """Ports of loopback that nobody listens on at the moment.
+
+    No port is given twice: the kernel may choose a closed one again before its process binds it.
+    """
+    sockets, ports = [], []
+    while len(ports) < count:
+        sock = socket.socket()
         sock.bind(("127.0.0.1", 0))
-    ports = [sock.getsockname()[1] for sock in sockets]
+        sockets.append(sock)
+        port = sock.getsockname()[1]
+        if port not in GIVEN_PORTS:
+            GIVEN_PORTS.add(port)
+            ports.append(port)
     for sock in sockets:
         sock.close()
     return ports
--- a/src/tools/carobfall/load_command.cpp
+++ b/src/tools/carobfall/load_command.cpp
@@ -218,6 +218,10 @@
     const auto plan = plan_load(workload.value());
     const std::string id_prefix = "load-" + random_id() + "-";
     context.progress << "sending " << plan.size() << " submissions, ids " << id_prefix << "N\n";
+    if (plan.size() == workload.value().max_submissions) {
+        context.progress << "the plan ends early at max_submissions; raise it to send for the "
+                            "whole duration\n";
+    }
     load_statistics statistics =
         load_runner(workload.value(), id_prefix, options.threads,
                     sender_factory(options, workload.value().client_account))
--- a/src/tools/carobfall/load_statistics.h
+++ b/src/tools/carobfall/load_statistics.h
@@ -24,7 +24,7 @@
     /// Counted from the intended send time, so that a sender that is held up by a slow system
     /// doesn't hide the waiting time.
     [[nodiscard]] absl::Duration response() const { return answered - intended; }
-    [[nodiscard]] double relative_response() const { return response() / ideal; }
+    [[nodiscard]] double relative_response() const { return absl::FDivDuration(response(), ideal); }
 };
 
 /// Smallest value that at least the share `q` (0 to 1) of the sorted values doesn't exceed; 0
--- a/tests/auto/tools/tst_load_run.cpp
+++ b/tests/auto/tools/tst_load_run.cpp
@@ -62,6 +62,17 @@
     CHECK(latency["send_delay_ms"]["p50"] == doctest::Approx(150));
 }
 
+// Guards against the integer division of durations, which cuts ratios to whole numbers.
+TEST_CASE("the relative response time has a fraction")
+{
+    load_statistics statistics;
+    statistics.add(sample_of(125));
+    statistics.add(sample_of(175));
+    const auto relative = statistics.to_json()["latency"]["response_over_ideal"];
+    CHECK(relative["p50"] == doctest::Approx(1.25));
+    CHECK(relative["max"] == doctest::Approx(1.75));
+}
+
 // Guards against fast refusals that make the response times look better.
 TEST_CASE("refusals are counted by kind and have no part in the response times")
 {
