--- a/scripts/counting_proxy.py
+++ b/scripts/counting_proxy.py
@@ -31,10 +31,15 @@
     def forward(self, handler):
         body = handler.rfile.read(int(handler.headers.get("Content-Length", 0)))
         connection = http.client.HTTPConnection(self.target, timeout=10)
-        connection.request("POST", handler.path, body, {"Content-Type": "application/json"})
-        response = connection.getresponse()
-        answer = response.read()
-        connection.close()
+        try:
+            connection.request("POST", handler.path, body, {"Content-Type": "application/json"})
+            response = connection.getresponse()
+            answer = response.read()
+        except OSError:  # the stand-in has ended, as at the end of a measurement
+            handler.close_connection = True
+            return
+        finally:
+            connection.close()
         with self.lock:
             self.counts[handler.path.rsplit("/", 1)[1]] += 1
         handler.send_response(response.status)
