Scripts: Reserve the ports of a deployment by binding one

Cause: the block of ports came from the process id modulo 50, so that two test programs that ran at the same time could use the same ports. Ruled out: ports of the kernel, which were given out twice before. Before: two programs with process ids 50 apart gave out the same ports. After: a program binds the first port of a block, which a second one can't do; it takes the next block. No more than 50 programs run at once, and the 51st says so. Conclusion: two deployments can't share a port any more.

--- a/scripts/cluster.py
+++ b/scripts/cluster.py
@@ -27,22 +27,42 @@
 FIRST_PORT = 10000  # below the ephemeral ports, which outgoing connections take at any time
 PORTS_PER_PROCESS = 400
 BLOCKS = 50
+_block_lock = None
 _ports = iter(())
 
 
+def reserve_block():
+    """Binds the first port of a block, which no other process can do meanwhile.
+
+    Two test processes that derived the block from their process ids used the same ports at times.
+    """
+    global _block_lock
+    for block in range(BLOCKS):
+        first = FIRST_PORT + block * PORTS_PER_PROCESS
+        sock = socket.socket()
+        try:
+            sock.bind(("127.0.0.1", first))
+        except OSError:
+            sock.close()
+            continue
+        _block_lock = sock
+        return range(first + 1, first + PORTS_PER_PROCESS)
+    raise RuntimeError(f"all {BLOCKS} blocks of ports are in use: run fewer deployments at once")
+
+
 def free_ports(count):
     """Ports of loopback that nobody listens on, each given out once.
 
     Ports chosen by the kernel were given out twice when a socket had been closed again.
     """
     global _ports
+    if _block_lock is None:
+        _ports = iter(reserve_block())
     found = []
     while len(found) < count:
         port = next(_ports, None)
         if port is None:
-            first = FIRST_PORT + os.getpid() % BLOCKS * PORTS_PER_PROCESS
-            _ports = iter(range(first, first + PORTS_PER_PROCESS))
-            continue
+            raise RuntimeError(f"all {PORTS_PER_PROCESS} ports of this process have been given out")
         with socket.socket() as sock:
             if sock.connect_ex(("127.0.0.1", port)) != 0:
                 found.append(port)
