Entry: Keep the ports of the server test out of the ephemeral range

Cause: the test chose ports from 47310 on, which outgoing connections and a second run of the test may hold. One run failed at the start of the server while other runs used the machine. Conclusion: ports below the ephemeral ones, apart by process id.

--- a/tests/auto/entry/tst_entry_server.cpp
+++ b/tests/auto/entry/tst_entry_server.cpp
@@ -10,6 +10,8 @@
 #include <absl/time/clock.h>
 #include <doctest/doctest.h>
 
+#include <unistd.h>
+
 #include <atomic>
 #include <thread>
 
@@ -95,9 +97,11 @@
     std::uint32_t retry_now(const std::string&, absl::Time) override { return 3; }
 };
 
+// Below the ephemeral ports, which outgoing connections take, and apart from the ports of other
+// runs of this test: both made the server fail to start at times.
 int free_port()
 {
-    static int next = 47310;
+    static int next = 30100 + getpid() % 100 * 20;
     while (!connection_refused(absl::StrCat("127.0.0.1:", next), absl::Seconds(1))) {
         ++next;
     }
