Dispatch: Deliver the records of agents with the claims

Cause: after the loss of all entries the first new one learned the agents' records into its table of submissions. Ruled out: asking the agents again at each join, which costs a call to each of them per view; a flag that keeps joiners incomplete for six minutes. After: records become claims without body hash and coordinator, are delivered and merged like claims, and answer a resubmission as lost.

--- a/src/libs/carobfall/daemon/entry_daemon.cpp
+++ b/src/libs/carobfall/daemon/entry_daemon.cpp
@@ -107,12 +107,7 @@
                   membership_environment(on_superseded)),
           keeper(members, keeper_environment(clock)),
           agent_rows(table, settings.region, [this] { return members.may_record_joins(); }),
-          transfer(
-              {}, members.state(), claims, agent_rows,
-              {.entries = entries,
-               .agents = agents,
-               .on_agent_records =
-                   [this](const rpc::fence_reply& reply) { submissions->learn_records(reply); }}),
+          transfer({}, members.state(), claims, agent_rows, {.entries = entries, .agents = agents}),
           registry(agent_rows, keeper, members),
           submissions(coordinator_builder()
                           .with_ownership(members)
--- a/src/libs/carobfall/dispatch/answer_builder.cpp
+++ b/src/libs/carobfall/dispatch/answer_builder.cpp
@@ -125,10 +125,9 @@
     return builder.build();
 }
 
-rpc::submission_answer answer_from_records(const std::vector<rpc::record_summary>& records,
-                                           const submission_key& key, std::uint32_t task_count)
+rpc::submission_answer answer_from_records(const rpc::claim& claim, std::uint32_t task_count)
 {
-    answer_builder builder(key, task_count);
+    answer_builder builder(from_message(claim.submission()), task_count);
     builder.fail({error_kind::task_lost,
                   "the submission was accepted earlier and its coordinator is gone",
                   "it doesn't run again under this id; submit under a new id if the tasks may run "
@@ -136,7 +135,7 @@
     for (std::uint32_t index = 0; index < task_count; ++index) {
         builder.outcome(index, rpc::outcome_may_have_run);
     }
-    for (const rpc::record_summary& record : records) {
+    for (const rpc::record_summary& record : claim.records()) {
         if (record.index() < task_count && record.state() == rpc::task_state_finished) {
             builder.outcome(record.index(), rpc::outcome_ran);
         }
--- a/src/libs/carobfall/dispatch/answer_builder.h
+++ b/src/libs/carobfall/dispatch/answer_builder.h
@@ -51,9 +51,8 @@
 
 /// Answer for a submission of which only records of agents are known: failed, since the records
 /// of other agents may be missing.
-[[nodiscard]] rpc::submission_answer
-answer_from_records(const std::vector<rpc::record_summary>& records, const submission_key& key,
-                    std::uint32_t task_count);
+[[nodiscard]] rpc::submission_answer answer_from_records(const rpc::claim& claim,
+                                                         std::uint32_t task_count);
 
 /// Carries an error result in an answer, in state unknown, for replies to other entries.
 [[nodiscard]] rpc::submission_answer encode_error(const submission_key& key, const error& failed);
--- a/src/libs/carobfall/dispatch/coordinator.cpp
+++ b/src/libs/carobfall/dispatch/coordinator.cpp
@@ -209,6 +209,9 @@
                                                        absl::Time now)
 {
     const submission_key key = from_message(request.key());
+    if (is_from_records(claim)) {
+        return answer_from_records(claim, static_cast<std::uint32_t>(request.tasks_size()));
+    }
     if (claim.body_hash() != request.body_hash()) {
         return failure(error_kind::conflict, "the id was used with another body",
                        "submit the changed body under a new id");
@@ -294,7 +297,7 @@
 coordinator::answer_result coordinator::answer_known(const submission_table::entry& known,
                                                      const rpc::submission_request& request)
 {
-    if (!known.body_hash.empty() && known.body_hash != request.body_hash()) {
+    if (known.body_hash != request.body_hash()) {
         return failure(error_kind::conflict, "the id was used with another body",
                        "submit the changed body under a new id");
     }
@@ -304,10 +307,6 @@
     if (const auto* answer = std::get_if<submission_table::answer_ptr>(&known.state)) {
         return **answer;
     }
-    if (const auto* records = std::get_if<submission_table::agent_records>(&known.state)) {
-        return answer_from_records(records->records, from_message(request.key()),
-                                   static_cast<std::uint32_t>(request.tasks_size()));
-    }
     return expired();
 }
 
@@ -367,13 +366,13 @@
         if (const auto* answer = std::get_if<submission_table::answer_ptr>(&known->state)) {
             return **answer;
         }
-        if (std::holds_alternative<submission_table::expired_answer>(known->state)) {
-            return expired();
-        }
-        return recovering("only agents hold records of the submission");
+        return expired();
     }
     const ownership_snapshot snapshot = context_.outside.owner->snapshot();
     if (const auto claim = context_.outside.claims->find(key)) {
+        if (is_from_records(*claim)) {
+            return recovering("only agents hold records of the submission");
+        }
         if (same_incarnation(claim->coordinator(), context_.outside.owner->self())) {
             return expired();
         }
@@ -416,16 +415,6 @@
     takeover_->adopt_all(now);
 }
 
-void coordinator::learn_records(const rpc::fence_reply& reply)
-{
-    for (const rpc::record_summary& record : reply.records()) {
-        // A claim says more than the records and is followed up by the takeover.
-        if (!context_.outside.claims->find(from_message(record.submission()))) {
-            context_.table.learn(record);
-        }
-    }
-}
-
 void coordinator::expire(absl::Time now)
 {
     context_.table.expire(now);
--- a/src/libs/carobfall/dispatch/coordinator.h
+++ b/src/libs/carobfall/dispatch/coordinator.h
@@ -36,8 +36,6 @@
     void on_report(const rpc::report_request& request, absl::Time now);
     /// Takes over submissions whose coordinator has left the view. Call when a view takes effect.
     void on_view_in_effect(absl::Time now);
-    /// Makes the submissions known that a fenced agent holds records of.
-    void learn_records(const rpc::fence_reply& reply);
     /// Drops records whose retention has passed. Call about once a second.
     void expire(absl::Time now);
     /// Refuses new submissions from now on; running ones go on.
--- a/src/libs/carobfall/dispatch/submission_table.cpp
+++ b/src/libs/carobfall/dispatch/submission_table.cpp
@@ -75,17 +75,6 @@
     refused->finish(answer);
 }
 
-void submission_table::learn(const rpc::record_summary& record)
-{
-    const std::lock_guard lock(mutex_);
-    const auto [held, inserted] =
-        entries_.try_emplace(from_message(record.submission()),
-                             entry{{}, from_unix_ms(record.deadline_unix_ms()), agent_records{}});
-    if (auto* known = std::get_if<agent_records>(&held->second.state)) {
-        known->records.push_back(record);
-    }
-}
-
 void submission_table::expire(absl::Time now)
 {
     const std::lock_guard lock(mutex_);
--- a/src/libs/carobfall/dispatch/submission_table.h
+++ b/src/libs/carobfall/dispatch/submission_table.h
@@ -12,11 +12,10 @@
 #include <optional>
 #include <string>
 #include <variant>
-#include <vector>
 
 namespace carobfall {
 
-/// Submissions that this entry runs, has answered, or knows of from agents. Thread-safe.
+/// Submissions that this entry runs or has answered. Thread-safe.
 ///
 /// A recorded answer is kept until the deadline and `record_retention` have passed, or until all
 /// answers together exceed their bound; then the oldest are dropped first and the submission
@@ -25,17 +24,12 @@
 public:
     explicit submission_table(std::size_t answer_bytes);
 
-    /// A submission that is known only because an agent holds records of it.
-    struct agent_records {
-        std::vector<rpc::record_summary> records;
-    };
     struct expired_answer {};
     using answer_ptr = std::shared_ptr<const rpc::submission_answer>;
-    using state_type =
-        std::variant<std::shared_ptr<job>, answer_ptr, expired_answer, agent_records>;
+    using state_type = std::variant<std::shared_ptr<job>, answer_ptr, expired_answer>;
 
     struct entry {
-        std::string body_hash; ///< empty if unknown
+        std::string body_hash;
         absl::Time deadline;
         state_type state;
     };
@@ -49,8 +43,6 @@
     void record(const std::shared_ptr<job>& finished, rpc::submission_answer answer);
     /// Forgets a job that was refused before anything was claimed for it.
     void discard(const std::shared_ptr<job>& refused, const result<rpc::submission_answer>& answer);
-    /// Makes the submission known if it isn't.
-    void learn(const rpc::record_summary& record);
 
     /// Drops entries whose deadline and retention have passed.
     void expire(absl::Time now);
--- a/src/libs/carobfall/dispatch/takeover.cpp
+++ b/src/libs/carobfall/dispatch/takeover.cpp
@@ -41,6 +41,10 @@
         const rpc::entry_member* owner =
             coordinator_of(snapshot.view, from_message(claim.submission()));
         const bool orphaned = find_member(snapshot.view, claim.coordinator()) == nullptr;
+        // Without the agents and the number of tasks there is nothing to collect.
+        if (is_from_records(claim)) {
+            continue;
+        }
         const bool past = from_unix_ms(claim.deadline_unix_ms()) + record_retention < now;
         if (orphaned && !past && same_incarnation(*owner, context_.outside.owner->self()) &&
             !adopt(claim)) {
--- a/src/libs/carobfall/entry/claim_store.cpp
+++ b/src/libs/carobfall/entry/claim_store.cpp
@@ -17,8 +17,27 @@
                        });
 }
 
+// A later state of the same attempt replaces the earlier one.
+void add_record(rpc::claim& claim, const rpc::record_summary& record)
+{
+    for (rpc::record_summary& held : *claim.mutable_records()) {
+        if (held.index() == record.index() && held.attempt() == record.attempt()) {
+            held.set_state(std::max(held.state(), record.state()));
+            return;
+        }
+    }
+    rpc::record_summary* added = claim.add_records();
+    *added = record;
+    added->clear_submission();
+}
+
 } // namespace
 
+bool is_from_records(const rpc::claim& claim)
+{
+    return !claim.records().empty();
+}
+
 void claim_store::put(const rpc::claim& claim)
 {
     const absl::MutexLock lock(&mutex_);
@@ -37,6 +56,18 @@
     if (inserted) {
         return;
     }
+    if (is_from_records(claim)) {
+        if (is_from_records(held->second)) {
+            for (const rpc::record_summary& record : claim.records()) {
+                add_record(held->second, record);
+            }
+        }
+        return;
+    }
+    if (is_from_records(held->second)) {
+        held->second = claim;
+        return;
+    }
     for (const rpc::agent_ref& agent : claim.planned_agents()) {
         if (!contains_agent(held->second, agent)) {
             *held->second.add_planned_agents() = agent;
@@ -48,6 +79,19 @@
     held->second.set_answered(held->second.answered() || claim.answered());
 }
 
+void claim_store::learn(const rpc::record_summary& record)
+{
+    const absl::MutexLock lock(&mutex_);
+    const auto [held, inserted] = claims_.try_emplace(from_message(record.submission()));
+    if (inserted) {
+        *held->second.mutable_submission() = record.submission();
+        held->second.set_deadline_unix_ms(record.deadline_unix_ms());
+    }
+    if (inserted || is_from_records(held->second)) {
+        add_record(held->second, record);
+    }
+}
+
 std::optional<rpc::claim> claim_store::find(const submission_key& key) const
 {
     const absl::MutexLock lock(&mutex_);
--- a/src/libs/carobfall/entry/claim_store.h
+++ b/src/libs/carobfall/entry/claim_store.h
@@ -20,6 +20,9 @@
 /// Longest time that the deadline of a submission may be ahead when it is accepted.
 inline constexpr absl::Duration max_deadline = absl::Seconds(300);
 
+/// The claim is made from the records of agents: the entries that held the real one are gone.
+[[nodiscard]] bool is_from_records(const rpc::claim& claim);
+
 /// Claims that this entry holds as coordinator or as witness. Thread-safe.
 class claim_store {
 public:
@@ -30,6 +33,9 @@
     /// coordinator named by the held claim stays if it is a member of the view; otherwise the
     /// claim has been taken over and the copy may name the successor.
     void merge(const rpc::claim& copy, const rpc::entry_view& view);
+    /// Makes a submission known of which no claim is held, from the record of an agent. The claim
+    /// made for it has only key, deadline and records; a real claim replaces it.
+    void learn(const rpc::record_summary& record);
     [[nodiscard]] std::optional<rpc::claim> find(const submission_key& key) const;
     [[nodiscard]] std::vector<rpc::claim> all() const;
     [[nodiscard]] std::size_t size() const;
--- a/src/libs/carobfall/entry/claim_transfer.cpp
+++ b/src/libs/carobfall/entry/claim_transfer.cpp
@@ -204,7 +204,9 @@
                 all_answered = false;
                 return;
             }
-            hooks_.on_agent_records(reply.value());
+            for (const rpc::record_summary& record : reply.value().records()) {
+                claims_.learn(record);
+            }
             const absl::MutexLock lock(&mutex_);
             fenced_.insert(agent_id(agent));
         });
--- a/src/libs/carobfall/entry/claim_transfer.h
+++ b/src/libs/carobfall/entry/claim_transfer.h
@@ -30,8 +30,6 @@
     parallel_runner run_parallel{[](const auto& calls) { run_in_threads(calls); }};
     /// Runs the calls to agents, of which there may be thousands.
     parallel_runner run_parallel_agents{[](const auto& calls) { run_in_threads(calls, 16); }};
-    /// Learns the records of an agent before this entry becomes complete.
-    std::function<void(const rpc::fence_reply&)> on_agent_records{[](auto&&...) {}};
 };
 
 /// Makes this entry complete in the view in effect: every claim made in an earlier view for a
@@ -55,7 +53,8 @@
 /// claim registers all of it with the new witness.
 ///
 /// Where too few members deliver, the agents decide. All incarnations that may hold records are
-/// fenced, after which none of them starts a task of an older view, and report their records. An
+/// fenced, after which none of them starts a task of an older view, and report their records, which
+/// become claims and are delivered like those: an entry that joins later asks no agent. An
 /// agent that can't be asked keeps the entry incomplete until the longest deadline has passed.
 /// Thread-safe; `tick` is called by one thread.
 class claim_transfer {
