Scripts: Say why an entry of a test deployment isn't ready

Before: 'not within 30 s: entry-0 is ready'. After: the message has the readiness reasons, the state of the process and the end of its log.

--- a/scripts/cluster.py
+++ b/scripts/cluster.py
@@ -196,6 +196,13 @@
     def ready(self):
         return http("GET", self.operator_url + "/readyz", timeout=2)[0] == 200
 
+    def describe(self):
+        """What an entry that doesn't become ready says, for the message of a failed test."""
+        readiness = http("GET", self.operator_url + "/readyz", timeout=2)
+        state = "runs" if self.process.running() else f"ended with {self.process.wait(0)}"
+        lines = self.process.log.read_text(errors="replace").splitlines()[-15:]
+        return "\n".join([f"process {state}, /readyz says {readiness}, log ends with:", *lines])
+
 
 class Cluster:
     """Platform stand-in, entries, agents and backend servers in the given data centres."""
@@ -232,7 +239,10 @@
         for worker in self.workers:
             worker.start()
         for entry in self.entries:
-            wait_until(entry.ready, seconds, f"{entry.name} is ready")
+            try:
+                wait_until(entry.ready, seconds, f"{entry.name} is ready")
+            except TimeoutError as failure:
+                raise TimeoutError(f"{failure}: {entry.describe()}") from failure
         wait_until(lambda: self.usable_backends() == len(self.workers), seconds,
                    "all backend servers are available at every entry")
         return self
