Base: Serve all HTTP with one server and share the status routes

Cause: the agent had an HTTP listener and an operators' server of its own beside base/http_server, and base/http_server left the library's SO_REUSEPORT on, with which a second process on the same port starts and takes a part of the connections. Ruled out: moving http_listener to base and keeping both, because limits, typed errors and request ids would still differ between agents and entries. Before: no test started a second http_server on a port. /readyz and /debug/state of an agent were plain text and a bare object. After: http_server refuses a port in use with an error that names it; announcements and the agent's operators' port use it; base/status_routes has /healthz, /readyz, /metrics and /debug/state for both programs. /readyz of an agent lists all reasons as JSON, /debug/state has the member state. Successful announcements, which are heartbeats, are logged at verbosity 1 only.

--- a/src/libs/carobfall/agent/agent_daemon.cpp
+++ b/src/libs/carobfall/agent/agent_daemon.cpp
@@ -4,6 +4,7 @@
 #include "carobfall/backend/http_task_runner.h"
 #include "carobfall/base/ids.h"
 #include "carobfall/base/log_fields.h"
+#include "carobfall/base/status_routes.h"
 #include "carobfall/config/ip_endpoint.h"
 
 #include <absl/strings/str_cat.h>
@@ -25,6 +26,27 @@
 /// Interval at which a shutdown looks whether tasks and reports are done.
 constexpr absl::Duration drain_poll = absl::Milliseconds(10);
 
+/// Operators and monitoring systems ask an agent seldom, and send no bodies.
+constexpr std::size_t operator_threads = 4;
+constexpr absl::Duration operator_keep_alive = absl::Seconds(1);
+constexpr std::size_t max_operator_body_bytes = 1024;
+
+/// The address of a port on this host. A malformed one is refused by `start`.
+ip_endpoint endpoint_of(const std::string& address)
+{
+    return parse_ip_endpoint(address).value_or(ip_endpoint{});
+}
+
+http_server_settings operator_http(const std::string& address)
+{
+    const ip_endpoint endpoint = endpoint_of(address);
+    return {.host = endpoint.ip,
+            .port = endpoint.port,
+            .threads = operator_threads,
+            .max_body_bytes = max_operator_body_bytes,
+            .keep_alive = operator_keep_alive};
+}
+
 bool is_loopback(const std::string& ip)
 {
     return ip.starts_with("127.") || ip == "::1";
@@ -53,7 +75,8 @@
                     {.announced = [this](const announcement& backend,
                                          absl::Time until) { take_announcement(backend, until); },
                      .left = [this] { ledger_.remove_backend(); }}),
-      announcement_server_(registration_, clock_),
+      announcement_server_(registration_, clock_, endpoint_of(settings_.announce_address).ip,
+                           endpoint_of(settings_.announce_address).port),
       environment_(make_environment()),
       sessions_(settings_.entry_addresses, std::move(make_link), environment_),
       executor_(
@@ -65,10 +88,14 @@
           [this](pending_report report) { post(std::move(report)); }, metrics_, clock_),
       server_(ledger_, {.tasks_queued = [this](std::size_t tasks) { executor_.notify(tasks); }},
               metrics_, clock_),
-      operator_server_({.state_json = [this] { return state_json(); },
-                        .metrics_text = [this] { return metrics_text(); },
-                        .not_ready_reason = [this] { return not_ready_reason(); }})
-{}
+      operator_server_("operator_request", operator_http(settings_.operator_address))
+{
+    add_status_routes(operator_server_,
+                      {.readiness = [this] { return obstacles(); },
+                       .metrics_text = [this] { return metrics_text(); },
+                       .state = [this] { return state(); }},
+                      [](http_handler handler) { return handler; });
+}
 
 agent_daemon::~agent_daemon()
 {
@@ -100,17 +127,16 @@
 
 result<void> agent_daemon::start()
 {
-    const std::optional<ip_endpoint> announce = parse_ip_endpoint(settings_.announce_address);
-    const std::optional<ip_endpoint> operators = parse_ip_endpoint(settings_.operator_address);
-    if (!announce || !operators || !is_loopback(announce->ip)) {
+    if (!parse_ip_endpoint(settings_.operator_address) ||
+        !is_loopback(endpoint_of(settings_.announce_address).ip)) {
         return failure(error_kind::invalid_request,
                        "the operator address is malformed, or the announce address isn't on the "
                        "loopback interface",
                        "give operator_address as ip:port and announce_address as 127.0.0.1:port");
     }
     BOOST_OUTCOME_TRY(server_.listen(settings_.rpc_address));
-    BOOST_OUTCOME_TRY(announcement_server_.start(announce->ip, announce->port));
-    BOOST_OUTCOME_TRY(operator_server_.start(operators->ip, operators->port));
+    BOOST_OUTCOME_TRY(announcement_server_.start());
+    BOOST_OUTCOME_TRY(operator_server_.start());
     maintenance_ = std::thread([this] { maintain(); });
     sessions_.start();
     LOG(INFO) << log_fields("agent_started")
@@ -223,14 +249,14 @@
     }
 }
 
-std::string agent_daemon::state_json() const
+nlohmann::json agent_daemon::state() const
 {
-    agent_dump state;
-    state.agent = agent_info().value_or(rpc::agent_info());
-    state.totals = ledger_.totals();
-    state.records = ledger_.dump();
-    state.sessions = sessions_.states();
-    return to_json(state, lease_, clock_()).dump();
+    agent_dump dump;
+    dump.agent = agent_info().value_or(rpc::agent_info());
+    dump.totals = ledger_.totals();
+    dump.records = ledger_.dump();
+    dump.sessions = sessions_.states();
+    return to_json(dump, lease_, clock_());
 }
 
 std::string agent_daemon::metrics_text() const
@@ -244,16 +270,20 @@
         lease_.is_valid(clock_()) ? 1 : 0, "\nreports_pending ", sessions_.pending_reports(), "\n");
 }
 
-std::string agent_daemon::not_ready_reason() const
+std::vector<std::string> agent_daemon::obstacles() const
 {
     const absl::Time now = clock_();
+    std::vector<std::string> reasons;
     if (ledger_.leaving()) {
-        return "the agent is leaving";
+        reasons.emplace_back("the agent is leaving");
     }
     if (!ledger_.backend_available(now)) {
-        return "no backend server has announced itself in time";
+        reasons.emplace_back("no backend server has announced itself in time");
+    }
+    if (!lease_.is_valid(now)) {
+        reasons.emplace_back("no entry has granted a lease; check the entries' /readyz");
     }
-    return lease_.is_valid(now) ? "" : "no entry has granted a lease; check the entries' /readyz";
+    return reasons;
 }
 
 void agent_daemon::drain()
--- a/src/libs/carobfall/agent/agent_daemon.h
+++ b/src/libs/carobfall/agent/agent_daemon.h
@@ -2,7 +2,6 @@
 
 #include "carobfall/agent/agent_server.h"
 #include "carobfall/agent/entry_session_set.h"
-#include "carobfall/agent/operator_server.h"
 #include "carobfall/agent/start_lease.h"
 #include "carobfall/agent/task_executor.h"
 #include "carobfall/agent/task_ledger.h"
@@ -10,9 +9,11 @@
 #include "carobfall/backend/backend_registration.h"
 #include "carobfall/base/clock.h"
 #include "carobfall/base/histogram.h"
+#include "carobfall/base/http_server.h"
 #include "carobfall/config/agent_settings.h"
 
 #include <absl/time/time.h>
+#include <nlohmann/json_fwd.hpp>
 
 #include <atomic>
 #include <cstddef>
@@ -21,6 +22,7 @@
 #include <optional>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace carobfall {
 
@@ -52,8 +54,8 @@
     void drain();
 
     [[nodiscard]] std::uint16_t grpc_port() const { return server_.port(); }
-    [[nodiscard]] std::uint16_t operator_port() const { return operator_server_.port(); }
-    [[nodiscard]] std::uint16_t announcement_port() const { return announcement_server_.port(); }
+    [[nodiscard]] int operator_port() const { return operator_server_.port(); }
+    [[nodiscard]] int announcement_port() const { return announcement_server_.port(); }
     [[nodiscard]] task_ledger& ledger() { return ledger_; }
 
 private:
@@ -66,9 +68,9 @@
     void post(pending_report report);
     void maintain();
     void sweep();
-    std::string state_json() const;
+    nlohmann::json state() const;
     std::string metrics_text() const;
-    std::string not_ready_reason() const;
+    std::vector<std::string> obstacles() const;
     void wait_for_idle();
     void wait_for_reports();
 
@@ -86,7 +88,7 @@
     entry_session_set sessions_;
     task_executor executor_;
     agent_server server_;
-    agent_operator_server operator_server_;
+    http_server operator_server_;
     std::atomic<bool> stopped_{false};
     std::mutex sweep_mutex_;
     std::thread maintenance_;
--- a/src/libs/carobfall/backend/announcement_server.h
+++ b/src/libs/carobfall/backend/announcement_server.h
@@ -1,44 +1,35 @@
 #pragma once
 
 #include "carobfall/backend/backend_registration.h"
-#include "carobfall/backend/http_listener.h"
 #include "carobfall/base/clock.h"
 #include "carobfall/base/error.h"
+#include "carobfall/base/http_server.h"
 
-#include <cstdint>
-#include <memory>
 #include <string>
 
-namespace httplib {
-class Server;
-} // namespace httplib
-
 namespace carobfall {
 
 /// HTTP server on a loopback address through which the backend server announces itself
-/// (POST /v1/announce, repeated as a heartbeat) and leaves (POST /v1/leave). Errors are answered
-/// as {"error": {"kind", "message", "remedy"}}.
+/// (POST /v1/announce, repeated as a heartbeat) and leaves (POST /v1/leave).
 class announcement_server {
 public:
-    /// `registration` has to outlive the server.
-    announcement_server(backend_registration& registration, clock_function clock);
-    ~announcement_server();
-    announcement_server(const announcement_server&) = delete;
-    announcement_server& operator=(const announcement_server&) = delete;
-
-    /// `address` is a loopback address; port 0 chooses a free one. Error: `unavailable` if the port
-    /// is taken.
-    result<void> start(const std::string& address, std::uint16_t port);
-    void stop() { listener_.stop(); }
-    [[nodiscard]] std::uint16_t port() const { return listener_.port(); }
+    /// `registration` has to outlive the server. `host` is a loopback address; port 0 chooses a
+    /// free one.
+    announcement_server(backend_registration& registration, clock_function clock, std::string host,
+                        int port);
+
+    /// Errors: those of `http_server::start`.
+    result<void> start() { return http_.start(); }
+    void stop() { http_.stop(); }
+    [[nodiscard]] int port() const { return http_.port(); }
 
 private:
-    void add_routes();
+    void announce(http_call& call);
+    void leave(http_call& call);
 
     backend_registration& registration_;
     const clock_function clock_;
-    std::unique_ptr<httplib::Server> server_;
-    http_listener listener_;
+    http_server http_; ///< last, so that its threads end before the rest is destroyed
 };
 
 } // namespace carobfall
--- a/src/libs/carobfall/base/http_server.cpp
+++ b/src/libs/carobfall/base/http_server.cpp
@@ -41,6 +41,14 @@
                       });
 }
 
+// The library sets SO_REUSEPORT by default, with which a second process on the same port would
+// start and get part of the connections.
+void allow_reuse_after_close(socket_t socket)
+{
+    const int yes = 1;
+    setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
+}
+
 // A body that was not read would be taken for the next request of the connection.
 void close_after_response(httplib::Response& response)
 {
@@ -69,7 +77,7 @@
     if (too_large || response.status == http_status_of(error_kind::payload_too_large)) {
         return failure(error_kind::payload_too_large,
                        absl::StrCat("the body is larger than ", limit, " bytes"),
-                       "send fewer or smaller tasks in one submission");
+                       "send a smaller body; a large submission can be split into several");
     }
     return failure(error_kind::invalid_request, "the body could not be read to its end",
                    "send the whole body within the read limit, without or with gzip encoding");
@@ -92,6 +100,17 @@
 
 } // namespace
 
+void respond(http_call& call, nlohmann::json body, int status)
+{
+    body["request_id"] = call.request_id;
+    send_json(call.response, status, body);
+}
+
+void refuse(http_call& call, const error& reason)
+{
+    send_error(call.response, reason, call.request_id);
+}
+
 class http_server::listener : public httplib::Server {
 public:
     // Listening again on the bound socket changes its backlog.
@@ -125,6 +144,7 @@
     listener_->set_read_timeout(absl::ToChronoMilliseconds(settings_.read_limit));
     listener_->set_write_timeout(absl::ToChronoMilliseconds(settings_.write_limit));
     listener_->set_tcp_nodelay(true);
+    listener_->set_socket_options(allow_reuse_after_close);
 }
 
 void http_server::install_handlers()
@@ -252,7 +272,8 @@
                                 .add("path", request.path)
                                 .add("status", response.status)
                                 .add("ms", absl::ToDoubleMilliseconds(monotonic_now() - begin));
-    if (request.method == "GET" && response.status == 200) {
+    const bool quiet = request.method == "GET" || !settings_.log_successes;
+    if (quiet && response.status == 200) {
         VLOG(1) << line;
     } else {
         LOG(INFO) << line;
--- a/src/libs/carobfall/base/http_server.h
+++ b/src/libs/carobfall/base/http_server.h
@@ -4,6 +4,7 @@
 
 #include <absl/time/time.h>
 #include <httplib.h>
+#include <nlohmann/json_fwd.hpp>
 
 #include <cstddef>
 #include <functional>
@@ -25,6 +26,7 @@
     absl::Duration keep_alive{absl::Seconds(5)};
     absl::Duration read_limit{absl::Seconds(5)}; ///< for each read from the connection
     absl::Duration write_limit{absl::Seconds(5)};
+    bool log_successes{true}; ///< false: like successful GETs, at verbosity 1; for heartbeats
 };
 
 /// One HTTP request with the response to fill in.
@@ -39,6 +41,11 @@
 
 using http_handler = std::function<void(http_call& call)>;
 
+/// Answers with the object and the request id.
+void respond(http_call& call, nlohmann::json body, int status = 200);
+/// Answers with the error document and the status of its kind.
+void refuse(http_call& call, const error& reason);
+
 /// Routes requests by method and path to handlers, with limits and typed JSON errors for
 /// everything that matches no route or breaks HTTP. Every response carries X-Request-Id.
 class http_server {
@@ -52,7 +59,8 @@
     /// Adds a route, for example ("GET", "/v1/accounts/{}"). Call before `start`.
     void add_route(std::string method, std::string_view pattern, http_handler handler);
 
-    /// Binds and serves on threads of its own. Errors: `unavailable` if the address can't be bound.
+    /// Binds and serves on threads of its own. Errors: `unavailable` if the address can't be bound,
+    /// for example because another process listens on the port.
     result<void> start();
     /// The bound port; 0 before `start`.
     [[nodiscard]] int port() const { return port_; }
--- a/src/libs/carobfall/operators/operator_server.cpp
+++ b/src/libs/carobfall/operators/operator_server.cpp
@@ -13,22 +13,8 @@
 namespace carobfall {
 namespace {
 
-using json = nlohmann::json;
-
 constexpr int http_ok = 200;
 constexpr int http_accepted = 202;
-constexpr int http_unavailable = 503;
-
-void respond(http_call& call, json body, int status = http_ok)
-{
-    body["request_id"] = call.request_id;
-    send_json(call.response, status, body);
-}
-
-void refuse(http_call& call, const error& reason)
-{
-    send_error(call.response, reason, call.request_id);
-}
 
 // 202 tells a script that the change can't be lost but isn't confirmed to be in force.
 void respond_change(http_call& call, const result<change_report>& outcome, bool dry_run)
@@ -66,14 +52,13 @@
 operator_server::operator_server(operator_service& service, const state_dump& dump,
                                  const metrics_registry& metrics, readiness_function readiness,
                                  operator_settings settings)
-    : service_(service),
-      dump_(dump),
-      metrics_(metrics),
-      readiness_(std::move(readiness)),
-      settings_(std::move(settings)),
-      http_("operator_request", settings_.http)
+    : service_(service), settings_(std::move(settings)), http_("operator_request", settings_.http)
 {
-    add_public_routes();
+    add_status_routes(http_,
+                      {.readiness = std::move(readiness),
+                       .metrics_text = [&metrics] { return metrics.to_text(); },
+                       .state = [&dump] { return dump.collect(); }},
+                      [this](http_handler handler) { return protect(std::move(handler)); });
     add_declaration_routes("/v1/templates/{}/{}", "template");
     add_declaration_routes("/v1/accounts/{}", "account");
     add_configuration_routes();
@@ -90,17 +75,22 @@
     return http_.start();
 }
 
-void operator_server::add_protected(const std::string& method, const std::string& pattern,
-                                    http_handler handler)
+http_handler operator_server::protect(http_handler handler) const
 {
-    http_.add_route(method, pattern, [this, handler = std::move(handler)](http_call& call) {
+    return [this, handler = std::move(handler)](http_call& call) {
         if (is_operator(call.request)) {
             handler(call);
         } else {
             refuse(call, {error_kind::unauthenticated, "the operator token is missing or wrong",
                           "send Authorization: Bearer with the operator token"});
         }
-    });
+    };
+}
+
+void operator_server::add_protected(const std::string& method, const std::string& pattern,
+                                    http_handler handler)
+{
+    http_.add_route(method, pattern, protect(std::move(handler)));
 }
 
 bool operator_server::is_operator(const httplib::Request& request) const
@@ -113,22 +103,6 @@
     return equal;
 }
 
-void operator_server::add_public_routes()
-{
-    http_.add_route("GET", "/healthz", [](http_call& call) {
-        respond(call, {{"status", "alive"}});
-    });
-    http_.add_route("GET", "/readyz", [this](http_call& call) {
-        const std::vector<std::string> reasons = readiness_();
-        const bool ready = reasons.empty();
-        respond(call, {{"ready", ready}, {"reasons", reasons}}, ready ? http_ok : http_unavailable);
-    });
-    http_.add_route("GET", "/metrics", [this](http_call& call) {
-        call.response.status = http_ok;
-        call.response.set_content(metrics_.to_text(), "text/plain; version=0.0.4");
-    });
-}
-
 void operator_server::add_declaration_routes(const std::string& path, const std::string& prefix)
 {
     add_protected("GET", path, [this, prefix](http_call& call) {
@@ -176,9 +150,6 @@
 
 void operator_server::add_state_routes()
 {
-    add_protected("GET", "/debug/state", [this](http_call& call) {
-        respond(call, {{"state", dump_.collect()}});
-    });
     add_protected("GET", "/v1/backends",
                   [this](http_call& call) { respond_list(call, "backends", service_.backends()); });
     add_protected("POST", "/v1/entries/{}/forget", [this](http_call& call) {
--- a/src/libs/carobfall/operators/operator_server.h
+++ b/src/libs/carobfall/operators/operator_server.h
@@ -2,10 +2,10 @@
 
 #include "carobfall/base/histogram.h"
 #include "carobfall/base/http_server.h"
+#include "carobfall/base/status_routes.h"
 #include "carobfall/operators/operator_service.h"
 #include "carobfall/operators/state_dump.h"
 
-#include <functional>
 #include <string>
 #include <vector>
 
@@ -17,9 +17,6 @@
     std::vector<std::string> tokens{}; ///< bearer tokens of the operators, none empty
 };
 
-/// Reasons why the process must not get traffic; empty if it is ready.
-using readiness_function = std::function<std::vector<std::string>()>;
-
 /// HTTP server for operators on a port of its own (docs/api.md). /healthz, /readyz and /metrics
 /// need no token.
 class operator_server {
@@ -37,10 +34,11 @@
     void stop() { http_.stop(); }
 
 private:
-    void add_public_routes();
     void add_declaration_routes(const std::string& path, const std::string& key_prefix);
     void add_configuration_routes();
     void add_state_routes();
+    /// Wraps a handler in the check of the token.
+    http_handler protect(http_handler handler) const;
     /// Adds a route that needs the token.
     void add_protected(const std::string& method, const std::string& pattern, http_handler handler);
 
@@ -51,9 +49,6 @@
     void retry_now(http_call& call);
 
     operator_service& service_;
-    const state_dump& dump_;
-    const metrics_registry& metrics_;
-    readiness_function readiness_;
     operator_settings settings_;
     http_server http_; ///< last, so that its threads end before the rest is destroyed
 };
--- a/tests/auto/agent/tst_agent_daemon.cpp
+++ b/tests/auto/agent/tst_agent_daemon.cpp
@@ -115,7 +115,7 @@
     CHECK(e.starts() == 6);
 
     httplib::Client client("127.0.0.1", e.daemon->operator_port());
-    const auto state = nlohmann::json::parse(client.Get("/debug/state")->body);
+    const auto state = nlohmann::json::parse(client.Get("/debug/state")->body)["state"];
     CHECK(state["records"].size() == 6);
     CHECK(state["lease"]["valid"] == true);
     CHECK(client.Get("/metrics")->body.find("tasks_accepted_total 6") != std::string::npos);
--- a/tests/auto/backend/tst_announcement.cpp
+++ b/tests/auto/backend/tst_announcement.cpp
@@ -84,8 +84,9 @@
     backend_registration registration(
         absl::Seconds(3),
         {.announced = [&](const announcement&, absl::Time) { ++announced; }, .left = [] {}});
-    announcement_server server(registration, [] { return t0; });
-    REQUIRE(server.start("127.0.0.1", 0));
+    announcement_server server(
+        registration, [] { return t0; }, "127.0.0.1", 0);
+    REQUIRE(server.start());
     httplib::Client client("127.0.0.1", server.port());
     const auto post = [&client](const char* path, const std::string& body) {
         const httplib::Result reply = client.Post(path, body, "application/json");
@@ -112,8 +113,10 @@
 {
     backend_registration registration(
         absl::Seconds(3), {.announced = [](const announcement&, absl::Time) {}, .left = [] {}});
-    announcement_server first(registration, [] { return t0; });
-    announcement_server second(registration, [] { return t0; });
-    REQUIRE(first.start("127.0.0.1", 0));
-    CHECK(second.start("127.0.0.1", first.port()).error().kind == error_kind::unavailable);
+    announcement_server first(
+        registration, [] { return t0; }, "127.0.0.1", 0);
+    REQUIRE(first.start());
+    announcement_server second(
+        registration, [] { return t0; }, "127.0.0.1", first.port());
+    CHECK(second.start().error().kind == error_kind::unavailable);
 }
--- a/tests/auto/backend/tst_http_task_runner.cpp
+++ b/tests/auto/backend/tst_http_task_runner.cpp
@@ -1,5 +1,5 @@
-#include "carobfall/backend/http_listener.h"
 #include "carobfall/backend/http_task_runner.h"
+#include "carobfall/base/http_server.h"
 
 #include <doctest/doctest.h>
 #include <httplib.h>
@@ -19,43 +19,40 @@
 struct fake_backend {
     fake_backend()
     {
-        server.Post("/v1/run", [this](const httplib::Request& request, httplib::Response& reply) {
-            note(request);
-            reply.set_content("done", "text/plain");
-        });
-        server.Post("/fail", [this](const httplib::Request& request, httplib::Response& reply) {
-            note(request);
-            reply.status = 500;
-        });
-        server.Post("/long", [this](const httplib::Request& request, httplib::Response& reply) {
-            note(request);
+        add("/v1/run", [](httplib::Response& reply) { reply.set_content("done", "text/plain"); });
+        add("/fail", [](httplib::Response& reply) { reply.status = 500; });
+        add("/long", [](httplib::Response& reply) {
             reply.set_content(std::string(max_result_bytes + 1, 'x'), "text/plain");
         });
-        server.Post("/hang", [this](const httplib::Request& request, httplib::Response&) {
-            note(request);
-            released_future.wait();
-        });
-        REQUIRE(listener.start("127.0.0.1", 0));
+        add("/hang", [this](httplib::Response&) { released_future.wait(); });
+        REQUIRE(server.start());
     }
 
     ~fake_backend() { released.set_value(); }
 
-    void note(const httplib::Request& request)
+    void add(const char* path, std::function<void(httplib::Response&)> answer)
     {
-        const std::lock_guard lock(mutex);
-        ++requests;
-        last = request;
-        ++ports[request.remote_port];
+        server.add_route("POST", path, [this, answer = std::move(answer)](http_call& call) {
+            {
+                const std::lock_guard lock(mutex);
+                ++requests;
+                last = call.request;
+                last.body = call.read_body().value();
+                ++ports[call.request.remote_port];
+            }
+            answer(call.response);
+        });
     }
 
-    httplib::Server server;
+    [[nodiscard]] std::uint16_t port() const { return static_cast<std::uint16_t>(server.port()); }
+
     std::promise<void> released;
     std::shared_future<void> released_future{released.get_future()};
     std::mutex mutex;
     int requests{0};
     httplib::Request last;
     std::map<int, int> ports;
-    http_listener listener{server};
+    http_server server{"backend_request", {.threads = 4}};
 };
 
 run_request request_of(const std::string& path, absl::Duration limit)
@@ -83,8 +80,7 @@
 TEST_CASE("a task is posted with its identity over one connection")
 {
     fake_backend backend;
-    http_task_runner runner([&] { return backend.listener.port(); }, max_result_bytes,
-                            monotonic_now);
+    http_task_runner runner([&] { return backend.port(); }, max_result_bytes, monotonic_now);
     for (int i = 0; i < 3; ++i) {
         const run_outcome outcome = run(runner, "/v1/run");
         CHECK(outcome.refusal == rpc::refusal_none);
@@ -105,8 +101,7 @@
 TEST_CASE("failures are reported once with their reason")
 {
     fake_backend backend;
-    http_task_runner runner([&] { return backend.listener.port(); }, max_result_bytes,
-                            monotonic_now);
+    http_task_runner runner([&] { return backend.port(); }, max_result_bytes, monotonic_now);
     const run_outcome failed = run(runner, "/fail");
     CHECK(failed.refusal == rpc::refusal_none);
     CHECK_FALSE(failed.result.success());
@@ -135,7 +130,7 @@
     std::uint16_t closed_port = 0;
     {
         const fake_backend backend;
-        closed_port = backend.listener.port();
+        closed_port = backend.port();
     }
     http_task_runner refused([=] { return closed_port; }, max_result_bytes, monotonic_now);
     CHECK(run(refused, "/v1/run").refusal == rpc::refusal_backend_unavailable);
@@ -149,10 +144,10 @@
 {
     fake_backend first;
     fake_backend second;
-    std::atomic<std::uint16_t> port = first.listener.port();
+    std::atomic<std::uint16_t> port = first.port();
     http_task_runner runner([&] { return port.load(); }, max_result_bytes, monotonic_now);
     CHECK(run(runner, "/v1/run").result.success());
-    port = second.listener.port();
+    port = second.port();
     CHECK(run(runner, "/v1/run").result.success());
     const std::lock_guard lock(second.mutex);
     CHECK(second.requests == 1);
