--- a/src/tools/carobfall/command_line.cpp
+++ b/src/tools/carobfall/command_line.cpp
@@ -47,7 +47,8 @@
     app_.require_subcommand(1);
     app_.fallthrough();
     app_.footer(
-        "The token is taken from the environment variable CAROBFALL_TOKEN or --token-file.\n"
+        "submit, status, cancel and load need the token of the client account, all others an "
+        "operator's\ntoken, in the environment variable CAROBFALL_TOKEN or in --token-file.\n"
         "Exit codes: 0 ok, 1 failed answer, 2 usage or invalid input, 3 refused and nothing "
         "ran,\n4 outcome unknown, 5 no entry could be reached. See docs/operations.md.");
     add_common_options();
@@ -62,9 +63,10 @@
 {
     app_.add_option("--entry", entries_,
                     "Address ip:port of an entry; several are tried in turn. The callers' port for "
-                    "submit, status and cancel, else the operators' port.")
+                    "submit, status, cancel and load, else the operators' port.")
         ->allow_extra_args(false);
-    app_.add_option("--token-file", token_file_, "File with the bearer token.");
+    app_.add_option("--token-file", token_file_,
+                    "File with the bearer token; overrides CAROBFALL_TOKEN.");
     app_.add_option("--output", output_, "text or json")->check(CLI::IsMember({"text", "json"}));
 }
 
@@ -98,14 +100,16 @@
     submit_app->add_option("--parameter", submit_.parameters, "NAME=VALUE; may be repeated.")
         ->allow_extra_args(false);
     submit_app->add_option("--deadline", submit_.deadline_seconds, "Seconds from now.")
-        ->check(CLI::PositiveNumber);
+        ->check(CLI::PositiveNumber)
+        ->capture_default_str();
     submit_app->add_flag("--wait,!--no-wait", submit_.wait, "Wait for the answer (default).");
     add_caller_command(submit_app, [this](command_context& context) {
         return submit(context, submit_, absl::Now, sleep_for);
     });
     for (const auto& [name, method] : {std::pair{"status", "GET"}, {"cancel", "DELETE"}}) {
         CLI::App* command = app_.add_subcommand(
-            name, std::string(method) == "GET" ? "Prints state and answer." : "Cancels.");
+            name, std::string(method) == "GET" ? "Prints the state and the answer of a submission."
+                                               : "Cancels a submission.");
         command->add_option("id", submit_.submission_id, "Submission id.")
             ->required()
             ->check(check_name);
@@ -135,12 +139,12 @@
     CLI::App* apply = add_operator_command(
         group, "apply", "Declares the documents of the files, all or none.",
         [this](auto& commands) { return commands.apply(files_, dry_run_, false); });
-    apply->add_flag("--dry-run", dry_run_, "Report what would change.");
+    apply->add_flag("--dry-run", dry_run_, "Report what would change; change nothing.");
     CLI::App* diff =
         add_operator_command(group, "diff", "Prints the lines that an apply would change.",
                              [this](auto& commands) { return commands.apply(files_, true, true); });
     CLI::App* validate = add_operator_command(
-        group, "validate", "Checks files at an entry without a change.",
+        group, "validate", "Has an entry check the files; changes nothing.",
         [this](auto& commands) { return commands.apply(files_, true, false); });
     for (CLI::App* command : {apply, diff, validate}) {
         command->add_option("files", files_, "YAML files.")->required();
@@ -152,7 +156,7 @@
         ->check(check_template_name);
     add_operator_command(group, "list", "Lists templates.",
                          [this](auto& commands) { return commands.list_templates(first_name_); })
-        ->add_option("account", first_name_, "Only of this client account.")
+        ->add_option("account", first_name_, "Only those of this client account.")
         ->check(check_name);
 }
 
@@ -164,7 +168,8 @@
     entries.require_subcommand(1);
     for (const bool out : {true, false}) {
         add_operator_command(
-            centres, out ? "out" : "in", out ? "Takes it out of service." : "Takes it back in.",
+            centres, out ? "out" : "in",
+            out ? "Takes a data centre out of service." : "Takes a data centre back into service.",
             [this, out](auto& commands) { return commands.set_data_centre(first_name_, out); })
             ->add_option("name", first_name_, "Data centre.")
             ->required()
@@ -176,13 +181,14 @@
         ->add_option("name", first_name_, "Entry instance.")
         ->required()
         ->check(check_name);
-    add_operator_command(app_, "retry-now", "Tries backed-off backend servers at once.",
+    add_operator_command(app_, "retry-now",
+                         "Ends the backoff of backend servers, so that they are tried at once.",
                          [this](auto& commands) { return commands.retry_now(first_name_); })
-        ->add_option("agent", first_name_, "Only this agent.")
+        ->add_option("agent", first_name_, "Only the backend server of this agent.")
         ->check(check_name);
     add_operator_command(centres, "list", "Lists data centres.",
                          [](auto& commands) { return commands.list_data_centres(); });
-    add_operator_command(entries, "list", "Prints the view of the entry instances.",
+    add_operator_command(entries, "list", "Prints the region's view: its entry instances.",
                          [](auto& commands) { return commands.list_entries(); });
 }
 
@@ -203,7 +209,8 @@
     command->add_option("workload", load_.workload_file, "YAML file; see examples/workloads.")
         ->required();
     command->add_option("--threads", load_.threads, "Most submissions that wait at once.")
-        ->check(CLI::Range(std::size_t{1}, max_load_threads));
+        ->check(CLI::Range(std::size_t{1}, max_load_threads))
+        ->capture_default_str();
     command->add_option("--plot", load_.plot_file, "SVG file with the distribution.");
     command->add_option("--operator-entry", load_.operator_entry,
                         "Operators' address that gives the data centres of the agents.");
@@ -230,6 +237,10 @@
     if (!token_file_.empty()) {
         std::ifstream file(token_file_);
         text.assign(std::istreambuf_iterator<char>(file), {});
+        if (!file) {
+            return failure(error_kind::invalid_request, "can't read the token file " + token_file_,
+                           "check the path and the permissions");
+        }
     } else if (const char* variable = std::getenv(token_variable)) {
         text = variable;
     }
--- a/src/tools/carobfall/command_line.h
+++ b/src/tools/carobfall/command_line.h
@@ -46,7 +46,6 @@
     submit_options submit_;
     load_options load_;
     std::string first_name_;
-    std::string second_name_;
     std::vector<std::string> files_;
     bool dry_run_{false};
     std::string default_entry_;
