--- a/tests/auto/agent/fake_entry.h
+++ b/tests/auto/agent/fake_entry.h
@@ -1,16 +1,15 @@
 #pragma once
 
+#include "../support/wait.h"
 #include "carobfall/rpc/carobfall.grpc.pb.h"
 
 #include <grpcpp/grpcpp.h>
 
-#include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
 #include <string>
-#include <thread>
 
 namespace carobfall {
 
@@ -58,19 +57,13 @@
         return grpc::Status::OK;
     }
 
-    /// False if the condition, evaluated under the lock, doesn't become true in 10 s.
+    /// Waits until the condition, evaluated under the lock, holds.
     bool wait_until(const std::function<bool()>& condition)
     {
-        for (int i = 0; i < 2000; ++i) {
-            {
-                const std::lock_guard lock(mutex);
-                if (condition()) {
-                    return true;
-                }
-            }
-            std::this_thread::sleep_for(std::chrono::milliseconds(5));
-        }
-        return false;
+        return testing::becomes_true([&] {
+            const std::lock_guard lock(mutex);
+            return condition();
+        });
     }
 
     std::mutex mutex;
--- a/tests/auto/agent/tst_agent_daemon.cpp
+++ b/tests/auto/agent/tst_agent_daemon.cpp
@@ -12,9 +12,9 @@
 #include <algorithm>
 #include <mutex>
 #include <optional>
-#include <thread>
 
 using namespace carobfall;
+using carobfall::testing::becomes_true;
 
 namespace {
 
@@ -22,16 +22,16 @@
 struct agent_environment {
     explicit agent_environment(std::uint32_t run_ms)
     {
-        agent_settings settings;
-        settings.name = "worker-1";
-        settings.region = "khomas";
-        settings.data_centre = "windhoek";
-        settings.rack = "r1";
-        settings.rpc_address = "127.0.0.1:0";
-        settings.announce_address = "127.0.0.1:0";
-        settings.operator_address = "127.0.0.1:0";
-        settings.entry_addresses = {entry.address};
-        settings.heartbeat = absl::Milliseconds(50);
+        const agent_settings settings{.name = "worker-1",
+                                      .region = "khomas",
+                                      .data_centre = "windhoek",
+                                      .rack = "r1",
+                                      .rpc_address = "127.0.0.1:0",
+                                      .announce_address = "127.0.0.1:0",
+                                      .operator_address = "127.0.0.1:0",
+                                      .entry_addresses = {entry.address},
+                                      .heartbeat = absl::Milliseconds(50),
+                                      .ledger = {}};
         daemon.emplace(
             settings, agent_limits{},
             [](const std::string& address) { return std::make_unique<grpc_entry_link>(address); },
@@ -45,22 +45,16 @@
         REQUIRE(backend->start());
         // The heartbeat is sent before its reply grants the lease.
         REQUIRE(entry.wait_until([this] { return entry.last_beat.backend_available(); }));
-        wait_until_ready();
+        REQUIRE(becomes_true([this] { return is_ready(); }));
         stub = rpc::agent_service::NewStub(grpc::CreateChannel(
             absl::StrCat("127.0.0.1:", daemon->grpc_port()), grpc::InsecureChannelCredentials()));
     }
 
-    void wait_until_ready()
+    bool is_ready()
     {
-        httplib::Client client("127.0.0.1", daemon->operator_port());
-        for (int i = 0; i < 1000; ++i) {
-            const httplib::Result reply = client.Get("/readyz");
-            if (reply && reply->status == 200) {
-                return;
-            }
-            std::this_thread::sleep_for(std::chrono::milliseconds(10));
-        }
-        FAIL("the agent did not become ready");
+        const httplib::Result reply =
+            httplib::Client("127.0.0.1", daemon->operator_port()).Get("/readyz");
+        return reply && reply->status == 200;
     }
 
     rpc::start_reply start(std::uint32_t tasks)
@@ -126,9 +120,7 @@
 {
     agent_environment e(500);
     e.start(6);
-    while (e.starts() < 2) {
-        std::this_thread::sleep_for(std::chrono::milliseconds(5));
-    }
+    REQUIRE(becomes_true([&] { return e.starts() == 2; }));
     e.daemon->drain();
     const std::lock_guard lock(e.entry.mutex);
     CHECK(e.entry.reports.size() == 6);
@@ -149,9 +141,7 @@
 {
     agent_environment e(300);
     e.start(6);
-    while (e.starts() < 2) {
-        std::this_thread::sleep_for(std::chrono::milliseconds(5));
-    }
+    REQUIRE(becomes_true([&] { return e.starts() == 2; }));
     e.backend->leave();
     REQUIRE(e.entry.wait_until([&] { return e.entry.reports.size() == 6; }));
     CHECK(e.starts() == 2);
--- a/tests/auto/agent/tst_entry_session.cpp
+++ b/tests/auto/agent/tst_entry_session.cpp
@@ -1,6 +1,6 @@
+#include "../support/wait.h"
 #include "carobfall/agent/entry_session_set.h"
 
-#include <absl/time/clock.h>
 #include <doctest/doctest.h>
 #include <doctest/trompeloeil.hpp>
 
@@ -96,11 +96,7 @@
     session.post(expired);
     session.post(report_to("a", 1));
     REQUIRE(is_set(delivered));
-    const absl::Time limit = absl::Now() + time_limit;
-    while (session.pending_reports() > 0 && absl::Now() < limit) {
-        absl::SleepFor(absl::Milliseconds(1));
-    }
-    CHECK(session.pending_reports() == 0);
+    CHECK(testing::becomes_true([&] { return session.pending_reports() == 0; }));
 }
 
 // Guards against an agent that an entry has forgotten and that never gets a lease again.
@@ -178,11 +174,8 @@
     CHECK(sessions.adopt_view(view_of(3, {"b", "c"})));
     CHECK(addresses_of(sessions) == "b c seed ");
     sessions.post(report_to("d", 1));
-    sessions.collect(monotonic_now() + absl::Minutes(1));
-    const absl::Time limit = absl::Now() + time_limit;
-    while (sessions.states().size() > 3 && absl::Now() < limit) {
+    CHECK(testing::becomes_true([&] {
         sessions.collect(monotonic_now() + absl::Minutes(1));
-        absl::SleepFor(absl::Milliseconds(1));
-    }
-    CHECK(addresses_of(sessions) == "b c seed ");
+        return addresses_of(sessions) == "b c seed ";
+    }));
 }
--- a/tests/auto/agent/tst_task_ledger_fuzz.cpp
+++ b/tests/auto/agent/tst_task_ledger_fuzz.cpp
@@ -1,16 +1,17 @@
+#include "../support/fuzz.h"
 #include "ledger_fixture.h"
 
-#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
-#include <cstdlib>
+#include <functional>
 #include <map>
 #include <utility>
 #include <vector>
 
 using namespace carobfall;
+using carobfall::testing::fuzz_runs;
 
 namespace {
 
@@ -18,136 +19,55 @@
 constexpr int max_commands = 200;
 constexpr std::uint64_t seeds[] = {1, 2, 3, 4};
 
-enum class command_kind {
-    start,
-    duplicate,
-    stale_start,
-    revoke,
-    take,
-    take_after_pause,
-    finish,
-    unsent,
-    renew,
-    pass_time,
-    lapse,
-    long_pause,
-    fence,
-    data_centre_out,
-    data_centre_in,
-    backend_leave,
-    backend_return,
-    begin_leaving,
-    sweep,
-    expire,
-    count_
-};
-
 struct command {
-    command_kind kind;
+    std::size_t kind; ///< row of `machine::steps`
     std::uint32_t task;
     std::uint32_t attempt;
     std::uint32_t amount;
 };
 
-std::ostream& operator<<(std::ostream& stream, const command& c)
-{
-    return stream << static_cast<int>(c.kind) << "(" << c.task << "," << c.attempt << ","
-                  << c.amount << ")";
-}
-
-rc::Gen<command> any_command()
-{
-    const auto kinds = static_cast<int>(command_kind::count_);
-    return rc::gen::map(
-        rc::gen::tuple(rc::gen::inRange(0, kinds * 4), rc::gen::inRange(0U, 6U),
-                       rc::gen::inRange(1U, 5U), rc::gen::inRange(0U, 1000U)),
-        [kinds](const std::tuple<int, std::uint32_t, std::uint32_t, std::uint32_t>& drawn) {
-            // Half of the commands are starts and takes; leaving for good is rare.
-            int kind = std::get<0>(drawn);
-            if (kind >= kinds * 2) {
-                kind = kind % 2 == 0 ? static_cast<int>(command_kind::start)
-                                     : static_cast<int>(command_kind::take);
-            }
-            auto chosen = static_cast<command_kind>(kind % kinds);
-            if (chosen == command_kind::begin_leaving && std::get<3>(drawn) > 50) {
-                chosen = command_kind::renew;
-            }
-            return command{chosen, std::get<1>(drawn), std::get<2>(drawn), std::get<3>(drawn)};
-        });
-}
-
 /// Oracle: it keeps the starts of each task, what the ledger has promised not to run, and the
 /// conditions for a start.
 class machine {
 public:
-    void execute(const command& c)
+    struct step {
+        const char* name;
+        std::function<void(machine&, const command&)> run;
+    };
+
+    static const std::vector<step>& steps()
     {
-        switch (c.kind) {
-        case command_kind::start:
-            send(f.request(c.task / 2, c.attempt, submission(c)));
-            break;
-        case command_kind::duplicate:
-            repeat(c);
-            break;
-        case command_kind::stale_start:
-            send_stale(c);
-            break;
-        case command_kind::revoke:
-            revoke(c);
-            break;
-        case command_kind::take:
-            take(absl::ZeroDuration());
-            break;
-        case command_kind::take_after_pause:
-            take(absl::Milliseconds(c.amount * 5));
-            break;
-        case command_kind::finish:
-            end_task(c, true);
-            break;
-        case command_kind::unsent:
-            end_task(c, false);
-            break;
-        case command_kind::renew:
-            renew();
-            break;
-        case command_kind::pass_time:
-            f.now += absl::Milliseconds(c.amount);
-            break;
-        case command_kind::lapse:
-            f.now += absl::Seconds(2);
-            break;
-        case command_kind::long_pause:
-            long_pause(c);
-            break;
-        case command_kind::fence:
-            f.fence(f.view += c.amount % 2);
-            break;
-        case command_kind::data_centre_out:
-            set_out(true);
-            break;
-        case command_kind::data_centre_in:
-            set_out(false);
-            break;
-        case command_kind::backend_leave:
-            f.ledger.remove_backend();
-            backend_until = f.now;
-            break;
-        case command_kind::backend_return:
-            backend_return(c);
-            break;
-        case command_kind::begin_leaving:
-            f.ledger.begin_leaving();
-            leaving = true;
-            break;
-        case command_kind::sweep:
-            sweep();
-            break;
-        case command_kind::expire:
-            f.ledger.expire(f.now);
-            break;
-        case command_kind::count_:
-            break;
-        }
+        using m = machine;
+        using c = const command;
+        static const std::vector<step> table{
+            {"start",
+             [](m& t, c& d) { t.send(t.f.request(d.task / 2, d.attempt, submission(d))); }},
+            {"duplicate", &m::repeat},
+            {"stale_start", &m::send_stale},
+            {"revoke", &m::revoke},
+            {"take", [](m& t, c&) { t.take(absl::ZeroDuration()); }},
+            {"take_after_pause", [](m& t, c& d) { t.take(absl::Milliseconds(d.amount * 5)); }},
+            {"finish", [](m& t, c& d) { t.end_task(d, true); }},
+            {"unsent", [](m& t, c& d) { t.end_task(d, false); }},
+            {"renew", [](m& t, c&) { t.renew(); }},
+            {"pass_time", [](m& t, c& d) { t.f.now += absl::Milliseconds(d.amount); }},
+            {"lapse", [](m& t, c&) { t.f.now += absl::Seconds(2); }},
+            {"long_pause", &m::long_pause},
+            {"fence", [](m& t, c& d) { t.f.fence(t.f.view += d.amount % 2); }},
+            {"data_centre_out", [](m& t, c&) { t.set_out(true); }},
+            {"data_centre_in", [](m& t, c&) { t.set_out(false); }},
+            {"backend_leave", [](m& t, c&) { t.backend_leave(); }},
+            {"backend_return", &m::backend_return},
+            {"begin_leaving", &m::begin_leaving},
+            {"sweep", [](m& t, c&) { t.sweep(); }},
+            {"expire", [](m& t, c&) { t.f.ledger.expire(t.f.now); }},
+        };
+        return table;
+    }
+
+    void execute(const command& drawn)
+    {
+        steps()[drawn.kind].run(*this, drawn);
         check_load();
     }
 
@@ -170,6 +90,22 @@
         lease_until = f.now + absl::Seconds(2);
     }
 
+    void backend_leave()
+    {
+        f.ledger.remove_backend();
+        backend_until = f.now;
+    }
+
+    /// Leaving is for good, and therefore rare.
+    void begin_leaving(const command& c)
+    {
+        if (c.amount > 50) {
+            return renew();
+        }
+        f.ledger.begin_leaving();
+        leaving = true;
+    }
+
     void backend_return(const command& c)
     {
         backend_until = f.now + absl::Milliseconds(c.amount * 10);
@@ -289,11 +225,26 @@
     std::vector<std::pair<task_key, std::uint32_t>> running;
 };
 
-int runs()
+std::ostream& operator<<(std::ostream& stream, const command& c)
 {
-    const char* text = std::getenv("CAROBFALL_FUZZ_RUNS");
-    int count = default_runs;
-    return text != nullptr && absl::SimpleAtoi(text, &count) ? count : default_runs;
+    return stream << machine::steps()[c.kind].name << "(" << c.task << "," << c.attempt << ","
+                  << c.amount << ")";
+}
+
+/// Half of the commands are starts and takes.
+rc::Gen<command> any_command()
+{
+    constexpr std::size_t start = 0;
+    constexpr std::size_t take = 4;
+    const std::size_t kinds = machine::steps().size();
+    return rc::gen::map(
+        rc::gen::tuple(rc::gen::inRange<std::size_t>(0, kinds * 4), rc::gen::inRange(0U, 6U),
+                       rc::gen::inRange(1U, 5U), rc::gen::inRange(0U, 1000U)),
+        [kinds](const std::tuple<std::size_t, std::uint32_t, std::uint32_t, std::uint32_t>& drawn) {
+            const auto [kind, task, attempt, amount] = drawn;
+            const std::size_t frequent = kind % 2 == 0 ? start : take;
+            return command{kind >= kinds * 2 ? frequent : kind % kinds, task, attempt, amount};
+        });
 }
 
 } // namespace
@@ -313,7 +264,7 @@
     for (const std::uint64_t seed : seeds) {
         rc::detail::TestParams params;
         params.seed = seed;
-        params.maxSuccess = runs();
+        params.maxSuccess = fuzz_runs(default_runs);
         const rc::detail::TestResult outcome =
             rc::detail::checkTestable(property, rc::detail::TestMetadata(), params);
         std::ostringstream text;
--- a/tests/auto/caller/caller_fixture.h
+++ b/tests/auto/caller/caller_fixture.h
@@ -97,6 +97,11 @@
         return connection;
     }
 
+    [[nodiscard]] httplib::Result submit() const
+    {
+        return client().Post(path, example_body().dump(), "application/json");
+    }
+
     mock_submission_service service;
     mock_configuration_source source;
     configuration_ptr declared{std::make_shared<configuration>(example_configuration())};
--- a/tests/auto/caller/tst_caller_server.cpp
+++ b/tests/auto/caller/tst_caller_server.cpp
@@ -1,7 +1,7 @@
+#include "../support/wait.h"
 #include "caller_fixture.h"
 
 #include <absl/synchronization/notification.h>
-#include <absl/time/clock.h>
 
 #include <thread>
 
@@ -11,11 +11,6 @@
 
 namespace {
 
-std::string body_text()
-{
-    return example_body().dump();
-}
-
 // Holds submissions until released. Not an expectation of the mock, because the mock library holds
 // a global lock while an expectation's side effects run.
 class holding_service : public mock_submission_service {
@@ -32,11 +27,7 @@
     }
     [[nodiscard]] bool reached(int count) const
     {
-        const absl::Time limit = absl::Now() + absl::Seconds(10);
-        while (inside < count && absl::Now() < limit) {
-            std::this_thread::sleep_for(std::chrono::milliseconds(1));
-        }
-        return inside == count;
+        return testing::becomes_true([&] { return inside == count; });
     }
 
     absl::Notification release;
@@ -54,8 +45,8 @@
         .LR_SIDE_EFFECT(seen = _1)
         .RETURN(example_answer(rpc::submission_complete));
 
-    const auto response =
-        fixture.client().Post(path, {{"X-Request-Id", "r-1"}}, body_text(), "application/json");
+    const auto response = fixture.client().Post(path, {{"X-Request-Id", "r-1"}},
+                                                example_body().dump(), "application/json");
     REQUIRE(response);
     CHECK(response->status == 200);
     CHECK(response->get_header_value("X-Request-Id") == "r-1");
@@ -81,7 +72,7 @@
     httplib::Client client("127.0.0.1", fixture.server.port());
     const auto ask = [&](const char* where, const char* bearer) {
         const httplib::Headers headers{{"Authorization", bearer}, {"X-Request-Id", "r"}};
-        const auto posted = client.Post(where, headers, body_text(), "application/json");
+        const auto posted = client.Post(where, headers, example_body().dump(), "application/json");
         const auto read = client.Get(where, headers);
         const auto cancelled = client.Delete(where, headers);
         REQUIRE((posted && read && cancelled));
@@ -196,12 +187,12 @@
     std::atomic<int> complete{0};
     for (int i = 0; i < max_waiting; ++i) {
         callers.emplace_back([&] {
-            const auto response = fixture.client().Post(path, body_text(), "application/json");
+            const auto response = fixture.submit();
             complete += static_cast<int>(response && response->status == 200);
         });
     }
     CHECK(service.reached(max_waiting));
-    const auto refused = fixture.client().Post(path, body_text(), "application/json");
+    const auto refused = fixture.submit();
     CHECK(error_kind_in(refused->body) == "overloaded");
     CHECK(fixture.client().Delete(path)->status == 202);
     service.release.Notify();
@@ -225,11 +216,10 @@
     holding_service service;
     caller_fixture fixture({.http = {.threads = 8}, .max_waiting = 4}, &service);
     int status = 0;
-    std::thread caller(
-        [&] { status = fixture.client().Post(path, body_text(), "application/json")->status; });
+    std::thread caller([&] { status = fixture.submit()->status; });
     CHECK(service.reached(1));
     fixture.server.begin_shutdown();
-    const auto refused = fixture.client().Post(path, body_text(), "application/json");
+    const auto refused = fixture.submit();
     CHECK(error_kind_in(refused->body) == "shutting_down");
     std::thread stopper([&] { fixture.server.stop(); });
     service.release.Notify();
--- a/tests/auto/dispatch/fakes.cpp
+++ b/tests/auto/dispatch/fakes.cpp
@@ -1,5 +1,6 @@
 #include "fakes.h"
 
+#include "../support/wait.h"
 #include "carobfall/entry/rendezvous.h"
 
 namespace carobfall::testing {
@@ -285,17 +286,13 @@
 
 bool dispatch_fixture::wait_for_open(std::uint32_t open)
 {
-    for (int i = 0; i < 400; ++i) {
+    return becomes_true([&] {
         std::uint32_t outstanding = 0;
         for (const agent_state& agent : registry.agents()) {
             outstanding += agent.outstanding;
         }
-        if (outstanding == open) {
-            return true;
-        }
-        absl::SleepFor(absl::Milliseconds(5));
-    }
-    return false;
+        return outstanding == open;
+    });
 }
 
 } // namespace carobfall::testing
--- a/tests/auto/dispatch/tst_coordinator.cpp
+++ b/tests/auto/dispatch/tst_coordinator.cpp
@@ -18,6 +18,13 @@
     return answer.error().kind;
 }
 
+rpc::forward_reply complete_reply()
+{
+    rpc::forward_reply reply;
+    reply.mutable_answer()->set_state(rpc::submission_complete);
+    return reply;
+}
+
 // A refusal before anything was claimed: nothing has run.
 void check_refused(const result<rpc::submission_answer>& answer, std::string_view kind)
 {
@@ -127,55 +134,36 @@
     dispatch_fixture fixture;
     fake_agent& agent = fixture.add_agent("a1");
     rpc::submission_request request = fixture.request(9);
-    SUBCASE("template")
-    {
-        request.set_template_name("none");
-        check_refused(fixture.submit(request), "not_found");
-    }
-    SUBCASE("deadline too far ahead")
-    {
-        request = fixture.request(9, absl::Minutes(2));
-        check_refused(fixture.submit(request), "invalid_request");
-    }
-    SUBCASE("requirements")
-    {
-        fixture.source.change_template(
-            [](dispatch_template& declaration) { declaration.requirements.accelerators = 1; });
-        check_refused(fixture.submit(request), "infeasible");
-    }
-    SUBCASE("data centre of the template")
-    {
-        fixture.source.change_template(
-            [](dispatch_template& declaration) { declaration.data_centres = {"guro"}; });
-        check_refused(fixture.submit(request), "infeasible");
-    }
-    SUBCASE("data centre out")
-    {
-        fixture.source.change([](configuration& next) { next.data_centres_out.insert("mapo"); });
-        check_refused(fixture.submit(request), "unavailable");
-    }
-    SUBCASE("queue of the account")
-    {
-        fixture.source.change(
-            [](configuration& next) { next.accounts.at("dambi").limits.queued_tasks = 8; });
-        check_refused(fixture.submit(request), "limit_exceeded");
-    }
-    SUBCASE("estimate against the deadline")
-    {
-        fixture.source.change_template([](dispatch_template& declaration) {
-            declaration.expected_run = absl::Milliseconds(1500);
-        });
-        check_refused(fixture.submit(request), "overloaded");
-    }
-    SUBCASE("configuration not fresh")
-    {
-        fixture.source.set_fresh_for(absl::ZeroDuration());
-        check_refused(fixture.submit(request), "stale_configuration");
-    }
-    SUBCASE("shutdown")
-    {
-        fixture.service().begin_shutdown();
-        check_refused(fixture.submit(request), "shutting_down");
+    fake_configuration& source = fixture.source;
+    using declaration = dispatch_template;
+    const std::vector<std::pair<const char*, std::function<void()>>> cases{
+        {"not_found", [&] { request.set_template_name("none"); }},
+        {"invalid_request", [&] { request = fixture.request(9, absl::Minutes(2)); }},
+        {"infeasible",
+         [&] { source.change_template([](declaration& d) { d.requirements.accelerators = 1; }); }},
+        {"infeasible",
+         [&] { source.change_template([](declaration& d) { d.data_centres = {"guro"}; }); }},
+        {"unavailable",
+         [&] { source.change([](configuration& c) { c.data_centres_out.insert("mapo"); }); }},
+        {"limit_exceeded",
+         [&] {
+             source.change([](configuration& c) { c.accounts["dambi"].limits.queued_tasks = 8; });
+         }},
+        // The estimate exceeds the deadline.
+        {"overloaded",
+         [&] {
+             source.change_template(
+                 [](declaration& d) { d.expected_run = absl::Milliseconds(1500); });
+         }},
+        {"stale_configuration", [&] { source.set_fresh_for(absl::ZeroDuration()); }},
+        {"shutting_down", [&] { fixture.service().begin_shutdown(); }},
+    };
+    for (std::size_t i = 0; i < cases.size(); ++i) {
+        SUBCASE(std::to_string(i).c_str())
+        {
+            cases[i].second();
+            check_refused(fixture.submit(request), cases[i].first);
+        }
     }
     CHECK(agent.starts() == 0);
     CHECK(fixture.service().running_jobs() == 0);
@@ -207,9 +195,7 @@
         other.on_forward = [&](const rpc::forward_request& forwarded) {
             ++calls;
             CHECK(forwarded.view_number() == 2);
-            rpc::forward_reply reply;
-            reply.mutable_answer()->set_state(rpc::submission_complete);
-            return reply;
+            return complete_reply();
         };
         CHECK(fixture.submit(request).value().state() == rpc::submission_complete);
         CHECK(calls == 1);
@@ -282,11 +268,7 @@
     claim.set_deadline_unix_ms(request.deadline_unix_ms());
     *claim.mutable_coordinator() = entry_named("e2", "guro");
     fixture.claims.put(claim);
-    other.on_forward = [&](const rpc::forward_request&) {
-        rpc::forward_reply reply;
-        reply.mutable_answer()->set_state(rpc::submission_complete);
-        return reply;
-    };
+    other.on_forward = [&](const rpc::forward_request&) { return complete_reply(); };
     CHECK(fixture.submit(request).value().state() == rpc::submission_complete);
     CHECK(agent.starts() == 0);
 }
--- a/tests/auto/entry/region_simulation.cpp
+++ b/tests/auto/entry/region_simulation.cpp
@@ -172,7 +172,7 @@
     configuration_keeper_hooks keeper;
     keeper.read_changes =
         [&region](std::uint64_t version) -> result<rpc::push_configuration_request> {
-        if (region.table.outage) {
+        if (region.table.outage()) {
             return failure(error_kind::unavailable, "outage", "wait");
         }
         rpc::push_configuration_request push;
--- a/tests/auto/entry/region_simulation.h
+++ b/tests/auto/entry/region_simulation.h
@@ -1,11 +1,11 @@
 #pragma once
 
+#include "../support/fake_table_service.h"
 #include "carobfall/entry/agent_membership_table.h"
 #include "carobfall/entry/claim_acceptance.h"
 #include "carobfall/entry/claim_transfer.h"
 #include "carobfall/entry/configuration_keeper.h"
 #include "carobfall/entry/membership.h"
-#include "fake_table.h"
 
 #include <map>
 #include <memory>
@@ -47,7 +47,7 @@
     region_simulation(int entries, int agents);
 
     absl::Time now{absl::FromUnixSeconds(1'000'000)};
-    fake_table table;
+    testing::fake_table_service table;
     std::uint64_t store_version{1};
     std::vector<std::unique_ptr<simulated_entry>> entries; ///< null while dead
     std::vector<simulated_agent> agents;
--- a/tests/auto/entry/tst_agent_membership_table.cpp
+++ b/tests/auto/entry/tst_agent_membership_table.cpp
@@ -1,16 +1,16 @@
+#include "../support/fake_table_service.h"
 #include "carobfall/entry/agent_membership_table.h"
 #include "carobfall/entry/claim_store.h"
-#include "fake_table.h"
 
 #include <doctest/doctest.h>
 
 using namespace carobfall;
-using namespace carobfall::test;
+using namespace carobfall::testing;
 
 namespace {
 
 struct table_fixture {
-    fake_table table;
+    fake_table_service table;
     std::uint64_t view_number{1};
     absl::Time now{absl::FromUnixSeconds(1'000'000)};
 
@@ -47,12 +47,12 @@
 TEST_CASE_FIXTURE(table_fixture, "a join is durable and then answered from memory")
 {
     agent_membership_table entry = this->entry();
-    table.outage = true;
+    table.set_outage(true);
     CHECK(entry.record_join(agent("1"), now).error().kind == error_kind::unavailable);
-    table.outage = false;
-    table.lost_answers = 1;
+    table.set_outage(false);
+    table.lose_answers(1);
     CHECK(entry.record_join(agent("1"), now));
-    table.outage = true;
+    table.set_outage(true);
     CHECK(entry.record_join(agent("1"), now));
 }
 
--- a/tests/auto/entry/tst_configuration_keeper.cpp
+++ b/tests/auto/entry/tst_configuration_keeper.cpp
@@ -34,7 +34,7 @@
 {
     region_simulation region(3, 0);
     region.run(10);
-    region.table.outage = true;
+    region.table.set_outage(true);
     region.cut(0, 1);
     region.cut(0, 2);
     region.run(8);
@@ -48,7 +48,7 @@
 {
     region_simulation region(3, 0);
     region.run(10);
-    region.table.outage = true;
+    region.table.set_outage(true);
     region.run(1);
     region.at(0).keeper->receive(push_of(2, 2));
     region.at(1).keeper->receive(push_of(2, 2));
@@ -70,7 +70,7 @@
     activate.mutable_proposal()->mutable_view()->set_number(9);
     region.at(0).members->activate(activate, region.now);
     region.at(1).members->activate(activate, region.now);
-    region.table.outage = true;
+    region.table.set_outage(true);
     region.run(8);
     CHECK_FALSE(is_fresh(region, 0));
     CHECK(region.at(1).keeper->reported_version() == unconfirmed_version);
--- a/tests/auto/entry/tst_entry_server.cpp
+++ b/tests/auto/entry/tst_entry_server.cpp
@@ -1,48 +1,27 @@
+#include "../support/fake_table_service.h"
+#include "../support/wait.h"
 #include "carobfall/entry/agent_membership_table.h"
 #include "carobfall/entry/connection_probe.h"
 #include "carobfall/entry/entry_server.h"
 #include "carobfall/entry/entry_threads.h"
 #include "carobfall/entry/grpc_entry_channel.h"
-#include "fake_table.h"
 
 #include <absl/strings/str_cat.h>
 #include <absl/synchronization/notification.h>
-#include <absl/time/clock.h>
 #include <doctest/doctest.h>
 
+#include <unistd.h>
+
 #include <atomic>
 #include <thread>
 
 using namespace carobfall;
-using namespace carobfall::test;
+using namespace carobfall::testing;
 
 namespace {
 
 constexpr absl::Duration call_limit = absl::Seconds(5);
 
-class locked_table : public table_service {
-public:
-    result<std::optional<table_row>> read(std::string_view key) override
-    {
-        const absl::MutexLock lock(&mutex_);
-        return table_.read(key);
-    }
-    result<std::vector<table_row>> scan(std::string_view prefix) override
-    {
-        const absl::MutexLock lock(&mutex_);
-        return table_.scan(prefix);
-    }
-    result<void> commit(const table_transaction& transaction) override
-    {
-        const absl::MutexLock lock(&mutex_);
-        return table_.commit(transaction);
-    }
-
-private:
-    absl::Mutex mutex_;
-    fake_table table_;
-};
-
 class silent_agents : public agent_events {
 public:
     rpc::register_reply on_register(const rpc::register_request&, absl::Time) override
@@ -97,7 +76,8 @@
 
 int free_port()
 {
-    static int next = 47310;
+    // Runs of this program at the same time begin at different ports.
+    static int next = 20'000 + getpid() % 10'000;
     while (!connection_refused(absl::StrCat("127.0.0.1:", next), absl::Seconds(1))) {
         ++next;
     }
@@ -183,24 +163,11 @@
     std::unique_ptr<entry_threads> threads_;
 };
 
-template <typename Predicate>
-bool becomes_true(const Predicate& predicate)
-{
-    const absl::Time end = monotonic_now() + absl::Seconds(20);
-    while (monotonic_now() < end) {
-        if (predicate()) {
-            return true;
-        }
-        absl::SleepFor(absl::Milliseconds(20));
-    }
-    return false;
-}
-
 } // namespace
 
 TEST_CASE("entries on loopback agree on a view, and one that leaves or dies is removed")
 {
-    locked_table table;
+    fake_table_service table;
     loopback_entry first(table, "first");
     loopback_entry second(table, "second");
     auto third = std::make_unique<loopback_entry>(table, "third");
@@ -214,7 +181,7 @@
 
 TEST_CASE("errors keep their kind on the way, and only requests that were not sent are unavailable")
 {
-    locked_table table;
+    fake_table_service table;
     loopback_entry entry(table, "only");
     const auto channel = entry.channels()(entry.self());
     rpc::status_request status;
@@ -245,7 +212,7 @@
 // Guards against heartbeats that wait behind forwarded submissions, which would remove the entry.
 TEST_CASE("blocked forwards are bounded and don't delay heartbeats")
 {
-    locked_table table;
+    fake_table_service table;
     loopback_entry entry(table, "only");
     const auto channel = entry.channels()(entry.self());
     std::vector<std::thread> callers;
--- a/tests/auto/entry/tst_membership.cpp
+++ b/tests/auto/entry/tst_membership.cpp
@@ -13,7 +13,7 @@
     CHECK(region.view_at(0).usable());
     CHECK(region.view_at(0).complete);
     region.step(0);
-    region.table.outage = true;
+    region.table.set_outage(true);
     region.run(20);
     CHECK(region.view_at(0).usable());
     CHECK(region.at(0).keeper->fresh_for(region.now) > absl::ZeroDuration());
@@ -23,7 +23,7 @@
 TEST_CASE("a lost answer to the first view is resolved by reading the row")
 {
     region_simulation region(2, 0);
-    region.table.lost_answers = 1;
+    region.table.lose_answers(1);
     region.run(8);
     for (int i = 0; i < 2; ++i) {
         CHECK(region.view_at(i).usable());
@@ -129,8 +129,8 @@
     region.hosts_refuse = false;
     region.kill(2);
     region.run(6);
-    region.table.lost_answers = 1; // the proposer learns nothing and dies
-    while (region.table.lost_answers > 0) {
+    region.table.lose_answers(1); // the proposer learns nothing and dies
+    while (region.table.answers_to_lose() > 0) {
         region.step(0);
         region.now += absl::Milliseconds(500);
     }
@@ -160,7 +160,7 @@
     rpc::activate_view_request activate;
     *activate.mutable_proposal() = prepare.proposal();
     region.at(1).members->activate(activate, region.now);
-    region.table.outage = true;
+    region.table.set_outage(true);
     region.run(2);
     CHECK_FALSE(region.view_at(0).in_transition);
     CHECK(region.view_at(0).view.number() == 9);
@@ -182,7 +182,7 @@
 {
     region_simulation region(2, 0);
     region.run(8);
-    region.table.outage = true;
+    region.table.set_outage(true);
     const auto outcome = region.at(1).members->leave(region.now);
     REQUIRE_FALSE(outcome);
     CHECK(outcome.error().kind == error_kind::unavailable);
--- a/tests/auto/entry/tst_region_fuzz.cpp
+++ b/tests/auto/entry/tst_region_fuzz.cpp
@@ -1,221 +1,168 @@
+#include "../support/fuzz.h"
 #include "submission_model.h"
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
-#include <absl/strings/str_cat.h>
-#include <cstdlib>
+#include <utility>
+#include <vector>
 
 using namespace carobfall;
 using namespace carobfall::test;
+using namespace carobfall::testing;
 
 namespace {
 
-enum class action {
-    round,
-    step,
-    wait,
-    submit,
-    start,
-    register_agent,
-    cut,
-    heal,
-    kill,
-    restart,
-    pause,
-    resume,
-    outage,
-    lose_commit,
-    lose_requests,
-    lose_replies,
-    refuse,
-    restart_agent,
-    hide_agent,
+/// A healthy region in which every entry knows every agent.
+struct fuzz_run {
+    explicit fuzz_run(int entry_count) : region(entry_count, 3), model(region)
+    {
+        region.run(12);
+        for (int i = 0; i < entry_count; ++i) {
+            for (int agent = 0; agent < 3; ++agent) {
+                model.register_agent(agent, i);
+            }
+        }
+    }
+
+    [[nodiscard]] int entry_count() const { return static_cast<int>(region.entries.size()); }
+    simulated_agent& agent(int number)
+    {
+        return region.agents[static_cast<std::size_t>(number % 3)];
+    }
+    void restart(int index)
+    {
+        const auto& entry = region.entries[static_cast<std::size_t>(index)];
+        if (entry == nullptr || entry->superseded) {
+            region.start(index);
+        }
+    }
+    void recover();
+
+    region_simulation region;
+    submission_model model;
 };
 
+enum class condition { none, entry_exists, entry_runs };
+
+/// `entry` is the entry that the first number of an event names.
+struct action {
+    std::size_t weight;
+    const char* name;
+    condition needs;
+    void (*apply)(fuzz_run& run, int entry, int first, int second);
+};
+
+const std::vector<action>& actions()
+{
+    using enum condition;
+    constexpr static int deadlines_s[] = {5, 30, 120, 299};
+    static const std::vector<action> table{
+        {30, "round", none, [](fuzz_run& r, int, int, int n) { r.region.run(1 + n % 4); }},
+        {12, "step", entry_runs, [](fuzz_run& r, int entry, int, int) { r.region.step(entry); }},
+        {2, "wait", none,
+         [](fuzz_run& r, int, int, int n) { r.region.now += absl::Seconds(n * 4); }},
+        {30, "submit", entry_runs,
+         [](fuzz_run& r, int entry, int, int n) {
+             r.model.submit(entry, n % 6, absl::Seconds(deadlines_s[n % 4]));
+         }},
+        {25, "start", none,
+         [](fuzz_run& r, int, int first, int n) { r.model.deliver_start(first, n % 3); }},
+        {12, "register", entry_runs,
+         [](fuzz_run& r, int entry, int, int n) { r.model.register_agent(n % 3, entry); }},
+        {5, "cut", none,
+         [](fuzz_run& r, int entry, int, int n) {
+             if (entry != n % r.entry_count()) {
+                 r.region.cut(entry, n % r.entry_count());
+             }
+         }},
+        {4, "heal", none, [](fuzz_run& r, int, int, int) { r.region.cuts.clear(); }},
+        {4, "kill", entry_exists, [](fuzz_run& r, int entry, int, int) { r.region.kill(entry); }},
+        {6, "restart", none, [](fuzz_run& r, int entry, int, int) { r.restart(entry); }},
+        {3, "pause", entry_exists,
+         [](fuzz_run& r, int entry, int, int) { r.region.at(entry).paused = true; }},
+        {4, "resume", entry_exists,
+         [](fuzz_run& r, int entry, int, int) { r.region.at(entry).paused = false; }},
+        {2, "outage", none,
+         [](fuzz_run& r, int, int, int) { r.region.table.set_outage(!r.region.table.outage()); }},
+        {3, "lose_commit", none,
+         [](fuzz_run& r, int, int, int) { r.region.table.lose_answers(1); }},
+        {4, "lose_requests", none,
+         [](fuzz_run& r, int, int, int n) { r.region.lost_requests = 1 + n % 5; }},
+        {4, "lose_replies", none,
+         [](fuzz_run& r, int, int, int n) { r.region.lost_replies = 1 + n % 5; }},
+        {2, "refuse", none,
+         [](fuzz_run& r, int, int, int) { r.region.hosts_refuse = !r.region.hosts_refuse; }},
+        {2, "restart_agent", none,
+         [](fuzz_run& r, int, int, int n) { r.region.restart_agent(n % 3); }},
+        {3, "hide_agent", none,
+         [](fuzz_run& r, int, int, int n) { r.agent(n).reachable = !r.agent(n).reachable; }},
+    };
+    return table;
+}
+
 struct event {
-    action what;
+    std::size_t what;
     int first;
     int second;
 };
 
 std::ostream& operator<<(std::ostream& stream, const event& happened)
 {
-    return stream << static_cast<int>(happened.what) << ":" << happened.first << ":"
+    return stream << actions()[happened.what].name << ":" << happened.first << ":"
                   << happened.second;
 }
 
 rc::Gen<event> any_event()
 {
-    const auto what = rc::gen::weightedElement<action>({{30, action::round},
-                                                        {12, action::step},
-                                                        {2, action::wait},
-                                                        {30, action::submit},
-                                                        {25, action::start},
-                                                        {12, action::register_agent},
-                                                        {5, action::cut},
-                                                        {4, action::heal},
-                                                        {4, action::kill},
-                                                        {6, action::restart},
-                                                        {3, action::pause},
-                                                        {4, action::resume},
-                                                        {2, action::outage},
-                                                        {3, action::lose_commit},
-                                                        {4, action::lose_requests},
-                                                        {4, action::lose_replies},
-                                                        {2, action::refuse},
-                                                        {2, action::restart_agent},
-                                                        {3, action::hide_agent}});
-    return rc::gen::build<event>(
-        rc::gen::set(&event::what, what),
-        rc::gen::set(&event::first, rc::gen::noShrink(rc::gen::inRange(0, 60))),
-        rc::gen::set(&event::second, rc::gen::noShrink(rc::gen::inRange(0, 60))));
-}
-
-class fuzz_run {
-public:
-    explicit fuzz_run(int entries) : region_(entries, 3), model_(region_) {}
-
-    void begin();
-    void apply(const event& happened);
-    void recover();
-    region_simulation& region() { return region_; }
-    submission_model& model() { return model_; }
-
-private:
-    void apply_to_entry(action what, int index, int second);
-    void apply_to_environment(const event& happened);
-    [[nodiscard]] int entry_of(int number) const
-    {
-        return number % static_cast<int>(region_.entries.size());
-    }
-
-    region_simulation region_;
-    submission_model model_;
-};
-
-// A healthy region in which every entry knows every agent.
-void fuzz_run::begin()
-{
-    region_.run(12);
-    for (int i = 0; i < static_cast<int>(region_.entries.size()); ++i) {
-        for (int agent = 0; agent < 3; ++agent) {
-            model_.register_agent(agent, i);
-        }
-    }
-}
-
-void fuzz_run::apply(const event& happened)
-{
-    const int index = entry_of(happened.first);
-    const auto& entry = region_.entries[static_cast<std::size_t>(index)];
-    if (happened.what == action::restart) {
-        if (entry == nullptr || entry->superseded) {
-            region_.start(index);
-        }
-    } else if (happened.what == action::step || happened.what == action::submit ||
-               happened.what == action::register_agent || happened.what == action::kill ||
-               happened.what == action::pause || happened.what == action::resume) {
-        if (entry != nullptr) {
-            apply_to_entry(happened.what, index, happened.second);
-        }
-    } else {
-        apply_to_environment(happened);
+    std::vector<std::size_t> weights;
+    std::vector<std::size_t> rows;
+    for (const action& row : actions()) {
+        weights.push_back(row.weight);
+        rows.push_back(rows.size());
     }
+    const rc::Gen<std::size_t> what =
+        rc::gen::detail::WeightedElementGen<std::size_t>(std::move(weights), std::move(rows));
+    const auto number = rc::gen::noShrink(rc::gen::inRange(0, 60));
+    return rc::gen::build<event>(rc::gen::set(&event::what, what),
+                                 rc::gen::set(&event::first, number),
+                                 rc::gen::set(&event::second, number));
 }
 
-void fuzz_run::apply_to_entry(action what, int index, int second)
+void apply(fuzz_run& run, const event& happened)
 {
-    constexpr int deadlines_s[] = {5, 30, 120, 299};
-    simulated_entry& entry = region_.at(index);
-    if (what == action::kill) {
-        region_.kill(index);
-    } else if (what == action::pause || what == action::resume) {
-        entry.paused = what == action::pause;
-    } else if (entry.paused) {
+    const action& row = actions()[happened.what];
+    const int index = happened.first % run.entry_count();
+    const auto& entry = run.region.entries[static_cast<std::size_t>(index)];
+    if ((row.needs != condition::none && entry == nullptr) ||
+        (row.needs == condition::entry_runs && entry->paused)) {
         return;
-    } else if (what == action::step) {
-        region_.step(index);
-    } else if (what == action::submit) {
-        model_.submit(index, second % 6, absl::Seconds(deadlines_s[second % 4]));
-    } else {
-        model_.register_agent(second % 3, index);
-    }
-}
-
-void fuzz_run::apply_to_environment(const event& happened)
-{
-    simulated_agent& agent = region_.agents[static_cast<std::size_t>(happened.second % 3)];
-    const int left = entry_of(happened.first);
-    const int right = entry_of(happened.second);
-    switch (happened.what) {
-    case action::round:
-        return region_.run(1 + happened.second % 4);
-    case action::wait:
-        region_.now += absl::Seconds(happened.second * 4);
-        return;
-    case action::start:
-        return model_.deliver_start(happened.first, happened.second % 3);
-    case action::cut:
-        return left == right ? void() : region_.cut(left, right);
-    case action::heal:
-        return region_.cuts.clear();
-    case action::outage:
-        region_.table.outage = !region_.table.outage;
-        return;
-    case action::lose_commit:
-        region_.table.lost_answers = 1;
-        return;
-    case action::lose_requests:
-        region_.lost_requests = 1 + happened.second % 5;
-        return;
-    case action::lose_replies:
-        region_.lost_replies = 1 + happened.second % 5;
-        return;
-    case action::refuse:
-        region_.hosts_refuse = !region_.hosts_refuse;
-        return;
-    case action::restart_agent:
-        return region_.restart_agent(happened.second % 3);
-    default:
-        agent.reachable = !agent.reachable;
     }
+    row.apply(run, index, happened.first, happened.second);
 }
 
 // Ends all faults and gives the region time to come together again.
 void fuzz_run::recover()
 {
-    region_.cuts.clear();
-    region_.hosts_refuse = true;
-    region_.table.outage = false;
-    region_.table.lost_answers = 0;
-    region_.lost_requests = 0;
-    region_.lost_replies = 0;
+    region.cuts.clear();
+    region.hosts_refuse = true;
+    region.table.set_outage(false);
+    region.table.lose_answers(0);
+    region.lost_requests = 0;
+    region.lost_replies = 0;
     for (int attempt = 0; attempt < 6; ++attempt) {
-        for (int i = 0; i < static_cast<int>(region_.entries.size()); ++i) {
-            const auto& entry = region_.entries[static_cast<std::size_t>(i)];
-            if (entry == nullptr || entry->superseded) {
-                region_.start(i);
-            }
-            region_.at(i).paused = false;
+        for (int i = 0; i < entry_count(); ++i) {
+            restart(i);
+            region.at(i).paused = false;
         }
-        region_.run(20);
+        region.run(20);
     }
     for (int i = 0; i < 3; ++i) {
-        region_.agents[static_cast<std::size_t>(i)].reachable = true;
-        model_.register_agent(i, 0);
+        agent(i).reachable = true;
+        model.register_agent(i, 0);
     }
-    region_.now += max_deadline + record_retention + absl::Seconds(10);
-    region_.run(4);
-}
-
-void configure_rapidcheck()
-{
-    const char* runs = std::getenv("CAROBFALL_FUZZ_RUNS");
-    const std::string parameters = absl::StrCat("seed=20261204 max_size=200 max_success=",
-                                                std::string(runs == nullptr ? "300" : runs));
-    setenv("RC_PARAMS", parameters.c_str(), 0);
-    silence_logs();
+    region.now += max_deadline + record_retention + absl::Seconds(10);
+    region.run(4);
 }
 
 } // namespace
@@ -224,22 +171,22 @@
 // has been started, under any combination of faults, and against a region that doesn't recover.
 TEST_CASE("random faults never start a submission twice, and the region recovers")
 {
-    configure_rapidcheck();
+    configure_rapidcheck(200);
+    silence_logs();
     std::size_t started = 0;
     const bool passed = rc::check("region", [&] {
         fuzz_run run(*rc::gen::inRange(2, 6));
         const auto events = *rc::gen::container<std::vector<event>>(any_event());
-        run.begin();
         for (const event& happened : events) {
-            run.apply(happened);
-            RC_ASSERT(run.model().violation() == "");
+            apply(run, happened);
+            RC_ASSERT(run.model.violation() == "");
         }
-        started += run.model().started();
+        started += run.model.started();
         run.recover();
-        RC_ASSERT(run.model().violation() == "");
-        const std::uint64_t number = run.region().view_at(0).view.number();
-        for (int i = 0; i < static_cast<int>(run.region().entries.size()); ++i) {
-            const ownership_snapshot snapshot = run.region().view_at(i);
+        RC_ASSERT(run.model.violation() == "");
+        const std::uint64_t number = run.region.view_at(0).view.number();
+        for (int i = 0; i < run.entry_count(); ++i) {
+            const ownership_snapshot snapshot = run.region.view_at(i);
             RC_ASSERT(snapshot.usable());
             RC_ASSERT(snapshot.complete);
             RC_ASSERT(snapshot.view.number() == number);
--- a/tests/auto/platform/tst_configuration_race.cpp
+++ b/tests/auto/platform/tst_configuration_race.cpp
@@ -1,11 +1,11 @@
 #include "../support/fake_table_service.h"
+#include "../support/fuzz.h"
 #include "carobfall/config/configuration_builder.h"
 #include "carobfall/platform/configuration_store.h"
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
-#include <cstdlib>
 #include <set>
 
 using namespace carobfall;
@@ -269,10 +269,7 @@
 // operators race each other and the table service fails.
 TEST_CASE("accepted changes are applied exactly once whatever the operators and the store do")
 {
-    const char* runs = std::getenv("CAROBFALL_FUZZ_RUNS");
-    const std::string parameters =
-        std::string("seed=20261204 max_size=24 max_success=") + (runs != nullptr ? runs : "300");
-    setenv("RC_PARAMS", parameters.c_str(), 0);
+    configure_rapidcheck(24);
     CHECK(rc::check("racing operators", [] {
         race(*rc::gen::container<std::vector<request_plan>>(any_plan())).run();
     }));
--- a/tests/auto/platform/tst_http_table_service.cpp
+++ b/tests/auto/platform/tst_http_table_service.cpp
@@ -29,21 +29,12 @@
             response.status = status;
             response.set_content(body, "text/plain");
         });
-        port = server.bind_to_any_port(loopback);
-        thread = std::thread([this] { server.listen_after_bind(); });
-        while (!server.is_running()) {
-            std::this_thread::yield();
-        }
-    }
-    ~fixed_server()
-    {
-        server.stop();
-        thread.join();
+        port = thread.start(loopback, 0);
     }
 
     httplib::Server server;
-    int port{0};
-    std::thread thread;
+    server_thread thread{server};
+    std::uint16_t port{0};
 };
 
 } // namespace
@@ -114,7 +105,7 @@
                 continue;
             }
             fixed_server proxy(status, body);
-            http_table_service table({loopback, static_cast<std::uint16_t>(proxy.port)}, limit);
+            http_table_service table({loopback, proxy.port}, limit);
             CHECK(table.commit({}).error().kind == error_kind::outcome_unknown);
             CHECK(table.read("a").error().kind == error_kind::unavailable);
         }
--- a/tests/auto/support/fake_table_service.h
+++ b/tests/auto/support/fake_table_service.h
@@ -34,6 +34,12 @@
         outage_ = outage;
     }
 
+    [[nodiscard]] bool outage() const
+    {
+        const absl::MutexLock lock(&mutex_);
+        return outage_;
+    }
+
     /// The next `count` commits that hold take effect and report `outcome_unknown`.
     void lose_answers(int count)
     {
@@ -41,6 +47,12 @@
         lost_answers_ = count;
     }
 
+    [[nodiscard]] int answers_to_lose() const
+    {
+        const absl::MutexLock lock(&mutex_);
+        return lost_answers_;
+    }
+
     /// The next `count` commits have no effect and report `outcome_unknown`.
     void lose_commits(int count)
     {
--- /dev/null
+++ b/tests/auto/support/fuzz.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <absl/strings/str_cat.h>
+
+#include <cstdlib>
+#include <string>
+
+namespace carobfall::testing {
+
+/// Sequences of a random test; sanitizer runs lower the number.
+inline int fuzz_runs(int by_default)
+{
+    const char* runs = std::getenv("CAROBFALL_FUZZ_RUNS");
+    return runs == nullptr ? by_default : std::atoi(runs);
+}
+
+/// For `rc::check`, unless RC_PARAMS is set.
+inline void configure_rapidcheck(int max_size)
+{
+    const std::string parameters =
+        absl::StrCat("seed=20261204 max_size=", max_size, " max_success=", fuzz_runs(300));
+    setenv("RC_PARAMS", parameters.c_str(), 0);
+}
+
+} // namespace carobfall::testing
--- /dev/null
+++ b/tests/auto/support/wait.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <absl/time/clock.h>
+#include <absl/time/time.h>
+
+namespace carobfall::testing {
+
+/// Waits until the condition holds. False if it doesn't within the limit, which no test reaches
+/// unless it fails.
+template <typename Condition>
+bool becomes_true(const Condition& condition, absl::Duration limit = absl::Seconds(20))
+{
+    const absl::Time end = absl::Now() + limit;
+    while (!condition()) {
+        if (absl::Now() >= end) {
+            return false;
+        }
+        absl::SleepFor(absl::Milliseconds(2));
+    }
+    return true;
+}
+
+} // namespace carobfall::testing
--- a/tests/auto/tools/tst_commands.cpp
+++ b/tests/auto/tools/tst_commands.cpp
@@ -35,7 +35,7 @@
                                      .tasks = {"1", "2"},
                                      .parameters = {"region=seoul"},
                                      .deadline_seconds = 10};
-        return submit(
+        return tool::submit(
             context, options, [this] { return now; }, [this](absl::Duration d) { now += d; });
     }
 
--- a/tests/standins/backend/backend_standin.cpp
+++ b/tests/standins/backend/backend_standin.cpp
@@ -4,8 +4,6 @@
 #include <absl/time/clock.h>
 #include <nlohmann/json.hpp>
 
-#include <sys/socket.h>
-
 #include <algorithm>
 #include <utility>
 
@@ -39,12 +37,7 @@
     server_.new_task_queue = [this] {
         return new httplib::ThreadPool(options_.slots + control_connections);
     };
-    server_.set_tcp_nodelay(true);
     server_.set_keep_alive_timeout(keep_alive_limit_s);
-    server_.set_socket_options([](socket_t socket) {
-        const int yes = 1;
-        setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
-    });
     server_.Get("/starts", [this](const httplib::Request&, httplib::Response& response) {
         response.set_content(starts(), "application/x-ndjson");
     });
@@ -66,25 +59,15 @@
     if (announcer_.joinable()) {
         announcer_.join();
     }
-    if (server_thread_.joinable()) {
-        server_.stop();
-        server_thread_.join();
-    }
+    thread_.stop();
 }
 
 bool backend_standin::start()
 {
-    const int port = options_.port == 0
-                         ? server_.bind_to_any_port(loopback)
-                         : (server_.bind_to_port(loopback, options_.port) ? options_.port : -1);
-    if (port <= 0) {
+    port_ = thread_.start(loopback, options_.port);
+    if (port_ == 0) {
         return false;
     }
-    port_ = static_cast<std::uint16_t>(port);
-    server_thread_ = std::thread([this] { server_.listen_after_bind(); });
-    while (!server_.is_running()) {
-        absl::SleepFor(absl::Milliseconds(1));
-    }
     if (!options_.agent.empty()) {
         announcer_ = std::thread([this] { announce_repeatedly(); });
     }
--- a/tests/standins/backend/backend_standin.h
+++ b/tests/standins/backend/backend_standin.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "../server_thread.h"
+
 #include <absl/time/time.h>
 #include <httplib.h>
 #include <nlohmann/json_fwd.hpp>
@@ -59,7 +61,7 @@
     const standin_options options_;
     httplib::Server server_;
     std::uint16_t port_{0};
-    std::thread server_thread_;
+    testing::server_thread thread_{server_};
     std::thread announcer_;
 
     mutable std::mutex mutex_;
--- a/tests/standins/platform/platform_server.cpp
+++ b/tests/standins/platform/platform_server.cpp
@@ -1,7 +1,6 @@
 #include "platform_server.h"
 
 #include <absl/time/clock.h>
-#include <sys/socket.h>
 
 namespace carobfall::testing {
 namespace {
@@ -40,42 +39,18 @@
 platform_server::platform_server()
 {
     server_.new_task_queue = [] { return new httplib::ThreadPool(server_threads); };
-    server_.set_tcp_nodelay(true);
-    // The library's default lets several processes share the port.
-    server_.set_socket_options([](socket_t socket) {
-        const int yes = 1;
-        setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
-    });
     add_table_routes();
     add_object_routes();
     add_control_routes();
 }
 
-platform_server::~platform_server()
-{
-    stop();
-}
-
 result<std::uint16_t> platform_server::start(const std::string& ip, std::uint16_t port)
 {
-    const int bound =
-        port == 0 ? server_.bind_to_any_port(ip) : (server_.bind_to_port(ip, port) ? port : -1);
-    if (bound < 0) {
+    const std::uint16_t bound = thread_.start(ip, port);
+    if (bound == 0) {
         return failure(error_kind::unavailable, "the address can't be bound", "choose another");
     }
-    thread_ = std::thread([this] { server_.listen_after_bind(); });
-    while (!server_.is_running()) {
-        absl::SleepFor(absl::Milliseconds(1));
-    }
-    return static_cast<std::uint16_t>(bound);
-}
-
-void platform_server::stop()
-{
-    server_.stop();
-    if (thread_.joinable()) {
-        thread_.join();
-    }
+    return bound;
 }
 
 void platform_server::set_faults(const platform_faults& faults)
--- a/tests/standins/platform/platform_server.h
+++ b/tests/standins/platform/platform_server.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "../server_thread.h"
 #include "carobfall/base/error.h"
 #include "carobfall/platform/table_service.h"
 #include "rate_limit.h"
@@ -12,7 +13,6 @@
 #include <map>
 #include <mutex>
 #include <string>
-#include <thread>
 
 namespace carobfall::testing {
 
@@ -33,13 +33,10 @@
 class platform_server {
 public:
     platform_server();
-    ~platform_server();
-    platform_server(const platform_server&) = delete;
-    platform_server& operator=(const platform_server&) = delete;
 
     /// Binds and serves in a thread of its own; port 0 lets the kernel choose. Returns the port.
     result<std::uint16_t> start(const std::string& ip, std::uint16_t port);
-    void stop();
+    void stop() { thread_.stop(); }
 
     void set_faults(const platform_faults& faults);
 
@@ -61,7 +58,7 @@
     nlohmann::json commit(const nlohmann::json& request);
 
     httplib::Server server_;
-    std::thread thread_;
+    server_thread thread_{server_};
     /// Guards the members below. Not absl::Mutex, whose Debian build ThreadSanitizer does not see.
     std::mutex mutex_;
     platform_faults faults_;
