--- a/scripts/cluster.py
+++ b/scripts/cluster.py
@@ -139,7 +139,8 @@
         self.agent = Process(self.name, [AGENT, "--config", settings], cluster.directory)
         self.backend = Process(f"backend-{index}", [
             BACKEND, "--name", f"backend-{index}", "--agent", f"127.0.0.1:{announce}",
-            "--port", backend, "--slots", cluster.slots, *backend_flags], cluster.directory)
+            "--port", backend, "--slots", cluster.slots,
+            "--starts-file", cluster.directory / f"backend-{index}.starts", *backend_flags], cluster.directory)
 
     def start(self):
         self.agent.start()
@@ -190,8 +191,9 @@
         port = free_ports(1)[0]
         self.platform_address = f"127.0.0.1:{port}"
         self.platform_url = f"http://{self.platform_address}"
-        self.platform = Process("platform", [PLATFORM, "--address", self.platform_address, *platform_flags],
-                                self.directory)
+        self.platform = Process("platform", [
+            PLATFORM, "--address", self.platform_address, "--data", self.directory / "platform-data",
+            *platform_flags], self.directory)
         self.entries = [Entry(self, i, self.data_centre(i)) for i in range(entries)]
         self.workers = [Worker(self, i, self.data_centre(i), backend_flags)
                         for i in range(workers)]
--- a/tests/auto/platform/tst_http_table_service.cpp
+++ b/tests/auto/platform/tst_http_table_service.cpp
@@ -5,6 +5,9 @@
 #include <doctest/doctest.h>
 #include <httplib.h>
 
+#include <filesystem>
+#include <fstream>
+
 using namespace carobfall;
 using namespace carobfall::testing;
 
@@ -137,3 +140,32 @@
     CHECK(served.table.read("a").error().kind == error_kind::unavailable);
     CHECK(client.Get("/control/faults")->body.find("\"sync_ms\":4") != std::string::npos);
 }
+
+// Guards against a stand-in that forgets acknowledged changes, or versions, when it is killed.
+TEST_CASE("the stand-in finds its tables and objects again, without a change that was cut off")
+{
+    char directory[] = "/tmp/tst_platform.XXXXXX";
+    REQUIRE(mkdtemp(directory) != nullptr);
+    const std::string bytes("\xff\0\n", 3);
+    std::uint64_t version = 0;
+    for (const char* value : {"1", "2"}) {
+        platform_server server;
+        REQUIRE(server.open_data(directory));
+        const std::uint16_t port = server.start(loopback, 0).value();
+        http_table_service table({loopback, port}, limit);
+        httplib::Client client(loopback, port);
+        if (version != 0) {
+            CHECK(table.read("a").value()->value == "1");
+            CHECK(table.read("a").value()->version == version);
+            CHECK_FALSE(table.read("gone").value().has_value());
+            CHECK(client.Get("/v1/objects/o")->body == bytes);
+        }
+        REQUIRE(table.commit({{{"a", version}}, {{"a", value}, {"gone", "x"}}}).has_value());
+        REQUIRE(table.commit({{}, {{"gone", std::nullopt}}}).has_value());
+        CHECK(client.Put("/v1/objects/o", bytes, "application/octet-stream")->status == 200);
+        CHECK(table.read("a").value()->version > version);
+        version = table.read("a").value()->version;
+        std::ofstream(std::string(directory) + "/journal.jsonl", std::ios::app) << "{\"writes\":[";
+    }
+    std::filesystem::remove_all(directory);
+}
--- a/tests/process/support.py
+++ b/tests/process/support.py
@@ -8,7 +8,7 @@
 import unittest
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[2] / "scripts"))
-from cluster import Cluster, wait_until  # noqa: E402
+from cluster import Cluster, http, wait_until  # noqa: E402
 
 TOKEN = "dambi-account-token-1"
 DECLARATIONS = f"""
--- a/tests/standins/backend/backend_standin.cpp
+++ b/tests/standins/backend/backend_standin.cpp
@@ -7,6 +7,8 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <fstream>
+#include <iterator>
 #include <utility>
 
 namespace carobfall {
@@ -36,6 +38,8 @@
       fail_(options_.fail),
       hang_(options_.hang)
 {
+    std::ifstream earlier(options_.starts_file);
+    starts_.assign(std::istreambuf_iterator<char>(earlier), {});
     server_.new_task_queue = [this] {
         return new httplib::ThreadPool(options_.slots + control_connections);
     };
@@ -143,6 +147,9 @@
         {"time_unix_ms", absl::ToUnixMillis(absl::Now())}};
     const std::lock_guard lock(mutex_);
     absl::StrAppend(&starts_, line.dump(), "\n");
+    if (!options_.starts_file.empty()) {
+        std::ofstream(options_.starts_file, std::ios::app) << line.dump() << std::endl;
+    }
 }
 
 std::uint32_t backend_standin::choose_run_ms(const json& body)
--- a/tests/standins/backend/backend_standin.h
+++ b/tests/standins/backend/backend_standin.h
@@ -27,6 +27,7 @@
     bool fail{false}; ///< answer every task with status 500
     bool hang{false}; ///< don't answer while set
     std::uint64_t seed{1};
+    std::string starts_file; ///< keeps the log of starts when the process ends; empty: none
 };
 
 /// A backend server for tests. It announces itself to an agent, runs tasks by sleeping, and logs
--- a/tests/standins/backend/main.cpp
+++ b/tests/standins/backend/main.cpp
@@ -23,6 +23,8 @@
     app.add_flag("--fail", options.fail, "answer every task with status 500");
     app.add_flag("--hang", options.hang, "answer no task");
     app.add_option("--seed", options.seed);
+    app.add_option("--starts-file", options.starts_file,
+                   "file that keeps the log of starts when the process ends");
     CLI11_PARSE(app, argc, argv);
 
     sigset_t signals;
--- a/tests/standins/platform/main.cpp
+++ b/tests/standins/platform/main.cpp
@@ -12,6 +12,8 @@
     std::string address = "127.0.0.1:8070";
     app.add_option("--address", address, "ip:port; port 0 lets the kernel choose")
         ->capture_default_str();
+    std::string data;
+    app.add_option("--data", data, "directory that keeps tables and objects when the process ends");
     CLI11_PARSE(app, argc, argv);
 
     // Blocked before the server's threads are made, so that only sigwait receives the signals.
@@ -23,6 +25,12 @@
 
     const auto endpoint = carobfall::parse_ip_endpoint(address);
     carobfall::testing::platform_server server;
+    if (const auto opened =
+            data.empty() ? carobfall::result<void>(carobfall::success()) : server.open_data(data);
+        !opened) {
+        std::cerr << "platform_standin: " << to_string(opened.error()) << '\n';
+        return 1;
+    }
     const auto port = endpoint ? server.start(endpoint->ip, endpoint->port)
                                : carobfall::result<std::uint16_t>(carobfall::failure(
                                      carobfall::error_kind::invalid_request, "not an ip:port",
--- a/tests/standins/platform/platform_server.cpp
+++ b/tests/standins/platform/platform_server.cpp
@@ -1,5 +1,6 @@
 #include "platform_server.h"
 
+#include <absl/strings/escaping.h>
 #include <absl/time/clock.h>
 #include <sys/socket.h>
 
@@ -56,6 +57,12 @@
     stop();
 }
 
+result<void> platform_server::open_data(const std::string& directory)
+{
+    const std::lock_guard lock(mutex_);
+    return journal_.open(directory, [this](const json& change) { apply(change); });
+}
+
 result<std::uint16_t> platform_server::start(const std::string& ip, std::uint16_t port)
 {
     const int bound =
@@ -135,7 +142,7 @@
     try {
         const json reply = (this->*function)(json::parse(request.body));
         if (reply.contains("error")) {
-            answer(response, 409, reply);
+            answer(response, reply["error"] == "conflict" ? 409 : 503, reply);
         } else if (is_write && take_lost_answer()) {
             break_connection(response);
         } else {
@@ -153,15 +160,51 @@
         return;
     }
     const std::lock_guard lock(mutex_);
+    const auto change = [&](const json& body) {
+        if (!record({{"object", name}, {"body", body}})) {
+            refuse(response, 503, "unavailable");
+        }
+    };
     if (request.method == "PUT") {
-        objects_[name] = request.body;
+        change(absl::Base64Escape(request.body)); // a body need not be valid UTF-8, as JSON asks
     } else if (objects_.count(name) == 0) {
         refuse(response, 404, "not_found");
     } else if (request.method == "GET") {
         response.set_content(objects_[name], "application/octet-stream");
     } else {
-        objects_.erase(name);
+        change(nullptr);
+    }
+}
+
+void platform_server::apply(const json& change)
+{
+    if (change.contains("object")) {
+        const auto name = change.at("object").get<std::string>();
+        std::string body;
+        if (change.at("body").is_null()) {
+            objects_.erase(name);
+        } else if (absl::Base64Unescape(change.at("body").get<std::string>(), &body)) {
+            objects_[name] = std::move(body);
+        }
+        return;
+    }
+    for (const json& write : change.at("writes")) {
+        const auto key = write.at("key").get<std::string>();
+        if (write.at("value").is_null()) {
+            rows_.erase(key);
+        } else {
+            rows_[key] = {key, write.at("value").get<std::string>(), ++last_version_};
+        }
+    }
+}
+
+bool platform_server::record(const json& change)
+{
+    if (!journal_.append(change)) {
+        return false;
     }
+    apply(change);
+    return true;
 }
 
 bool platform_server::admit(httplib::Response& response, bool is_write)
@@ -224,20 +267,15 @@
             return {{"error", "conflict"}};
         }
     }
-    // The writes are read before the first is applied, so that a malformed one changes nothing.
-    std::vector<table_write> writes;
+    json writes = json::array();
     for (const json& write : request.at("writes")) {
+        // Only what is understood goes to the journal, so that each line of it can be replayed.
         const json& value = write.at("value");
-        writes.push_back(
-            {write.at("key").get<std::string>(),
-             value.is_null() ? std::nullopt : std::optional(value.get<std::string>())});
+        writes.push_back({{"key", write.at("key").get<std::string>()},
+                          {"value", value.is_null() ? json() : json(value.get<std::string>())}});
     }
-    for (table_write& write : writes) {
-        if (write.value) {
-            rows_[write.key] = {write.key, std::move(*write.value), ++last_version_};
-        } else {
-            rows_.erase(write.key);
-        }
+    if (!record({{"writes", std::move(writes)}})) {
+        return {{"error", "unavailable"}};
     }
     return json::object();
 }
--- a/tests/standins/platform/platform_server.h
+++ b/tests/standins/platform/platform_server.h
@@ -2,6 +2,7 @@
 
 #include "carobfall/base/error.h"
 #include "carobfall/platform/table_service.h"
+#include "change_journal.h"
 #include "rate_limit.h"
 
 #include <absl/time/time.h>
@@ -29,7 +30,8 @@
                                                 lost_answers, writes_per_second, reads_per_second)
 };
 
-/// In-memory stand-in for the platform's table service and object store over HTTP.
+/// Stand-in for the platform's table service and object store over HTTP. Holds its state in memory
+/// and, with `open_data`, in a journal from which a later process restores it.
 class platform_server {
 public:
     platform_server();
@@ -37,6 +39,9 @@
     platform_server(const platform_server&) = delete;
     platform_server& operator=(const platform_server&) = delete;
 
+    /// Restores the state from the directory and records every change there before it is
+    /// acknowledged; call it before `start`.
+    result<void> open_data(const std::string& directory);
     /// Binds and serves in a thread of its own; port 0 lets the kernel choose. Returns the port.
     result<std::uint16_t> start(const std::string& ip, std::uint16_t port);
     void stop();
@@ -56,6 +61,11 @@
     bool admit(httplib::Response& response, bool is_write);
     bool take_lost_answer();
 
+    /// Takes effect on the tables or objects; throws if the change is malformed.
+    void apply(const nlohmann::json& change);
+    /// Records the change, then applies it. False if it could not be recorded.
+    bool record(const nlohmann::json& change);
+
     nlohmann::json read(const nlohmann::json& request);
     nlohmann::json scan(const nlohmann::json& request);
     nlohmann::json commit(const nlohmann::json& request);
@@ -67,6 +77,7 @@
     platform_faults faults_;
     rate_limit reads_;
     rate_limit writes_;
+    change_journal journal_;
     std::map<std::string, table_row, std::less<>> rows_;
     std::uint64_t last_version_{0};
     std::map<std::string, std::string> objects_;
