Dispatch: Pass status and cancel on to the entry that runs the submission

Cause: after a view change the owner of a key is another entry than the one named in the claim; the owner knew that entry and answered 'recovering'. Before: status and cancel through a third entry were refused with 'recovering' until the job had ended, and a typed answer of the asked entry, for example not_found, became 'unavailable'. After: the owner asks the entry that the claim names, marked as passed on, and the receiver answers from its own records; typed errors keep their kind. Ruled out: passing on whenever a claim names another entry, which goes round when two claims name each other. Conclusion: at most two hops, checked by a test that counts them.

--- a/src/libs/carobfall/dispatch/coordinator.cpp
+++ b/src/libs/carobfall/dispatch/coordinator.cpp
@@ -52,6 +52,17 @@
     return deadline - max_deadline > snapshot.effective_since + clock_tolerance;
 }
 
+// An entry that passes the question on waits for an answer itself.
+absl::Duration question_limit(bool passed_on)
+{
+    return passed_on ? min_forward_limit : 2 * min_forward_limit;
+}
+
+bool is_unanswered(const error& reason)
+{
+    return reason.kind == error_kind::unavailable || reason.kind == error_kind::outcome_unknown;
+}
+
 absl::Duration time_to(absl::Time deadline, absl::Time now)
 {
     return std::max(deadline - now, min_forward_limit);
@@ -326,39 +337,82 @@
 
 coordinator::answer_result coordinator::status(const submission_key& key, absl::Time now)
 {
-    const auto target = other_coordinator(key);
-    if (!target) {
-        return local_status(key, now);
-    }
     rpc::status_request request;
     *request.mutable_key() = to_message(key);
-    auto answer = context_.outside.entries(*target)->status(request, min_forward_limit);
-    if (!answer) {
-        return failure(error_kind::unavailable,
-                       absl::StrCat("entry ", target->name(), " did not answer"),
-                       "ask again in a moment");
+    if (const auto claimed = claimed_by_other(key)) {
+        request.set_passed_on(true);
+        return ask_status(*claimed, request);
     }
-    return decode_error(std::move(answer.value()));
+    const auto owner = other_coordinator(key);
+    return owner ? ask_status(*owner, request) : local_status(key, now);
 }
 
 coordinator::answer_result coordinator::cancel(const submission_key& key, absl::Time now)
 {
-    const auto target = other_coordinator(key);
-    if (!target) {
-        return local_cancel(key, now);
-    }
     rpc::cancel_request request;
     *request.mutable_key() = to_message(key);
-    auto answer = context_.outside.entries(*target)->cancel(request, min_forward_limit);
-    if (!answer) {
+    if (const auto claimed = claimed_by_other(key)) {
+        request.set_passed_on(true);
+        return ask_cancel(*claimed, request);
+    }
+    const auto owner = other_coordinator(key);
+    return owner ? ask_cancel(*owner, request) : local_cancel(key, now);
+}
+
+coordinator::answer_result coordinator::status_forwarded(const rpc::status_request& request,
+                                                         absl::Time now)
+{
+    const submission_key key = from_message(request.key());
+    const auto claimed = request.passed_on() ? std::nullopt : claimed_by_other(key);
+    if (!claimed) {
+        return local_status(key, now);
+    }
+    rpc::status_request passed = request;
+    passed.set_passed_on(true);
+    return ask_status(*claimed, passed);
+}
+
+coordinator::answer_result coordinator::cancel_forwarded(const rpc::cancel_request& request,
+                                                         absl::Time now)
+{
+    const submission_key key = from_message(request.key());
+    const auto claimed = request.passed_on() ? std::nullopt : claimed_by_other(key);
+    if (!claimed) {
+        return local_cancel(key, now);
+    }
+    rpc::cancel_request passed = request;
+    passed.set_passed_on(true);
+    return ask_cancel(*claimed, passed);
+}
+
+coordinator::answer_result coordinator::ask_status(const rpc::entry_member& target,
+                                                   const rpc::status_request& request) const
+{
+    const auto answer =
+        context_.outside.entries(target)->status(request, question_limit(request.passed_on()));
+    if (!answer && is_unanswered(answer.error())) {
+        return failure(error_kind::unavailable,
+                       absl::StrCat("entry ", target.name(), " did not answer"),
+                       "ask again in a moment");
+    }
+    return answer ? decode_error(answer.value()) : answer;
+}
+
+coordinator::answer_result coordinator::ask_cancel(const rpc::entry_member& target,
+                                                   const rpc::cancel_request& request) const
+{
+    const auto answer =
+        context_.outside.entries(target)->cancel(request, question_limit(request.passed_on()));
+    if (!answer && is_unanswered(answer.error())) {
         return failure(answer.error().kind,
-                       absl::StrCat("entry ", target->name(), " did not answer"),
+                       absl::StrCat("entry ", target.name(), " did not answer"),
                        "cancel again in a moment; a repeated cancellation does no harm");
     }
-    return decode_error(std::move(answer.value()));
+    return answer ? decode_error(answer.value()) : answer;
 }
 
-coordinator::answer_result coordinator::local_status(const submission_key& key, absl::Time now)
+coordinator::answer_result coordinator::local_status(const submission_key& key,
+                                                     absl::Time now) const
 {
     if (const auto known = context_.table.find(key)) {
         if (const auto* running = std::get_if<std::shared_ptr<job>>(&known->state)) {
@@ -377,8 +431,9 @@
         if (same_incarnation(claim->coordinator(), context_.outside.owner->self())) {
             return expired();
         }
-        return recovering(
-            absl::StrCat("the submission is run by entry ", claim->coordinator().name()));
+        return recovering(absl::StrCat("the submission was run by entry ",
+                                       claim->coordinator().name(),
+                                       " and has not been taken over"));
     }
     if (!snapshot.complete || now < snapshot.effective_since) {
         return recovering("the records of the last view are still being collected");
@@ -432,23 +487,31 @@
     context_.outside.claims->expire(now);
 }
 
-// The entry that knows the submission, if it isn't this one.
+// The rendezvous owner of the key, if it isn't this entry and nothing is known here.
 std::optional<rpc::entry_member> coordinator::other_coordinator(const submission_key& key) const
 {
     if (context_.table.find(key)) {
         return std::nullopt;
     }
     const ownership_snapshot snapshot = context_.outside.owner->snapshot();
-    const auto claim = context_.outside.claims->find(key);
-    const rpc::entry_member* owner =
-        claim ? find_member(snapshot.view, claim->coordinator()) : nullptr;
-    if (owner == nullptr) {
-        owner = coordinator_of(snapshot.view, key);
-    }
+    const rpc::entry_member* owner = coordinator_of(snapshot.view, key);
     if (owner == nullptr || same_incarnation(*owner, context_.outside.owner->self())) {
         return std::nullopt;
     }
     return *owner;
 }
 
+// The member that runs the submission according to a claim held here, if it isn't this entry.
+std::optional<rpc::entry_member> coordinator::claimed_by_other(const submission_key& key) const
+{
+    const auto claim = context_.outside.claims->find(key);
+    if (!claim || context_.table.find(key) ||
+        same_incarnation(claim->coordinator(), context_.outside.owner->self())) {
+        return std::nullopt;
+    }
+    const ownership_snapshot snapshot = context_.outside.owner->snapshot();
+    const rpc::entry_member* member = find_member(snapshot.view, claim->coordinator());
+    return member == nullptr ? std::nullopt : std::optional(*member);
+}
+
 } // namespace carobfall
--- a/src/libs/carobfall/dispatch/coordinator.h
+++ b/src/libs/carobfall/dispatch/coordinator.h
@@ -28,8 +28,10 @@
     result<rpc::submission_answer> cancel(const submission_key& key, absl::Time now) override;
     rpc::forward_reply submit_forwarded(const rpc::forward_request& request,
                                         absl::Time now) override;
-    result<rpc::submission_answer> local_status(const submission_key& key, absl::Time now) override;
-    result<rpc::submission_answer> local_cancel(const submission_key& key, absl::Time now) override;
+    result<rpc::submission_answer> status_forwarded(const rpc::status_request& request,
+                                                    absl::Time now) override;
+    result<rpc::submission_answer> cancel_forwarded(const rpc::cancel_request& request,
+                                                    absl::Time now) override;
     std::uint32_t retry_now(const std::string& agent, absl::Time now) override;
 
     /// Matches results to running jobs; the handler of `agent_registry`.
@@ -63,8 +65,16 @@
     answer_result answer_known(const submission_table::entry& known,
                                const rpc::submission_request& request);
     answer_result wait_for(job& running, const rpc::submission_request& request);
+    answer_result ask_status(const rpc::entry_member& target,
+                             const rpc::status_request& request) const;
+    answer_result ask_cancel(const rpc::entry_member& target,
+                             const rpc::cancel_request& request) const;
+    [[nodiscard]] answer_result local_status(const submission_key& key, absl::Time now) const;
+    answer_result local_cancel(const submission_key& key, absl::Time now);
     [[nodiscard]] std::optional<rpc::entry_member>
     other_coordinator(const submission_key& key) const;
+    [[nodiscard]] std::optional<rpc::entry_member>
+    claimed_by_other(const submission_key& key) const;
 
     dispatch_context context_;
     const absl::Time started_at_;
--- a/src/libs/carobfall/dispatch/submission_service.h
+++ b/src/libs/carobfall/dispatch/submission_service.h
@@ -24,13 +24,14 @@
     virtual result<rpc::submission_answer> status(const submission_key& key, absl::Time now) = 0;
     virtual result<rpc::submission_answer> cancel(const submission_key& key, absl::Time now) = 0;
 
-    /// The same for calls that another entry has forwarded; these are not forwarded again.
+    /// The same for calls that another entry has forwarded. Submissions are not forwarded again;
+    /// status and cancel are passed on once, to the coordinator that a claim held here names.
     virtual rpc::forward_reply submit_forwarded(const rpc::forward_request& request,
                                                 absl::Time now) = 0;
-    virtual result<rpc::submission_answer> local_status(const submission_key& key,
-                                                        absl::Time now) = 0;
-    virtual result<rpc::submission_answer> local_cancel(const submission_key& key,
-                                                        absl::Time now) = 0;
+    virtual result<rpc::submission_answer> status_forwarded(const rpc::status_request& request,
+                                                            absl::Time now) = 0;
+    virtual result<rpc::submission_answer> cancel_forwarded(const rpc::cancel_request& request,
+                                                            absl::Time now) = 0;
 
     /// Clears the backoff of one agent, or of all if the name is empty. Returns how many had one.
     virtual std::uint32_t retry_now(const std::string& agent, absl::Time now) = 0;
--- a/src/libs/carobfall/entry/entry_calls.cpp
+++ b/src/libs/carobfall/entry/entry_calls.cpp
@@ -100,8 +100,7 @@
                                  rpc::submission_answer* reply)
 {
     return limited(*context, forwards_, [&] {
-        return to_reply(
-            parts_.submissions.local_status(from_message(request->key()), parts_.clock()), reply);
+        return to_reply(parts_.submissions.status_forwarded(*request, parts_.clock()), reply);
     });
 }
 
@@ -109,8 +108,7 @@
                                  rpc::submission_answer* reply)
 {
     return limited(*context, forwards_, [&] {
-        return to_reply(
-            parts_.submissions.local_cancel(from_message(request->key()), parts_.clock()), reply);
+        return to_reply(parts_.submissions.cancel_forwarded(*request, parts_.clock()), reply);
     });
 }
 
--- a/tests/auto/caller/caller_fixture.h
+++ b/tests/auto/caller/caller_fixture.h
@@ -18,8 +18,8 @@
     MAKE_MOCK2(cancel, answer(const submission_key&, absl::Time), override);
     MAKE_MOCK2(submit_forwarded, rpc::forward_reply(const rpc::forward_request&, absl::Time),
                override);
-    MAKE_MOCK2(local_status, answer(const submission_key&, absl::Time), override);
-    MAKE_MOCK2(local_cancel, answer(const submission_key&, absl::Time), override);
+    MAKE_MOCK2(status_forwarded, answer(const rpc::status_request&, absl::Time), override);
+    MAKE_MOCK2(cancel_forwarded, answer(const rpc::cancel_request&, absl::Time), override);
     MAKE_MOCK2(retry_now, std::uint32_t(const std::string&, absl::Time), override);
 };
 
--- a/tests/auto/dispatch/fakes.h
+++ b/tests/auto/dispatch/fakes.h
@@ -177,15 +177,15 @@
     {
         return on_forward ? on_forward(request) : unreachable<rpc::forward_reply>();
     }
-    result<rpc::submission_answer> status(const rpc::status_request& /*request*/,
+    result<rpc::submission_answer> status(const rpc::status_request& request,
                                           absl::Duration /*limit*/) override
     {
-        return unreachable<rpc::submission_answer>();
+        return on_status ? on_status(request) : unreachable<rpc::submission_answer>();
     }
-    result<rpc::submission_answer> cancel(const rpc::cancel_request& /*request*/,
+    result<rpc::submission_answer> cancel(const rpc::cancel_request& request,
                                           absl::Duration /*limit*/) override
     {
-        return unreachable<rpc::submission_answer>();
+        return on_cancel ? on_cancel(request) : unreachable<rpc::submission_answer>();
     }
     result<rpc::claim_reply> claim_submission(const rpc::claim_request& request,
                                               absl::Duration /*limit*/) override
@@ -225,6 +225,8 @@
     }
 
     std::function<result<rpc::forward_reply>(const rpc::forward_request&)> on_forward;
+    std::function<result<rpc::submission_answer>(const rpc::status_request&)> on_status;
+    std::function<result<rpc::submission_answer>(const rpc::cancel_request&)> on_cancel;
     std::function<result<rpc::claim_reply>(const rpc::claim_request&)> on_claim;
 
 private:
--- a/tests/auto/dispatch/tst_coordinator.cpp
+++ b/tests/auto/dispatch/tst_coordinator.cpp
@@ -18,6 +18,17 @@
     return answer.error().kind;
 }
 
+// Puts a claim that names the entry "e2" as coordinator.
+void claim_for_other(dispatch_fixture& fixture, const rpc::submission_request& request)
+{
+    rpc::claim claim;
+    *claim.mutable_submission() = request.key();
+    claim.set_body_hash("h1");
+    claim.set_deadline_unix_ms(request.deadline_unix_ms());
+    *claim.mutable_coordinator() = entry_named("e2", "guro");
+    fixture.claims.put(claim);
+}
+
 // A refusal before anything was claimed: nothing has run.
 void check_refused(const result<rpc::submission_answer>& answer, std::string_view kind)
 {
@@ -276,12 +287,7 @@
     fake_entry& other = fixture.add_witness();
     const std::string id = fixture.id_owned_by("e1");
     const rpc::submission_request request = fixture.request(1, absl::Seconds(2), id);
-    rpc::claim claim;
-    *claim.mutable_submission() = request.key();
-    claim.set_body_hash("h1");
-    claim.set_deadline_unix_ms(request.deadline_unix_ms());
-    *claim.mutable_coordinator() = entry_named("e2", "guro");
-    fixture.claims.put(claim);
+    claim_for_other(fixture, request);
     other.on_forward = [&](const rpc::forward_request&) {
         rpc::forward_reply reply;
         reply.mutable_answer()->set_state(rpc::submission_complete);
@@ -290,3 +296,40 @@
     CHECK(fixture.submit(request).value().state() == rpc::submission_complete);
     CHECK(agent.starts() == 0);
 }
+
+// Guards against status and cancel that are refused while the entry that runs the submission could
+// answer, and against questions that go round between entries.
+TEST_CASE("the owner passes status and cancel on once, to the entry that the claim names")
+{
+    dispatch_fixture fixture;
+    fake_entry& other = fixture.add_witness();
+    const std::string id = fixture.id_owned_by("e1");
+    const rpc::submission_request request = fixture.request(1, absl::Seconds(2), id);
+    claim_for_other(fixture, request);
+    int asked = 0;
+    const auto answer = [&](const auto& question) -> result<rpc::submission_answer> {
+        ++asked;
+        CHECK(question.passed_on());
+        CHECK(question.key().submission_id() == id);
+        return failure(error_kind::answer_expired, "expired", "ask sooner");
+    };
+    other.on_status = answer;
+    other.on_cancel = answer;
+    rpc::status_request status;
+    *status.mutable_key() = request.key();
+    rpc::cancel_request cancel;
+    *cancel.mutable_key() = request.key();
+    const submission_key key{"dambi", id};
+    coordinator& service = fixture.service();
+    const absl::Time now = monotonic_now();
+    CHECK(error_of(service.status_forwarded(status, now)) == error_kind::answer_expired);
+    CHECK(error_of(service.cancel_forwarded(cancel, now)) == error_kind::answer_expired);
+    CHECK(error_of(service.status(key, now)) == error_kind::answer_expired);
+    CHECK(error_of(service.cancel(key, now)) == error_kind::answer_expired);
+    CHECK(asked == 4);
+    status.set_passed_on(true);
+    cancel.set_passed_on(true);
+    CHECK(error_of(service.status_forwarded(status, now)) == error_kind::recovering);
+    CHECK(error_of(service.cancel_forwarded(cancel, now)) == error_kind::recovering);
+    CHECK(asked == 4);
+}
--- a/tests/auto/entry/tst_entry_server.cpp
+++ b/tests/auto/entry/tst_entry_server.cpp
@@ -84,11 +84,13 @@
         reply.set_view_number(request.view_number());
         return reply;
     }
-    result<rpc::submission_answer> local_status(const submission_key& key, absl::Time) override
+    result<rpc::submission_answer> status_forwarded(const rpc::status_request& request,
+                                                    absl::Time) override
     {
-        return failure(error_kind::not_found, to_string(key), "check the id");
+        return failure(error_kind::not_found, to_string(from_message(request.key())),
+                       "check the id");
     }
-    result<rpc::submission_answer> local_cancel(const submission_key&, absl::Time) override
+    result<rpc::submission_answer> cancel_forwarded(const rpc::cancel_request&, absl::Time) override
     {
         return rpc::submission_answer();
     }
--- a/tests/auto/stateful/channels.cpp
+++ b/tests/auto/stateful/channels.cpp
@@ -28,14 +28,14 @@
                                           absl::Duration) override
     {
         return question([&region = region_, request](entry_process& entry) {
-            return entry.submissions->local_status(from_message(request.key()), region.now());
+            return entry.submissions->status_forwarded(request, region.now());
         });
     }
     result<rpc::submission_answer> cancel(const rpc::cancel_request& request,
                                           absl::Duration) override
     {
         return question([&region = region_, request](entry_process& entry) {
-            return entry.submissions->local_cancel(from_message(request.key()), region.now());
+            return entry.submissions->cancel_forwarded(request, region.now());
         });
     }
     result<rpc::claim_reply> claim_submission(const rpc::claim_request& request,
