Dispatch: Tell the witness of answers so that a successor repeats or refuses them

Cause: a claim was marked as answered at its coordinator only. After the coordinator's death the successor took the submission for an open one and formed an answer of its own from the agents' records. After: the witness hears of an answer that is not complete before it is handed out, with one claim_submission that holds only the note, and of complete answers in one message per witness every 200 ms. The successor repeats a complete answer if all planned agents' records prove it and says answer_expired otherwise, with nothing run. Ruled out: waiting for the witness on complete answers, a round trip for each job; keeping the whole answer at the witness, which doubles the bytes. Left open: a coordinator that dies within 200 ms of a complete answer, together with an agent whose records the answer needs, is followed by a failed answer. A superseded coordinator still answers its waiting callers. The fake entry that a dispatch test doesn't set up is unreachable now, as its comment says; it threw map::at when the note was sent to it.

--- /dev/null
+++ b/src/libs/carobfall/dispatch/answered_notes.cpp
@@ -0,0 +1,74 @@
+#include "carobfall/dispatch/answered_notes.h"
+
+#include "carobfall/base/clock.h"
+#include "carobfall/entry/claim_store.h"
+#include "carobfall/entry/rendezvous.h"
+#include "carobfall/entry/view_rules.h"
+
+#include <iterator>
+#include <map>
+
+namespace carobfall {
+
+void answered_notes::add(const rpc::claim& answered)
+{
+    rpc::claim noted = answered;
+    noted.clear_planned_agents();
+    const std::lock_guard lock(mutex_);
+    noted_.push_back(std::move(noted));
+}
+
+void answered_notes::deliver_now(const rpc::claim& answered, absl::Duration limit)
+{
+    const ownership_snapshot snapshot = owner_.snapshot();
+    const rpc::entry_member* witness =
+        witness_of(snapshot.view, from_message(answered.submission()), answered.coordinator());
+    if (witness != nullptr && !send(*witness, {answered}, limit)) {
+        add(answered);
+    }
+}
+
+void answered_notes::deliver(absl::Time now)
+{
+    std::vector<rpc::claim> noted;
+    {
+        const std::lock_guard lock(mutex_);
+        noted.swap(noted_);
+    }
+    if (noted.empty()) {
+        return;
+    }
+    const ownership_snapshot snapshot = owner_.snapshot();
+    std::map<std::string, std::pair<const rpc::entry_member*, std::vector<rpc::claim>>> batches;
+    for (rpc::claim& answered : noted) {
+        const rpc::entry_member* witness =
+            witness_of(snapshot.view, from_message(answered.submission()), answered.coordinator());
+        const bool expired = from_unix_ms(answered.deadline_unix_ms()) + record_retention < now;
+        if (witness != nullptr && !expired) {
+            auto& batch = batches[member_id(*witness)];
+            batch.first = witness;
+            batch.second.push_back(std::move(answered));
+        }
+    }
+    for (auto& [id, batch] : batches) {
+        if (!send(*batch.first, batch.second, limit_)) {
+            const std::lock_guard lock(mutex_);
+            std::move(batch.second.begin(), batch.second.end(), std::back_inserter(noted_));
+        }
+    }
+}
+
+bool answered_notes::send(const rpc::entry_member& witness, const std::vector<rpc::claim>& answered,
+                          absl::Duration limit) const
+{
+    rpc::claim_request request;
+    for (const rpc::claim& claim : answered) {
+        rpc::answered_note* note = request.add_answered();
+        *note->mutable_submission() = claim.submission();
+        note->set_complete(claim.answered_complete());
+    }
+    const auto reply = entries_(witness)->claim_submission(request, limit);
+    return reply && reply.value().accepted();
+}
+
+} // namespace carobfall
--- /dev/null
+++ b/src/libs/carobfall/dispatch/answered_notes.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "carobfall/dispatch/dispatch_settings.h"
+#include "carobfall/entry/entry_channel.h"
+#include "carobfall/entry/ownership.h"
+
+#include <absl/time/time.h>
+
+#include <mutex>
+#include <vector>
+
+namespace carobfall {
+
+/// Tells the witnesses of submissions that their answer has been recorded, so that a successor of
+/// this entry doesn't answer them differently. Thread-safe; no lock is held during a call.
+class answered_notes {
+public:
+    answered_notes(const ownership& owner, entry_channel_factory entries, absl::Duration limit)
+        : owner_(owner), entries_(std::move(entries)), limit_(limit)
+    {}
+
+    /// Notes an answered claim for the next `deliver`.
+    void add(const rpc::claim& answered);
+    /// Tells the witness at once, with `limit` for the call; without success it is noted.
+    void deliver_now(const rpc::claim& answered, absl::Duration limit);
+    /// Sends what has been noted, one message to each witness. What a witness doesn't acknowledge
+    /// is sent again by later calls until the claim has expired.
+    void deliver(absl::Time now);
+
+private:
+    bool send(const rpc::entry_member& witness, const std::vector<rpc::claim>& answered,
+              absl::Duration limit) const;
+
+    const ownership& owner_;
+    const entry_channel_factory entries_;
+    const absl::Duration limit_;
+    std::mutex mutex_;
+    std::vector<rpc::claim> noted_; ///< without their planned agents
+};
+
+} // namespace carobfall
--- a/src/libs/carobfall/dispatch/claim_registration.cpp
+++ b/src/libs/carobfall/dispatch/claim_registration.cpp
@@ -55,12 +55,21 @@
     return view;
 }
 
-void claim_registration::set_answered()
+void claim_registration::set_answered(const rpc::submission_answer& answer)
 {
     claim_.set_answered(true);
-    if (context_.outside.claims->find(from_message(claim_.submission()))) {
-        context_.outside.claims->put(claim_);
+    claim_.set_answered_complete(answer.state() == rpc::submission_complete);
+    if (!context_.outside.claims->find(from_message(claim_.submission()))) {
+        return;
     }
+    context_.outside.claims->put(claim_);
+    if (claim_.answered_complete() || !held_once_) {
+        context_.notes.add(claim_);
+        return;
+    }
+    const absl::Duration remaining = from_unix_ms(claim_.deadline_unix_ms()) - context_.now();
+    context_.notes.deliver_now(claim_, std::clamp(remaining / 2, absl::Milliseconds(1),
+                                                  context_.settings.claim_call_limit));
 }
 
 bool claim_registration::plan(const std::vector<rpc::agent_ref>& planned)
--- a/src/libs/carobfall/dispatch/claim_registration.h
+++ b/src/libs/carobfall/dispatch/claim_registration.h
@@ -20,8 +20,12 @@
     /// because the ownership has gone to another entry.
     result<std::uint64_t> hold(const std::vector<rpc::agent_ref>& planned, absl::Duration limit);
 
-    /// Notes in this entry that the answer has been recorded.
-    void set_answered();
+    /// Notes in this entry and at the witness that the submission is being answered; call it before
+    /// the answer is handed out. The witness is told of a complete answer later, together with
+    /// others, because a successor can form the same answer from the agents' records. Any other
+    /// answer depends on what could be learnt until now, so that the call waits for the witness,
+    /// for at most half of the time to the deadline.
+    void set_answered(const rpc::submission_answer& answer);
     /// The claim has been held, so that only this entry may start the submission.
     [[nodiscard]] bool held_once() const { return held_once_; }
 
--- a/src/libs/carobfall/dispatch/coordinator.cpp
+++ b/src/libs/carobfall/dispatch/coordinator.cpp
@@ -41,9 +41,7 @@
 
 result<rpc::submission_answer> expired()
 {
-    return failure(error_kind::answer_expired,
-                   "the submission was answered; its answer is no longer held",
-                   "the tasks don't run again under this id; ask sooner for the answer");
+    return boost::outcome_v2::failure(expired_answer_error());
 }
 
 // No earlier view can have accepted a request whose deadline was too far ahead then.
--- a/src/libs/carobfall/dispatch/coordinator.h
+++ b/src/libs/carobfall/dispatch/coordinator.h
@@ -40,6 +40,8 @@
     void on_view_in_effect(absl::Time now);
     /// Makes the submissions known that a fenced agent holds records of.
     void learn_records(const rpc::fence_reply& reply);
+    /// Tells the witnesses which submissions have been answered. Call several times a second.
+    void deliver_notes(absl::Time now) { context_.notes.deliver(now); }
     /// Drops records whose retention has passed. Call about once a second.
     void expire(absl::Time now);
     /// Refuses new submissions from now on; running ones go on.
--- a/src/libs/carobfall/dispatch/dispatch_context.h
+++ b/src/libs/carobfall/dispatch/dispatch_context.h
@@ -5,6 +5,7 @@
 #include "carobfall/dispatch/account_limits.h"
 #include "carobfall/dispatch/agent_channel.h"
 #include "carobfall/dispatch/agent_registry.h"
+#include "carobfall/dispatch/answered_notes.h"
 #include "carobfall/dispatch/backend_health.h"
 #include "carobfall/dispatch/dispatch_settings.h"
 #include "carobfall/dispatch/placement.h"
@@ -39,6 +40,7 @@
           settings(set),
           table(set.recorded_answer_bytes),
           health(default_backoff_table(), outside.random),
+          notes(*outside.owner, outside.entries, set.claim_call_limit),
           retries(set.retry_share, set.retries_per_second),
           calls(set.call_threads, set.run_queue)
     {}
@@ -50,6 +52,7 @@
     submission_table table;
     account_limits limits;
     backend_health health;
+    answered_notes notes;
     retry_budget retries;
     work_pool calls; ///< helps with calls to several agents at once
 };
--- a/src/libs/carobfall/dispatch/job_runner.cpp
+++ b/src/libs/carobfall/dispatch/job_runner.cpp
@@ -339,7 +339,7 @@
         return;
     }
     rpc::submission_answer answer = answer_for(job_, failure_reason());
-    claim_.set_answered();
+    claim_.set_answered(answer);
     LOG(INFO) << log_fields("submission_answered")
                      .add("submission", to_string(job_.key()))
                      .add("request_id", plan_.request.request_id())
--- a/src/libs/carobfall/dispatch/submission_table.cpp
+++ b/src/libs/carobfall/dispatch/submission_table.cpp
@@ -16,6 +16,12 @@
 
 } // namespace
 
+error expired_answer_error()
+{
+    return {error_kind::answer_expired, "the submission was answered; its answer is no longer held",
+            "the tasks don't run again under this id; ask sooner for the answer"};
+}
+
 submission_table::submission_table(std::size_t answer_bytes) : max_answer_bytes_(answer_bytes) {}
 
 std::optional<submission_table::entry> submission_table::find(const submission_key& key) const
@@ -50,21 +56,32 @@
 
 void submission_table::record(const std::shared_ptr<job>& finished, rpc::submission_answer answer)
 {
-    const auto shared = std::make_shared<const rpc::submission_answer>(answer);
-    {
-        const std::lock_guard lock(mutex_);
-        const auto held = entries_.find(finished->key());
-        if (held != entries_.end()) {
-            held->second.state = shared;
-            answer_bytes_ += shared->ByteSizeLong();
-            answered_.push_back(finished->key());
-            --running_;
-            drop_oldest_answers();
-        }
-    }
+    close(finished, std::make_shared<const rpc::submission_answer>(answer));
     finished->finish(std::move(answer));
 }
 
+void submission_table::record_expired(const std::shared_ptr<job>& answered)
+{
+    close(answered, expired_answer{});
+    answered->finish(boost::outcome_v2::failure(expired_answer_error()));
+}
+
+void submission_table::close(const std::shared_ptr<job>& finished, state_type state)
+{
+    const std::lock_guard lock(mutex_);
+    const auto held = entries_.find(finished->key());
+    if (held == entries_.end()) {
+        return;
+    }
+    held->second.state = std::move(state);
+    --running_;
+    if (std::holds_alternative<answer_ptr>(held->second.state)) {
+        answer_bytes_ += bytes_of(held->second.state);
+        answered_.push_back(finished->key());
+        drop_oldest_answers();
+    }
+}
+
 void submission_table::discard(const std::shared_ptr<job>& refused,
                                const result<rpc::submission_answer>& answer)
 {
--- a/src/libs/carobfall/dispatch/submission_table.h
+++ b/src/libs/carobfall/dispatch/submission_table.h
@@ -16,6 +16,9 @@
 
 namespace carobfall {
 
+/// What callers learn of a submission whose answer is not held any more.
+[[nodiscard]] error expired_answer_error();
+
 /// Submissions that this entry runs, has answered, or knows of from agents. Thread-safe.
 ///
 /// A recorded answer is kept until the deadline and `record_retention` have passed, or until all
@@ -47,6 +50,8 @@
     std::optional<entry> open(const std::shared_ptr<job>& opened);
     /// Records the answer and hands it to those who wait for the job.
     void record(const std::shared_ptr<job>& finished, rpc::submission_answer answer);
+    /// The job was answered before, and that answer is not held.
+    void record_expired(const std::shared_ptr<job>& answered);
     /// Forgets a job that was refused before anything was claimed for it.
     void discard(const std::shared_ptr<job>& refused, const result<rpc::submission_answer>& answer);
     /// Makes the submission known if it isn't.
@@ -60,6 +65,7 @@
     [[nodiscard]] std::size_t size() const;
 
 private:
+    void close(const std::shared_ptr<job>& finished, state_type state);
     void drop_oldest_answers();
 
     const std::size_t max_answer_bytes_;
--- a/src/libs/carobfall/dispatch/takeover.cpp
+++ b/src/libs/carobfall/dispatch/takeover.cpp
@@ -58,6 +58,10 @@
     if (context_.table.open(taken)) {
         return true;
     }
+    if (claim.answered() && !claim.answered_complete()) {
+        context_.table.record_expired(taken);
+        return true;
+    }
     if (!runs_.post([this, claim, taken] { run(claim, taken); })) {
         context_.table.discard(taken, failure(error_kind::recovering,
                                               "too many submissions are being taken over",
@@ -77,8 +81,17 @@
                             .add("submission", to_string(taken->key()))
                             .add("error", to_string(held.error()));
     }
-    rpc::submission_answer answer = takeover_run(context_, claim).run();
-    registration.set_answered();
+    takeover_run questions(context_, claim);
+    rpc::submission_answer answer = questions.run();
+    // The note of an answer may have arrived after the copy of the claim was taken.
+    const bool answered = context_.outside.claims->find(taken->key()).value_or(claim).answered();
+    if (answered && (answer.state() != rpc::submission_complete || !questions.is_only_answer())) {
+        LOG(INFO)
+            << log_fields("submission_answer_expired").add("submission", to_string(taken->key()));
+        context_.table.record_expired(taken);
+        return;
+    }
+    registration.set_answered(answer);
     LOG(INFO) << log_fields("submission_taken_over")
                      .add("submission", to_string(taken->key()))
                      .add("state", rpc::submission_state_Name(answer.state()));
@@ -187,6 +200,23 @@
     });
 }
 
+bool takeover_run::is_only_answer() const
+{
+    std::vector<char> finished(claim_.task_count(), 0);
+    for (const agent_view& agent : agents_) {
+        if (!agent.answered) {
+            return false;
+        }
+        for (const rpc::task_status& status : agent.tasks) {
+            if (status.index() < finished.size() && status.state() == rpc::task_state_finished &&
+                finished[status.index()]++ != 0) {
+                return false;
+            }
+        }
+    }
+    return true;
+}
+
 rpc::submission_answer takeover_run::answer() const
 {
     const std::uint32_t count = claim_.task_count();
--- a/src/libs/carobfall/dispatch/takeover.h
+++ b/src/libs/carobfall/dispatch/takeover.h
@@ -10,7 +10,8 @@
 namespace carobfall {
 
 /// Answers submissions whose coordinator has left the view, from the claim and the records of the
-/// planned agents. Nothing is started.
+/// planned agents. Nothing is started. A submission that its coordinator has answered gets the same
+/// answer if the records prove it, and otherwise `answer_expired`.
 class takeover {
 public:
     takeover(dispatch_context& context, work_pool& runs) : context_(context), runs_(runs) {}
@@ -36,6 +37,9 @@
 
     /// Asks the agents until every task is settled, or until the deadline.
     [[nodiscard]] rpc::submission_answer run();
+    /// Every planned agent has answered, and no task finished more than once: no other complete
+    /// answer can have been formed from the records.
+    [[nodiscard]] bool is_only_answer() const;
 
 private:
     struct agent_view {
--- a/src/libs/carobfall/entry/claim_acceptance.cpp
+++ b/src/libs/carobfall/entry/claim_acceptance.cpp
@@ -18,7 +18,12 @@
                               claim_store& claims)
 {
     rpc::claim_reply reply;
-    if (is_acceptable(request, views)) {
+    for (const rpc::answered_note& note : request.answered()) {
+        claims.note_answered(note);
+    }
+    if (!request.has_claim()) {
+        reply.set_accepted(true);
+    } else if (is_acceptable(request, views)) {
         claims.put(request.claim());
         reply.set_accepted(is_acceptable(request, views));
     }
--- a/src/libs/carobfall/entry/claim_store.cpp
+++ b/src/libs/carobfall/entry/claim_store.cpp
@@ -17,6 +17,12 @@
                        });
 }
 
+void set_answered(rpc::claim& held, bool complete)
+{
+    held.set_answered_complete(complete && (!held.answered() || held.answered_complete()));
+    held.set_answered(true);
+}
+
 } // namespace
 
 void claim_store::put(const rpc::claim& claim)
@@ -45,7 +51,18 @@
     if (view == nullptr || find_member(*view, held->second.coordinator()) == nullptr) {
         *held->second.mutable_coordinator() = claim.coordinator();
     }
-    held->second.set_answered(held->second.answered() || claim.answered());
+    if (claim.answered()) {
+        set_answered(held->second, claim.answered_complete());
+    }
+}
+
+void claim_store::note_answered(const rpc::answered_note& note)
+{
+    const absl::MutexLock lock(&mutex_);
+    const auto found = claims_.find(from_message(note.submission()));
+    if (found != claims_.end()) {
+        set_answered(found->second, note.complete());
+    }
 }
 
 std::optional<rpc::claim> claim_store::find(const submission_key& key) const
--- a/src/libs/carobfall/entry/claim_store.h
+++ b/src/libs/carobfall/entry/claim_store.h
@@ -23,13 +23,15 @@
 /// Claims that this entry holds as coordinator or as witness. Thread-safe.
 class claim_store {
 public:
-    /// Adds the claim, or extends the one held: planned agents are united and `answered` stays
-    /// set. The body hash of a held claim never changes.
+    /// Adds the claim, or extends the one held: planned agents are united, `answered` stays set,
+    /// and `answered_complete` if no copy says otherwise. The body hash never changes.
     void put(const rpc::claim& claim);
     /// Adds a copy that another entry delivered for `view`, or unites it with the one held. The
     /// coordinator named by the held claim stays if it is a member of the view; otherwise the
     /// claim has been taken over and the copy may name the successor.
     void merge(const rpc::claim& copy, const rpc::entry_view& view);
+    /// Marks the claim as answered if it is held.
+    void note_answered(const rpc::answered_note& note);
     [[nodiscard]] std::optional<rpc::claim> find(const submission_key& key) const;
     [[nodiscard]] std::vector<rpc::claim> all() const;
     [[nodiscard]] std::size_t size() const;
--- a/tests/auto/dispatch/fakes.cpp
+++ b/tests/auto/dispatch/fakes.cpp
@@ -227,8 +227,10 @@
                 .with_claims(claims)
                 .with_membership(membership)
                 .with_registry(registry)
-                .with_entries(
-                    [this](const rpc::entry_member& member) { return entries.at(member.name()); })
+                .with_entries([this](const rpc::entry_member& member) {
+                    const auto known = entries.find(member.name());
+                    return known == entries.end() ? std::make_shared<fake_entry>() : known->second;
+                })
                 .with_agents([this](const rpc::agent_info& info) { return agent(info.name()); })
                 .with_random(seeded_random())
                 .with_settings(settings)
@@ -251,9 +253,9 @@
     return *entry;
 }
 
-std::string dispatch_fixture::id_owned_by(const std::string& wanted) const
+std::string dispatch_fixture::id_owned_by(const std::string& wanted, int first) const
 {
-    for (int i = 0;; ++i) {
+    for (int i = first;; ++i) {
         const std::string id = absl::StrCat("s", i);
         if (coordinator_of(owner.snapshot().view, {"dambi", id})->name() == wanted) {
             return id;
--- a/tests/auto/dispatch/fakes.h
+++ b/tests/auto/dispatch/fakes.h
@@ -298,8 +298,8 @@
     coordinator& service();
     /// A view with a second entry, "e2", which acknowledges every claim.
     fake_entry& add_witness(std::uint64_t view = 2);
-    /// An id whose coordinator is `owner` in the present view.
-    std::string id_owned_by(const std::string& owner) const;
+    /// An id whose coordinator is `owner` in the present view; the search begins at number `first`.
+    std::string id_owned_by(const std::string& owner, int first = 0) const;
     rpc::submission_request request(int tasks, absl::Duration ahead = absl::Seconds(2),
                                     const std::string& id = "s1") const;
     result<rpc::submission_answer> submit(const rpc::submission_request& request);
--- a/tests/auto/dispatch/tst_coordinator.cpp
+++ b/tests/auto/dispatch/tst_coordinator.cpp
@@ -333,3 +333,38 @@
     CHECK(error_of(service.cancel_forwarded(cancel, now)) == error_kind::recovering);
     CHECK(asked == 4);
 }
+
+// Guards against a successor that takes an answered submission for an open one.
+TEST_CASE("the witness hears of a failed answer before the caller and of complete ones in a batch")
+{
+    dispatch_fixture fixture;
+    fake_agent& agent = fixture.add_agent("a1");
+    std::vector<rpc::answered_note> notes;
+    int messages = 0;
+    fixture.add_witness().on_claim = [&](const rpc::claim_request& request) {
+        messages += request.has_claim() ? 0 : 1;
+        notes.insert(notes.end(), request.answered().begin(), request.answered().end());
+        rpc::claim_reply reply;
+        reply.set_accepted(true);
+        return reply;
+    };
+    const auto submit = [&](int first) {
+        const std::string id = fixture.id_owned_by("e1", first);
+        REQUIRE(fixture.submit(fixture.request(1, absl::Seconds(2), id)).has_value());
+        return id;
+    };
+    submit(0);
+    submit(100);
+    CHECK(notes.empty());
+    fixture.service().deliver_notes(monotonic_now());
+    fixture.service().deliver_notes(monotonic_now());
+    CHECK(messages == 1);
+    REQUIRE(notes.size() == 2);
+    CHECK(notes[0].complete());
+    agent.task_succeeds = false;
+    const std::string failed = submit(200);
+    CHECK(messages == 2);
+    REQUIRE(notes.size() == 3);
+    CHECK(notes[2].submission().submission_id() == failed);
+    CHECK_FALSE(notes[2].complete());
+}
--- a/tests/auto/dispatch/tst_takeover.cpp
+++ b/tests/auto/dispatch/tst_takeover.cpp
@@ -1,3 +1,4 @@
+#include "carobfall/entry/claim_acceptance.h"
 #include "fakes.h"
 
 #include <doctest/doctest.h>
@@ -28,12 +29,26 @@
         claims.put(held);
     }
 
-    rpc::submission_answer take_over()
+    // The former coordinator told its witness that it has answered the claim.
+    void note_answered(bool complete)
+    {
+        rpc::claim_request note;
+        *note.add_answered()->mutable_submission() = submission.key();
+        note.mutable_answered(0)->set_complete(complete);
+        CHECK(accept_claim(note, view_state(entry_named("e1")), claims).accepted());
+    }
+
+    result<rpc::submission_answer> try_take_over()
     {
         owner.set_view(2, {entry_named("e1")});
         service().on_view_in_effect(monotonic_now());
-        return submit(submission).value();
+        auto answer = submit(submission);
+        while (!answer && answer.error().kind == error_kind::outcome_unknown) {
+            answer = submit(submission);
+        }
+        return answer;
     }
+    rpc::submission_answer take_over() { return try_take_over().value(); }
 };
 
 } // namespace
@@ -135,3 +150,51 @@
     CHECK(answer.tasks(1).outcome() == rpc::outcome_ran);
     CHECK(agent.starts() == 0);
 }
+
+// Guards against a second, different answer: the first may have had `cancelled` or `may_have_run`
+// where the records now say otherwise.
+TEST_CASE("a submission that was answered as failed has an expired answer and is left alone")
+{
+    takeover_fixture fixture;
+    fake_agent& agent = fixture.add_agent("a1");
+    agent.finish(key, 0, false);
+    fixture.claim(2, absl::Seconds(2), {"a1"});
+    fixture.note_answered(false);
+    for (const auto& answer :
+         {fixture.try_take_over(), fixture.service().status(key, monotonic_now())}) {
+        REQUIRE_FALSE(answer.has_value());
+        CHECK(answer.error().kind == error_kind::answer_expired);
+    }
+    CHECK(agent.record(key, 1).state() == rpc::task_state_unknown);
+    CHECK(agent.starts() == 0);
+}
+
+// Guards against a complete answer that turns into a failed or another complete one.
+TEST_CASE("a submission that was answered as complete gets that answer again or an expired one")
+{
+    takeover_fixture fixture;
+    fixture.add_agent("a1").finish(key, 0, false);
+    fake_agent& second = fixture.add_agent("a2");
+    bool same = false;
+    SUBCASE("the records prove it")
+    {
+        same = true;
+    }
+    SUBCASE("a planned agent can't be asked")
+    {
+        second.set_mode(agent_mode::unreachable);
+    }
+    SUBCASE("a task ran twice")
+    {
+        second.finish(key, 0, false);
+    }
+    fixture.claim(1, absl::Milliseconds(400), {"a1", "a2"});
+    fixture.note_answered(true);
+    const auto answer = fixture.try_take_over();
+    REQUIRE(answer.has_value() == same);
+    if (same) {
+        CHECK(answer.value().state() == rpc::submission_complete);
+    } else {
+        CHECK(answer.error().kind == error_kind::answer_expired);
+    }
+}
--- a/tests/auto/stateful/entry_process.cpp
+++ b/tests/auto/stateful/entry_process.cpp
@@ -158,6 +158,7 @@
         adopted_view_ = snapshot.view.number();
         submissions->on_view_in_effect(now);
     }
+    submissions->deliver_notes(now);
     submissions->expire(now);
 }
 
--- a/tests/process/test_entry_failure.py
+++ b/tests/process/test_entry_failure.py
@@ -2,7 +2,7 @@
 import time
 import unittest
 
-from support import ProcessTest, body, wait_until
+from support import TOKEN, ProcessTest, body, http, wait_until
 
 
 class EntryFailure(ProcessTest):
@@ -30,6 +30,37 @@
         self.path_works("after-restart", index)
         self.assert_no_second_start()
 
+    def test_killed_coordinator_leaves_its_answers_as_they_were(self):
+        """Guards against a successor that answers an answered submission differently."""
+        job = self.job("cancelled", body(40, 1000, 40))
+        index = self.coordinator_of("cancelled")
+        self.wait_for_starts(32)
+        url = self.deployment.entries[0].caller_url + "/v1/accounts/dambi/submissions/cancelled"
+        wait_until(lambda: http("DELETE", url, token=TOKEN)[0] in (200, 202), 5, "cancelled")
+        cancelled = job.result()[1]
+        self.assertEqual(cancelled["error"]["kind"], "cancelled", cancelled)
+        for number in range(50):
+            name, content = f"complete-{number}", body(3, 10, 40)
+            complete = self.submit(name, content, index)
+            self.assert_complete(complete, content)
+            if self.coordinator_of(name) == index:
+                break
+        time.sleep(0.5)  # the witness hears of complete answers every 200 ms
+        self.deployment.entries[index].process.kill()
+
+        def answered(submission, sent):
+            status, answer = self.submit(submission, sent, (index + 1) % 3)
+            return (status, answer) if status not in (0, 503) else None
+
+        same = wait_until(lambda: answered(name, content), 25, "the answer is repeated")
+        for _, answer in (complete, same):
+            del answer["request_id"]
+        self.assertEqual(same, complete)
+        status, answer = wait_until(lambda: answered("cancelled", job.content), 25, "refused")
+        self.assertEqual((status, answer["error"]["kind"]), (410, "answer_expired"))
+        self.assert_honest("cancelled", cancelled)
+        self.assert_no_second_start()
+
     def test_paused_coordinator_starts_nothing_after_its_view_is_superseded(self):
         """Guards against late starts of an entry that was paused past its removal."""
         content = body(4, 300, 25)
