Entry: Let an entry join only while it and every member reach each other

Cause: with calls from A to B cut, A hears nothing from B and the majority removes B. B ends, starts again, reaches everyone, and joins; A doesn't hear the new incarnation either. With both directions cut among five entries the joiner removed the member in its turn. Members send heartbeats to entries that send them some, and the reply says whether the sender is reached. Ruled out: removing the other end, which only changes who flaps; a longer failure time-out, which slows the cycle down. A view still needs its majority or evidence of death, never a time-out alone. A join takes one heartbeat round more, so that a case that counted rounds has two more steps, and checks that the join has happened.

--- a/src/libs/carobfall/entry/membership.cpp
+++ b/src/libs/carobfall/entry/membership.cpp
@@ -249,7 +249,7 @@
         *next.add_history() = std::move(view);
     }
     if (static_cast<std::size_t>(next.history_size()) > max_open_views ||
-        !can_take_effect(next, now)) {
+        (!is_member && !is_reached_by_all(present, next, now)) || !can_take_effect(next, now)) {
         return;
     }
     // After a conflict or a lost answer the next tick follows whatever the row holds.
@@ -280,6 +280,20 @@
     return !was_member_ && !leaving_;
 }
 
+bool membership::is_reached_by_all(const rpc::entry_view& present, const rpc::view_proposal& next,
+                                   absl::Time now) const
+{
+    const auto& members = present.members();
+    const auto missing = std::find_if(members.begin(), members.end(), [&](const auto& member) {
+        return !monitor_.is_mutual(member, now) && !is_dead(next, member);
+    });
+    if (missing == members.end()) {
+        return true;
+    }
+    LOG_EVERY_N(INFO, 60) << log_fields("join_waits").add("for", missing->name());
+    return false;
+}
+
 // A proposal that can't gather its acknowledgements would only stop the work in the present view.
 bool membership::can_take_effect(const rpc::view_proposal& proposal, absl::Time now) const
 {
@@ -392,13 +406,14 @@
     return reply;
 }
 
-rpc::entry_beat_reply membership::answer_beat(const rpc::entry_beat_request& /*request*/) const
+rpc::entry_beat_reply membership::answer_beat(const rpc::entry_beat_request& request)
 {
     rpc::entry_beat_reply reply;
     *reply.mutable_member() = self();
     reply.set_view_number(state_.effective().view().number());
     reply.set_configuration_version(hooks_.configuration_version());
     reply.set_in_transition(state_.snapshot().in_transition);
+    reply.set_reached(monitor_.note_sender(request.member()));
     return reply;
 }
 
--- a/src/libs/carobfall/entry/membership.h
+++ b/src/libs/carobfall/entry/membership.h
@@ -65,6 +65,9 @@
 /// coordinator must not become valid again. `on_superseded` lets the process end, so that it is
 /// started anew with another incarnation.
 ///
+/// An entry joins only while every member reaches it and it reaches every member, the dead ones
+/// apart. Members that hear an entry only one way would remove it again after each join.
+///
 /// During an outage of the table service nothing changes and the view in effect stays. No lock is
 /// held during a call. Thread-safe.
 class membership : public ownership {
@@ -91,7 +94,7 @@
 
     rpc::prepare_view_reply prepare(const rpc::prepare_view_request& request);
     rpc::activate_view_reply activate(const rpc::activate_view_request& request, absl::Time now);
-    rpc::entry_beat_reply answer_beat(const rpc::entry_beat_request& request) const;
+    rpc::entry_beat_reply answer_beat(const rpc::entry_beat_request& request);
 
     /// Nothing while a later view than the one in effect here is known.
     [[nodiscard]] std::optional<join_permission> may_record_joins() const;
@@ -112,6 +115,8 @@
     [[nodiscard]] rpc::entry_view desired_view(const rpc::entry_view& present,
                                                absl::Time now) const;
     [[nodiscard]] bool may_join() const;
+    [[nodiscard]] bool is_reached_by_all(const rpc::entry_view& present,
+                                         const rpc::view_proposal& next, absl::Time now) const;
     [[nodiscard]] bool can_take_effect(const rpc::view_proposal& proposal, absl::Time now) const;
     [[nodiscard]] bool is_dead(const rpc::view_proposal& proposal,
                                const rpc::entry_member& member) const;
--- a/src/libs/carobfall/entry/peer_monitor.cpp
+++ b/src/libs/carobfall/entry/peer_monitor.cpp
@@ -7,6 +7,12 @@
 #include <optional>
 
 namespace carobfall {
+namespace {
+
+// Entries that send heartbeats are the other members and those that want to join.
+constexpr std::size_t max_senders = 256;
+
+} // namespace
 
 peer_monitor::peer_monitor(peer_monitor_settings settings, entry_channel_factory channels,
                            parallel_runner run_parallel)
@@ -33,19 +39,21 @@
 std::vector<peer_answer> peer_monitor::beat(const std::vector<rpc::entry_member>& peers,
                                             const rpc::entry_beat_request& request, absl::Time now)
 {
-    update_watched(peers, now);
+    const std::vector<rpc::entry_member> receivers = with_senders(peers, now);
+    update_watched(receivers, now);
     std::vector<std::optional<peer_answer>> answers(peers.size());
     std::vector<std::function<void()>> calls;
-    for (std::size_t i = 0; i < peers.size(); ++i) {
+    for (std::size_t i = 0; i < receivers.size(); ++i) {
         calls.emplace_back([&, i] {
-            const auto reply = channels_(peers[i])->entry_beat(request, settings_.call_limit);
+            const auto reply = channels_(receivers[i])->entry_beat(request, settings_.call_limit);
             if (!reply) {
                 return;
             }
-            note_answer(peers[i], reply.value().member(), now);
-            if (same_incarnation(reply.value().member(), peers[i])) {
+            note_answer(receivers[i], reply.value(), now);
+            if (i < peers.size() && same_incarnation(reply.value().member(), peers[i])) {
                 answers[i] = {peers[i], reply.value().view_number(),
-                              reply.value().configuration_version(), reply.value().in_transition()};
+                              reply.value().configuration_version(), reply.value().in_transition(),
+                              reply.value().reached()};
             }
         });
     }
@@ -59,7 +67,7 @@
     return received;
 }
 
-void peer_monitor::note_answer(const rpc::entry_member& peer, const rpc::entry_member& sender,
+void peer_monitor::note_answer(const rpc::entry_member& peer, const rpc::entry_beat_reply& reply,
                                absl::Time now)
 {
     const absl::MutexLock lock(&mutex_);
@@ -67,13 +75,54 @@
     if (known == peers_.end()) {
         return;
     }
-    if (same_incarnation(peer, sender)) {
+    if (same_incarnation(peer, reply.member())) {
         known->second.answered = now;
+        known->second.reached = reply.reached() ? now : known->second.reached;
     } else {
         known->second.gone = true;
     }
 }
 
+// An entry that wants to join is not a member yet, and learns only from an answer to its own
+// heartbeats whether the members reach it.
+std::vector<rpc::entry_member> peer_monitor::with_senders(std::vector<rpc::entry_member> peers,
+                                                          absl::Time now)
+{
+    const absl::MutexLock lock(&mutex_);
+    absl::erase_if(senders_, [&](const auto& item) {
+        return now - item.second.heard > settings_.failure_timeout;
+    });
+    for (const auto& [id, sender] : senders_) {
+        const bool listed = std::any_of(peers.begin(), peers.end(), [&](const auto& peer) {
+            return same_incarnation(peer, sender.member);
+        });
+        if (!listed) {
+            peers.push_back(sender.member);
+        }
+    }
+    return peers;
+}
+
+bool peer_monitor::note_sender(const rpc::entry_member& sender)
+{
+    const absl::MutexLock lock(&mutex_);
+    const std::string id = member_id(sender);
+    if (senders_.contains(id) || senders_.size() < max_senders) {
+        senders_[id] = {sender, last_beat_};
+    }
+    const auto known = peers_.find(id);
+    return known != peers_.end() && !known->second.gone &&
+           last_beat_ - known->second.answered <= settings_.failure_timeout;
+}
+
+bool peer_monitor::is_mutual(const rpc::entry_member& peer, absl::Time now) const
+{
+    const absl::MutexLock lock(&mutex_);
+    const auto known = peers_.find(member_id(peer));
+    return known != peers_.end() && !known->second.gone &&
+           now - known->second.reached <= settings_.failure_timeout;
+}
+
 bool peer_monitor::is_gone(const rpc::entry_member& peer) const
 {
     const absl::MutexLock lock(&mutex_);
--- a/src/libs/carobfall/entry/peer_monitor.h
+++ b/src/libs/carobfall/entry/peer_monitor.h
@@ -24,6 +24,7 @@
     std::uint64_t view_number{0};
     std::uint64_t configuration_version{0};
     bool in_transition{false}; ///< it has acknowledged a later view than `view_number`
+    bool reached{false};       ///< this entry answers its heartbeats
 };
 
 /// Sends heartbeats to other entries and judges by this entry's clock which of them have failed.
@@ -33,8 +34,8 @@
     peer_monitor(peer_monitor_settings settings, entry_channel_factory channels,
                  parallel_runner run_parallel);
 
-    /// Sends one heartbeat to each peer and returns the answers. Peers that are not listed any
-    /// more are forgotten.
+    /// Sends one heartbeat to each peer, and to entries that have sent one here lately, and returns
+    /// the answers of the peers. Peers that are not listed any more are forgotten.
     std::vector<peer_answer> beat(const std::vector<rpc::entry_member>& peers,
                                   const rpc::entry_beat_request& request, absl::Time now);
     /// The peer is gone, or it has not answered for the failure time-out while this entry sent
@@ -43,6 +44,11 @@
     /// The peer has answered within the failure time-out.
     [[nodiscard]] bool answers(const rpc::entry_member& peer, absl::Time now) const;
 
+    /// The peer has answered, and said that this entry answers it, within the failure time-out.
+    [[nodiscard]] bool is_mutual(const rpc::entry_member& peer, absl::Time now) const;
+    /// Notes that the entry sends heartbeats here. Returns true if it answers those sent to it.
+    bool note_sender(const rpc::entry_member& sender);
+
     /// Another process answered at the peer's address.
     [[nodiscard]] bool is_gone(const rpc::entry_member& peer) const;
 
@@ -50,12 +56,20 @@
     struct peer_times {
         absl::Time watched_since;
         absl::Time answered{absl::InfinitePast()};
+        absl::Time reached{absl::InfinitePast()};
         bool gone{false};
     };
 
-    void note_answer(const rpc::entry_member& peer, const rpc::entry_member& sender,
+    struct sender_times {
+        rpc::entry_member member;
+        absl::Time heard;
+    };
+
+    void note_answer(const rpc::entry_member& peer, const rpc::entry_beat_reply& reply,
                      absl::Time now);
     void update_watched(const std::vector<rpc::entry_member>& peers, absl::Time now);
+    std::vector<rpc::entry_member> with_senders(std::vector<rpc::entry_member> peers,
+                                                absl::Time now);
 
     const peer_monitor_settings settings_;
     const entry_channel_factory channels_;
@@ -63,6 +77,7 @@
     mutable absl::Mutex mutex_;
     absl::Time last_beat_ ABSL_GUARDED_BY(mutex_){absl::InfinitePast()};
     absl::flat_hash_map<std::string, peer_times> peers_ ABSL_GUARDED_BY(mutex_);
+    absl::flat_hash_map<std::string, sender_times> senders_ ABSL_GUARDED_BY(mutex_);
 };
 
 } // namespace carobfall
--- a/tests/auto/entry/region_simulation.cpp
+++ b/tests/auto/entry/region_simulation.cpp
@@ -279,7 +279,7 @@
 
 bool region_simulation::is_cut(int left, int right) const
 {
-    return cuts.contains(std::minmax(left, right));
+    return cuts.contains(std::minmax(left, right)) || one_way_cuts.contains({left, right});
 }
 
 int region_simulation::index_of(const std::string& address)
--- a/tests/auto/entry/region_simulation.h
+++ b/tests/auto/entry/region_simulation.h
@@ -51,9 +51,10 @@
     std::uint64_t store_version{1};
     std::vector<std::unique_ptr<simulated_entry>> entries; ///< null while dead
     std::vector<simulated_agent> agents;
-    std::set<std::pair<int, int>> cuts; ///< pairs of entries, lower index first
-    bool hosts_refuse{true};            ///< addresses of dead entries refuse connections
-    int lost_requests{0};               ///< this many calls between entries don't arrive
+    std::set<std::pair<int, int>> cuts;         ///< pairs of entries, lower index first
+    std::set<std::pair<int, int>> one_way_cuts; ///< calls from the first to the second are lost
+    bool hosts_refuse{true};                    ///< addresses of dead entries refuse connections
+    int lost_requests{0};                       ///< this many calls between entries don't arrive
     int lost_replies{0}; ///< this many calls between entries take effect without an answer
 
     void start(int index);
--- a/tests/auto/entry/tst_membership.cpp
+++ b/tests/auto/entry/tst_membership.cpp
@@ -150,6 +150,9 @@
     region.step(0);
     region.step(1);
     region.step(1); // heartbeats of the joiner
+    region.step(0); // heartbeats to the joiner
+    region.step(1);
+    REQUIRE(region.view_at(1).usable());
     rpc::prepare_view_request prepare;
     *prepare.mutable_proposal() = region.at(0).members->state().effective();
     prepare.mutable_proposal()->mutable_view()->set_number(9);
@@ -187,3 +190,53 @@
     REQUIRE_FALSE(outcome);
     CHECK(outcome.error().kind == error_kind::unavailable);
 }
+
+// Guards against an entry that is removed and joins again without end, because one member hears
+// nothing from it while it hears that member, or because the two don't hear each other.
+TEST_CASE("views settle while two entries can't reach each other, and all join after the repair")
+{
+    bool one_way = false;
+    int size = 0;
+    SUBCASE("three entries, one way")
+    {
+        one_way = true;
+        size = 3;
+    }
+    SUBCASE("five entries, one way")
+    {
+        one_way = true;
+        size = 5;
+    }
+    SUBCASE("five entries, both ways")
+    {
+        size = 5;
+    }
+    region_simulation region(size, 0);
+    const auto run_with_restarts = [&](int rounds) {
+        for (int round = 0; round < rounds; ++round) {
+            region.run(1);
+            for (int i = 0; i < size; ++i) {
+                if (region.at(i).superseded) {
+                    region.start(i);
+                }
+            }
+        }
+    };
+    run_with_restarts(20);
+    REQUIRE(region.view_at(0).view.members_size() == size);
+    one_way ? (void)region.one_way_cuts.insert({0, 1}) : region.cut(0, 1);
+    run_with_restarts(40);
+    const std::uint64_t settled = region.view_at(2).view.number();
+    run_with_restarts(200);
+    CHECK(region.view_at(2).view.number() == settled);
+    CHECK(region.view_at(2).view.members_size() == size - 1);
+    for (int i = 2; i < size; ++i) {
+        CHECK(region.view_at(i).usable());
+        CHECK(region.view_at(i).complete);
+    }
+    region.one_way_cuts.clear();
+    region.cuts.clear();
+    run_with_restarts(12);
+    CHECK(region.view_at(0).view.members_size() == size);
+    CHECK(region.view_at(1).view.members_size() == size);
+}
