Dispatch: Omit from heartbeat replies what the agent holds

Cause: the reply to each heartbeat repeated the whole view and the list of data centres out, although the request names the view and the configuration version that the agent holds.

Now the view is sent only if its number differs from the request's, and the list only if the configuration version differs. The request names the view whose members the agent knows, not the highest number of the ledger, which a start or a fence raises without the members. An agent says that it keeps the list, so that an earlier agent, which would take an omitted list for an empty one, still gets it in every reply.

--- a/src/libs/carobfall/agent/agent_daemon.cpp
+++ b/src/libs/carobfall/agent/agent_daemon.cpp
@@ -147,8 +147,10 @@
     *beat.mutable_load() = ledger_.load();
     beat.set_leaving(ledger_.leaving());
     beat.set_backend_available(ledger_.backend_available(clock_()));
-    beat.set_view_number(ledger_.view_number());
+    // Not the ledger's number: a start or a fence raises that one without telling the members.
+    beat.set_view_number(sessions_.view_number());
     beat.set_configuration_version(lease_.configuration_version());
+    beat.set_keeps_data_centres_out(true);
     if (beat.leaving()) {
         // An entry records a clean leave when the load is empty. Undelivered results count, so
         // that the records of this agent are still asked for until they are known elsewhere.
--- a/src/libs/carobfall/agent/start_lease.cpp
+++ b/src/libs/carobfall/agent/start_lease.cpp
@@ -14,9 +14,12 @@
         return false;
     }
     // Taken up even without a lease: a committed configuration stays in force.
-    configuration_version_ = reply.configuration_version();
-    out_.clear();
-    out_.insert(reply.data_centres_out().begin(), reply.data_centres_out().end());
+    // The reply omits the list of the version that is held already.
+    if (reply.configuration_version() > configuration_version_) {
+        configuration_version_ = reply.configuration_version();
+        out_.clear();
+        out_.insert(reply.data_centres_out().begin(), reply.data_centres_out().end());
+    }
 
     const absl::Duration validity = std::min(absl::Milliseconds(reply.lease_ms()), max_start_lease);
     const absl::Time until = send_time + validity;
--- a/src/libs/carobfall/dispatch/agent_registry.cpp
+++ b/src/libs/carobfall/dispatch/agent_registry.cpp
@@ -85,11 +85,15 @@
     reply.set_send_time_us(request.send_time_us());
     const configuration_ptr current = source_.current();
     reply.set_configuration_version(current->version);
-    for (const std::string& data_centre : current->data_centres_out) {
-        reply.add_data_centres_out(data_centre);
+    if (!request.keeps_data_centres_out() || request.configuration_version() != current->version) {
+        for (const std::string& data_centre : current->data_centres_out) {
+            reply.add_data_centres_out(data_centre);
+        }
     }
     const ownership_snapshot snapshot = owner_.snapshot();
-    *reply.mutable_view() = snapshot.view;
+    if (request.view_number() != snapshot.view.number()) {
+        *reply.mutable_view() = snapshot.view;
+    }
     reply.set_registered(update_from_beat(request, now));
     reply.set_lease_ms(reply.registered() ? lease_ms(snapshot, now) : 0);
     return reply;
--- a/tests/auto/agent/tst_start_lease.cpp
+++ b/tests/auto/agent/tst_start_lease.cpp
@@ -52,7 +52,10 @@
     CHECK_FALSE(lease.renew(reply_of(t0, 6), t0));
     CHECK(lease.is_out("mapo"));
     CHECK_FALSE(lease.is_valid(t0));
-    CHECK(lease.renew(reply_of(t0, 8), t0));
+    // An entry omits the list that the agent holds.
+    CHECK(lease.renew(reply_of(t0, 7), t0));
+    CHECK(lease.is_out("mapo"));
+    CHECK(lease.renew(reply_of(t0 + absl::Seconds(1), 8), t0 + absl::Seconds(1)));
     CHECK_FALSE(lease.is_out("mapo"));
 }
 
--- a/tests/auto/dispatch/tst_agent_registry.cpp
+++ b/tests/auto/dispatch/tst_agent_registry.cpp
@@ -63,6 +63,29 @@
     CHECK(reply().lease_ms() == 0);
 }
 
+// Guards against an agent that keeps to replaced entries, or starts tasks in a data centre that is
+// out, because a reply omitted what the agent doesn't hold.
+TEST_CASE("a reply omits the view and the data centres out only if the agent holds them")
+{
+    dispatch_fixture fixture;
+    fixture.add_agent("a1");
+    fixture.source.change([](configuration& current) { current.data_centres_out.insert("mapo"); });
+    const std::uint64_t version = fixture.source.current()->version;
+    const auto reply = [&](std::uint64_t view, std::uint64_t held, bool keeps) {
+        rpc::beat_request beat = beat_of("a1", "1");
+        beat.set_view_number(view);
+        beat.set_configuration_version(held);
+        beat.set_keeps_data_centres_out(keeps);
+        return fixture.registry.on_beat(beat, monotonic_now());
+    };
+    CHECK(reply(0, version - 1, true).view().members_size() == 1);
+    CHECK(reply(2, version - 1, true).view().members_size() == 1);
+    CHECK_FALSE(reply(1, version - 1, true).has_view());
+    CHECK(reply(1, version - 1, true).data_centres_out_size() == 1);
+    CHECK(reply(1, version, false).data_centres_out_size() == 1);
+    CHECK(reply(1, version, true).data_centres_out_size() == 0);
+}
+
 // Guards against a delayed registration that brings a dead process back.
 TEST_CASE("a later incarnation replaces the earlier one for good")
 {
--- a/tests/auto/stateful/agent_process.cpp
+++ b/tests/auto/stateful/agent_process.cpp
@@ -61,6 +61,7 @@
     beat.set_backend_available(ledger_->backend_available(now));
     beat.set_view_number(ledger_->view_number());
     beat.set_configuration_version(lease_.configuration_version());
+    beat.set_keeps_data_centres_out(true);
     beat.set_send_time_us(absl::ToUnixMicros(now));
     return beat;
 }
