Agent: Renew the lease at one entry and contact the others less often

Cause: an agent needs a lease from one entry at a time, but sent a heartbeat to every entry twice a second.

Now the first member of the view in rendezvous order that grants a lease gets a heartbeat a second, members in the agent's data centre before others, and the others get one every 2 s. It is replaced at once when it doesn't answer or grants no lease; while none grants one, all are asked every second. Entries take an agent for failed after 3.5 s in place of 3 s, so that one call to them may time out.

Ruled out: two entries for the lease, because the slower heartbeats renew it as well; a digest between entries, because one that another can't reach would take that one's agents for failed (design.md, section 13).

--- a/src/libs/carobfall/agent/agent_daemon.cpp
+++ b/src/libs/carobfall/agent/agent_daemon.cpp
@@ -22,6 +22,9 @@
 /// Interval of dropping expired records.
 constexpr absl::Duration expire_interval = absl::Seconds(1);
 
+/// Interval of heartbeats to entries that don't renew the lease, relative to those that do.
+constexpr int standby_share = 2;
+
 /// Interval at which a shutdown looks whether tasks and reports are done.
 constexpr absl::Duration drain_poll = absl::Milliseconds(10);
 
@@ -95,7 +98,10 @@
                     return ledger_.report_of(report.key, report.attempt);
                 },
             .clock = clock_,
-            .beat_interval = settings_.heartbeat};
+            .name = settings_.name,
+            .data_centre = settings_.data_centre,
+            .beat_interval = settings_.heartbeat,
+            .standby_interval = standby_share * settings_.heartbeat};
 }
 
 result<void> agent_daemon::start()
@@ -213,9 +219,15 @@
 void agent_daemon::maintain()
 {
     absl::Time next_expire = clock_() + expire_interval;
+    bool was_available = false;
     while (!stopped_) {
         absl::SleepFor(sweep_interval);
         const absl::Time now = clock_();
+        // The next heartbeat to most entries may be seconds away.
+        if (std::exchange(was_available, ledger_.backend_available(now)) &&
+            !ledger_.backend_available(now)) {
+            sessions_.beat_now();
+        }
         sweep();
         sessions_.collect(now);
         if (now >= next_expire) {
--- a/src/libs/carobfall/agent/entry_session.cpp
+++ b/src/libs/carobfall/agent/entry_session.cpp
@@ -29,10 +29,12 @@
 } // namespace
 
 entry_session::entry_session(std::string address, std::unique_ptr<entry_link> link,
-                             const session_environment& environment, bool report_only)
+                             const session_environment& environment, bool report_only,
+                             std::function<void()> grant_changed)
     : address_(std::move(address)),
       link_(std::move(link)),
       environment_(environment),
+      grant_changed_(std::move(grant_changed)),
       last_post_(environment.clock())
 {
     state_.address = address_;
@@ -69,6 +71,20 @@
     changed_.notify_one();
 }
 
+void entry_session::set_renews_lease(bool renews)
+{
+    const std::lock_guard lock(mutex_);
+    beat_requested_ = beat_requested_ || (renews && !state_.renews_lease);
+    state_.renews_lease = renews;
+    changed_.notify_one();
+}
+
+bool entry_session::grants_lease() const
+{
+    const std::lock_guard lock(mutex_);
+    return grants_lease_;
+}
+
 void entry_session::request_stop()
 {
     const std::lock_guard lock(mutex_);
@@ -116,14 +132,35 @@
     {
         const std::lock_guard lock(mutex_);
         const bool requested = std::exchange(beat_requested_, false);
-        if (state_.report_only || (now < next_contact_ && !requested)) {
+        if (state_.report_only || (now < next_contact() && !requested)) {
             return;
         }
     }
-    next_contact_ = now + environment_.beat_interval;
+    last_contact_ = now;
     if (keep_registered(now)) {
         send_beat(environment_.clock());
+    } else {
+        note_grant(false);
+    }
+}
+
+/// An entry that can't be reached or grants no lease is tried again soon, so that it learns of a
+/// leaving agent in time.
+absl::Time entry_session::next_contact() const
+{
+    return last_contact_ + (state_.renews_lease || !grants_lease_ ? environment_.beat_interval
+                                                                  : environment_.standby_interval);
+}
+
+void entry_session::note_grant(bool grants)
+{
+    {
+        const std::lock_guard lock(mutex_);
+        if (std::exchange(grants_lease_, grants) == grants) {
+            return;
+        }
     }
+    grant_changed_();
 }
 
 bool entry_session::keep_registered(absl::Time now)
@@ -162,6 +199,7 @@
     const result<rpc::beat_reply> reply = link_->beat(request, environment_.call_limit);
     if (!reply) {
         note_failure(reply.error());
+        note_grant(false);
         return;
     }
     note_success(now);
@@ -172,6 +210,7 @@
     if (!reply.value().registered()) {
         registered_as_.reset();
     }
+    note_grant(reply.value().registered() && reply.value().lease_ms() > 0);
 }
 
 void entry_session::deliver_reports(absl::Time now)
@@ -239,7 +278,7 @@
 {
     const absl::Time now = environment_.clock();
     std::unique_lock lock(mutex_);
-    absl::Time due = state_.report_only ? absl::InfiniteFuture() : next_contact_;
+    absl::Time due = state_.report_only ? absl::InfiniteFuture() : next_contact();
     if (!outbox_.empty()) {
         due = std::min(due, next_delivery_);
     }
--- a/src/libs/carobfall/agent/entry_session.h
+++ b/src/libs/carobfall/agent/entry_session.h
@@ -31,7 +31,14 @@
     /// Content of a report; nothing if it is obsolete.
     std::function<std::optional<rpc::task_report>(const pending_report& report)> report;
     clock_function clock;
-    absl::Duration beat_interval{absl::Milliseconds(500)};
+    /// This agent, for the choice of the entry that renews its lease.
+    std::string name;
+    std::string data_centre;
+    /// Interval of heartbeats to the entry that renews the lease, and to entries that grant none.
+    absl::Duration beat_interval{absl::Seconds(1)};
+    /// Interval of heartbeats to the other entries. Entries take an agent for failed after 3.5 s
+    /// (`dispatch_settings::heartbeat_timeout`), so that one call may time out.
+    absl::Duration standby_interval{absl::Seconds(2)};
     /// Time limit of one call. Well below the validity of a lease, so that a slow entry doesn't
     /// keep a renewal from arriving.
     absl::Duration call_limit{absl::Milliseconds(500)};
@@ -42,6 +49,7 @@
     std::string address;
     bool registered{false};
     bool report_only{false};
+    bool renews_lease{true}; ///< gets frequent heartbeats
     std::size_t pending_reports{0};
     std::uint64_t failed_calls{0};
     absl::Time last_contact{absl::InfinitePast()};
@@ -53,8 +61,11 @@
 class entry_session {
 public:
     /// `environment` has to outlive the session. A report-only session sends no heartbeats.
-    entry_session(std::string address, std::unique_ptr<entry_link> link,
-                  const session_environment& environment, bool report_only);
+    /// `grant_changed` is called without a lock when `grants_lease` has changed.
+    entry_session(
+        std::string address, std::unique_ptr<entry_link> link,
+        const session_environment& environment, bool report_only,
+        std::function<void()> grant_changed = [] {});
     ~entry_session();
     entry_session(const entry_session&) = delete;
     entry_session& operator=(const entry_session&) = delete;
@@ -64,6 +75,11 @@
     void promote();
     /// Sends the next heartbeat at once.
     void beat_now();
+    /// Chooses the interval of the heartbeats. The first one of the shorter interval is sent at
+    /// once.
+    void set_renews_lease(bool renews);
+    /// The last heartbeat was answered with a lease.
+    [[nodiscard]] bool grants_lease() const;
     /// Ends the thread after the call in progress; undelivered reports are dropped.
     void request_stop();
 
@@ -76,6 +92,8 @@
     void run();
     bool stopping() const;
     void keep_contact(absl::Time now);
+    [[nodiscard]] absl::Time next_contact() const;
+    void note_grant(bool grants);
     bool keep_registered(absl::Time now);
     void send_beat(absl::Time now);
     void deliver_reports(absl::Time now);
@@ -88,10 +106,11 @@
     const std::string address_;
     const std::unique_ptr<entry_link> link_;
     const session_environment& environment_;
+    const std::function<void()> grant_changed_;
 
     // Used by the thread of the session only.
     std::optional<rpc::agent_info> registered_as_;
-    absl::Time next_contact_{absl::InfinitePast()};
+    absl::Time last_contact_{absl::InfinitePast()};
     absl::Time next_delivery_{absl::InfinitePast()};
     absl::Duration delivery_backoff_{absl::ZeroDuration()};
 
@@ -101,6 +120,7 @@
     session_state state_;
     absl::Time last_post_;
     bool beat_requested_{false};
+    bool grants_lease_{false};
     bool stopping_{false};
 
     std::thread thread_; // last, so that it starts with all members in place
--- a/src/libs/carobfall/agent/entry_session_set.cpp
+++ b/src/libs/carobfall/agent/entry_session_set.cpp
@@ -1,9 +1,13 @@
 #include "carobfall/agent/entry_session_set.h"
 
+#include "carobfall/base/ids.h"
 #include "carobfall/base/log_fields.h"
 
+#include <absl/strings/str_cat.h>
 #include <glog/logging.h>
 
+#include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace carobfall {
@@ -12,6 +16,23 @@
 /// A report-only session without a new report for this long is ended.
 constexpr absl::Duration report_only_idle = absl::Seconds(10);
 
+std::vector<std::string> lease_order(const rpc::entry_view& view, const session_environment& agent)
+{
+    std::vector<std::tuple<bool, std::uint64_t, std::string>> scored;
+    for (const rpc::entry_member& member : view.members()) {
+        scored.emplace_back(member.data_centre() != agent.data_centre,
+                            stable_hash(absl::StrCat(member.name(), "\n", agent.name)),
+                            member.address());
+    }
+    std::sort(scored.begin(), scored.end());
+    std::vector<std::string> order;
+    order.reserve(scored.size());
+    for (auto& [distant, score, address] : scored) {
+        order.push_back(std::move(address));
+    }
+    return order;
+}
+
 } // namespace
 
 entry_session_set::entry_session_set(std::vector<std::string> seed_addresses,
@@ -40,8 +61,20 @@
     if (stopped_) {
         return;
     }
-    sessions_[address] =
-        std::make_unique<entry_session>(address, make_link_(address), environment_, report_only);
+    sessions_[address] = std::make_unique<entry_session>(
+        address, make_link_(address), environment_, report_only, [this] { choose_lease_entry(); });
+}
+
+void entry_session_set::choose_lease_entry()
+{
+    const std::lock_guard lock(mutex_);
+    const auto chosen = std::find_if(lease_order_.begin(), lease_order_.end(), [&](const auto& to) {
+        const auto session = sessions_.find(to);
+        return session != sessions_.end() && session->second->grants_lease();
+    });
+    for (const auto& [address, session] : sessions_) {
+        session->set_renews_lease(chosen == lease_order_.end() || address == *chosen);
+    }
 }
 
 entry_session_set::session_map::iterator entry_session_set::retire(session_map::iterator session)
@@ -58,6 +91,7 @@
         return false;
     }
     view_number_ = view.number();
+    lease_order_ = lease_order(view, environment_);
     std::set<std::string> wanted = seeds_;
     for (const rpc::entry_member& member : view.members()) {
         wanted.insert(member.address());
@@ -66,6 +100,8 @@
         const bool is_wanted = wanted.contains(session->first);
         if (is_wanted) {
             session->second->promote();
+            // A new incarnation at the same address doesn't know this agent yet.
+            session->second->beat_now();
         }
         // The coordinator of a report-only session may be in a view that is still to come.
         const bool keep = is_wanted || session->second->state().report_only;
--- a/src/libs/carobfall/agent/entry_session_set.h
+++ b/src/libs/carobfall/agent/entry_session_set.h
@@ -12,8 +12,9 @@
 
 namespace carobfall {
 
-/// The sessions with the entries of the settings and of the current view, one per address.
-/// Thread-safe.
+/// The sessions with the entries of the settings and of the current view, one per address. One
+/// member of the view renews the lease: the first in rendezvous order that grants one, members in
+/// the agent's data centre before others. While none does, all are asked. Thread-safe.
 class entry_session_set {
 public:
     /// `environment` has to outlive the set.
@@ -48,6 +49,7 @@
     using session_map = std::map<std::string, std::unique_ptr<entry_session>, std::less<>>;
 
     void add(const std::string& address, bool report_only);
+    void choose_lease_entry();
     session_map::iterator retire(session_map::iterator session);
 
     const std::set<std::string> seeds_;
@@ -56,6 +58,7 @@
 
     mutable std::mutex mutex_;
     std::uint64_t view_number_{0};
+    std::vector<std::string> lease_order_; ///< addresses of the members, the preferred first
     session_map sessions_;
     /// A session can be retired by its own thread, which can't join itself.
     std::vector<std::unique_ptr<entry_session>> retired_;
--- a/src/libs/carobfall/config/agent_settings.h
+++ b/src/libs/carobfall/config/agent_settings.h
@@ -28,7 +28,9 @@
     std::string operator_address;
     std::vector<std::string> entry_addresses; ///< gRPC addresses; the view completes the list
     std::uint32_t queue_per_slot{2};          ///< queued tasks per slot of the backend server
-    absl::Duration heartbeat{absl::Milliseconds(500)};
+    /// Interval of heartbeats to the entry that renews the lease of 2 s; the others get every
+    /// second one.
+    absl::Duration heartbeat{absl::Seconds(1)};
     ledger_settings ledger;
 };
 
--- a/src/libs/carobfall/dispatch/dispatch_settings.h
+++ b/src/libs/carobfall/dispatch/dispatch_settings.h
@@ -12,8 +12,9 @@
 
 /// Settings of the dispatching part of an entry.
 struct dispatch_settings {
-    /// An agent whose last heartbeat is older gets no new tasks.
-    absl::Duration heartbeat_timeout{absl::Seconds(3)};
+    /// An agent whose last heartbeat is older gets no new tasks. Most entries get a heartbeat every
+    /// 2 s and, if that call times out (0.5 s), the next one 1 s after it.
+    absl::Duration heartbeat_timeout{absl::Milliseconds(3500)};
 
     absl::Duration start_call_limit{absl::Milliseconds(500)};
     absl::Duration revoke_call_limit{absl::Milliseconds(300)};
--- a/tests/auto/agent/tst_entry_session.cpp
+++ b/tests/auto/agent/tst_entry_session.cpp
@@ -4,7 +4,9 @@
 #include <doctest/doctest.h>
 #include <doctest/trompeloeil.hpp>
 
+#include <atomic>
 #include <future>
+#include <map>
 
 using namespace carobfall;
 using trompeloeil::_;
@@ -63,6 +65,7 @@
     };
     environment.clock = monotonic_now;
     environment.beat_interval = absl::Milliseconds(10);
+    environment.standby_interval = absl::Milliseconds(20);
     return environment;
 }
 
@@ -142,6 +145,48 @@
     }
 };
 
+/// Grants leases while `answers` is set, and counts the heartbeats.
+struct granting_entry {
+    std::atomic<bool> answers{true};
+    std::atomic<int> beats{0};
+};
+
+class granting_link final : public quiet_link {
+public:
+    explicit granting_link(granting_entry& entry) : entry_(entry) {}
+    result<rpc::beat_reply> beat(const rpc::beat_request& request, absl::Duration) override
+    {
+        ++entry_.beats;
+        if (!entry_.answers) {
+            return lost<rpc::beat_reply>();
+        }
+        auto reply = beat_reply_to(request, true);
+        reply.value().set_lease_ms(2000);
+        return reply;
+    }
+
+private:
+    granting_entry& entry_;
+};
+
+std::string lease_entries_of(const entry_session_set& sessions)
+{
+    std::string text;
+    for (const session_state& state : sessions.states()) {
+        text += state.renews_lease ? state.address : "";
+    }
+    return text;
+}
+
+bool wait_until(const std::function<bool()>& condition)
+{
+    const absl::Time limit = absl::Now() + time_limit;
+    while (!condition() && absl::Now() < limit) {
+        absl::SleepFor(absl::Milliseconds(1));
+    }
+    return condition();
+}
+
 std::string addresses_of(const entry_session_set& sessions)
 {
     std::string text;
@@ -186,3 +231,37 @@
     }
     CHECK(addresses_of(sessions) == "b c seed ");
 }
+
+// Guards against heartbeats to every entry at the rate of the lease, and against an agent without
+// a lease because the entry that renewed it has failed.
+TEST_CASE("one entry renews the lease, and another one as soon as it fails")
+{
+    session_environment environment = make_environment();
+    environment.standby_interval = absl::Hours(1);
+    std::map<std::string, granting_entry> entries;
+    for (const char* name : {"a", "b", "c"}) {
+        entries[name];
+    }
+    entry_session_set sessions(
+        {"a"}, [&](const auto& to) { return std::make_unique<granting_link>(entries.at(to)); },
+        environment);
+    sessions.start();
+    sessions.adopt_view(view_of(1, {"a", "b", "c"}));
+    // Members without names have the same score, so that the address decides.
+    REQUIRE(wait_until([&] { return lease_entries_of(sessions) == "a"; }));
+    const int renewed = entries.at("a").beats;
+    const int standby = entries.at("c").beats;
+    REQUIRE(wait_until([&] { return entries.at("a").beats > renewed + 5; }));
+    CHECK(entries.at("c").beats <= standby + 1);
+    entries.at("a").answers = false;
+    REQUIRE(wait_until([&] { return lease_entries_of(sessions) == "b"; }));
+    const int taken_over = entries.at("b").beats;
+    CHECK(wait_until([&] { return entries.at("b").beats > taken_over + 5; }));
+    entries.at("b").answers = false;
+    entries.at("c").answers = false;
+    REQUIRE(wait_until([&] { return lease_entries_of(sessions) == "abc"; }));
+    entries.at("c").answers = true;
+    REQUIRE(wait_until([&] { return lease_entries_of(sessions) == "c"; }));
+    entries.at("a").answers = true;
+    CHECK(wait_until([&] { return lease_entries_of(sessions) == "a"; }));
+}
