--- a/src/libs/carobfall/agent/agent_daemon.cpp
+++ b/src/libs/carobfall/agent/agent_daemon.cpp
@@ -23,6 +23,9 @@
 /// Interval of dropping expired records.
 constexpr absl::Duration expire_interval = absl::Seconds(1);
 
+/// Interval of heartbeats to entries that don't renew the lease, relative to those that do.
+constexpr int standby_share = 2;
+
 /// Interval at which a shutdown looks whether tasks and reports are done.
 constexpr absl::Duration drain_poll = absl::Milliseconds(10);
 
@@ -122,7 +125,10 @@
                     return ledger_.report_of(report.key, report.attempt);
                 },
             .clock = clock_,
-            .beat_interval = settings_.heartbeat};
+            .name = settings_.name,
+            .data_centre = settings_.data_centre,
+            .beat_interval = settings_.heartbeat,
+            .standby_interval = standby_share * settings_.heartbeat};
 }
 
 result<void> agent_daemon::start()
@@ -173,8 +179,10 @@
     *beat.mutable_load() = ledger_.load();
     beat.set_leaving(ledger_.leaving());
     beat.set_backend_available(ledger_.backend_available(clock_()));
-    beat.set_view_number(ledger_.view_number());
+    // Not the ledger's number: a start or a fence raises that one without telling the members.
+    beat.set_view_number(sessions_.view_number());
     beat.set_configuration_version(lease_.configuration_version());
+    beat.set_keeps_data_centres_out(true);
     if (beat.leaving()) {
         // An entry records a clean leave when the load is empty. Undelivered results count, so
         // that the records of this agent are still asked for until they are known elsewhere.
@@ -237,9 +245,15 @@
 void agent_daemon::maintain()
 {
     absl::Time next_expire = clock_() + expire_interval;
+    bool was_available = false;
     while (!stopped_) {
         absl::SleepFor(sweep_interval);
         const absl::Time now = clock_();
+        // The next heartbeat to most entries may be seconds away.
+        if (std::exchange(was_available, ledger_.backend_available(now)) &&
+            !ledger_.backend_available(now)) {
+            sessions_.beat_now();
+        }
         sweep();
         sessions_.collect(now);
         if (now >= next_expire) {
