Tests: Share the entry that no call reaches

Cause: the fakes of dispatch and of the simulated region each spelt out the calls that they don't answer.

--- a/tests/auto/dispatch/fakes.h
+++ b/tests/auto/dispatch/fakes.h
@@ -1,11 +1,11 @@
 #pragma once
 
+#include "../support/unreachable_entry.h"
 #include "carobfall/base/clock.h"
 #include "carobfall/dispatch/agent_channel.h"
 #include "carobfall/dispatch/agent_registry.h"
 #include "carobfall/dispatch/coordinator_builder.h"
 #include "carobfall/entry/claim_store.h"
-#include "carobfall/entry/entry_channel.h"
 #include "carobfall/entry/ownership.h"
 
 #include <absl/strings/str_cat.h>
@@ -170,69 +170,19 @@
 };
 
 /// Another entry. Calls without a hook find it unreachable.
-class fake_entry final : public entry_channel {
+class fake_entry final : public unreachable_entry {
 public:
-    result<rpc::forward_reply> forward(const rpc::forward_request& request,
-                                       absl::Duration /*limit*/) override
+    result<rpc::forward_reply> forward(const rpc::forward_request& request, limit) override
     {
-        return on_forward ? on_forward(request) : unreachable<rpc::forward_reply>();
+        return on_forward ? on_forward(request) : unreachable();
     }
-    result<rpc::submission_answer> status(const rpc::status_request& /*request*/,
-                                          absl::Duration /*limit*/) override
+    result<rpc::claim_reply> claim_submission(const rpc::claim_request& request, limit) override
     {
-        return unreachable<rpc::submission_answer>();
-    }
-    result<rpc::submission_answer> cancel(const rpc::cancel_request& /*request*/,
-                                          absl::Duration /*limit*/) override
-    {
-        return unreachable<rpc::submission_answer>();
-    }
-    result<rpc::claim_reply> claim_submission(const rpc::claim_request& request,
-                                              absl::Duration /*limit*/) override
-    {
-        return on_claim ? on_claim(request) : unreachable<rpc::claim_reply>();
-    }
-    result<rpc::fetch_claims_reply> fetch_claims(const rpc::fetch_claims_request& /*request*/,
-                                                 absl::Duration /*limit*/) override
-    {
-        return unreachable<rpc::fetch_claims_reply>();
-    }
-    result<rpc::prepare_view_reply> prepare_view(const rpc::prepare_view_request& /*request*/,
-                                                 absl::Duration /*limit*/) override
-    {
-        return unreachable<rpc::prepare_view_reply>();
-    }
-    result<rpc::activate_view_reply> activate_view(const rpc::activate_view_request& /*request*/,
-                                                   absl::Duration /*limit*/) override
-    {
-        return unreachable<rpc::activate_view_reply>();
-    }
-    result<rpc::entry_beat_reply> entry_beat(const rpc::entry_beat_request& /*request*/,
-                                             absl::Duration /*limit*/) override
-    {
-        return unreachable<rpc::entry_beat_reply>();
-    }
-    result<rpc::push_configuration_reply>
-    push_configuration(const rpc::push_configuration_request& /*request*/,
-                       absl::Duration /*limit*/) override
-    {
-        return unreachable<rpc::push_configuration_reply>();
-    }
-    result<rpc::retry_now_reply> retry_now(const rpc::retry_now_request& /*request*/,
-                                           absl::Duration /*limit*/) override
-    {
-        return unreachable<rpc::retry_now_reply>();
+        return on_claim ? on_claim(request) : unreachable();
     }
 
     std::function<result<rpc::forward_reply>(const rpc::forward_request&)> on_forward;
     std::function<result<rpc::claim_reply>(const rpc::claim_request&)> on_claim;
-
-private:
-    template <typename Reply>
-    static result<Reply> unreachable()
-    {
-        return failure(error_kind::unavailable, "no connection", "wait");
-    }
 };
 
 enum class agent_mode {
--- a/tests/auto/entry/region_simulation.cpp
+++ b/tests/auto/entry/region_simulation.cpp
@@ -1,5 +1,6 @@
 #include "region_simulation.h"
 
+#include "../support/unreachable_entry.h"
 #include "carobfall/base/clock.h"
 
 #include <absl/strings/numbers.h>
@@ -9,28 +10,12 @@
 namespace carobfall::test {
 namespace {
 
-class simulated_channel : public entry_channel {
+class simulated_channel : public testing::unreachable_entry {
 public:
     simulated_channel(region_simulation& region, int from, rpc::entry_member to)
         : region_(region), from_(from), to_(std::move(to))
     {}
 
-    result<rpc::forward_reply> forward(const rpc::forward_request&, absl::Duration) override
-    {
-        return unavailable();
-    }
-    result<rpc::submission_answer> status(const rpc::status_request&, absl::Duration) override
-    {
-        return unavailable();
-    }
-    result<rpc::submission_answer> cancel(const rpc::cancel_request&, absl::Duration) override
-    {
-        return unavailable();
-    }
-    result<rpc::retry_now_reply> retry_now(const rpc::retry_now_request&, absl::Duration) override
-    {
-        return unavailable();
-    }
     result<rpc::claim_reply> claim_submission(const rpc::claim_request& request,
                                               absl::Duration) override
     {
@@ -68,11 +53,6 @@
     }
 
 private:
-    static boost::outcome_v2::failure_type<error> unavailable()
-    {
-        return failure(error_kind::unavailable, "unreachable", "wait");
-    }
-
     template <typename Action>
     auto call(const Action& action) -> result<decltype(action(std::declval<simulated_entry&>()))>
     {
@@ -85,10 +65,10 @@
     {
         if (region_.lost_requests > 0) {
             --region_.lost_requests;
-            return unavailable();
+            return unreachable();
         }
         if (entry == nullptr) {
-            return unavailable();
+            return unreachable();
         }
         auto reply = action(*entry);
         if (region_.lost_replies > 0) {
