--- a/src/tools/carobfall/command_context.cpp
+++ b/src/tools/carobfall/command_context.cpp
@@ -1,9 +1,22 @@
 #include "command_context.h"
 
 #include <algorithm>
+#include <fstream>
+#include <sstream>
 
 namespace carobfall::tool {
 
+result<std::string> read_file(const std::string& name)
+{
+    std::ifstream file(name, std::ios::binary);
+    std::ostringstream text;
+    if (!file || !(text << file.rdbuf())) {
+        return failure(error_kind::invalid_request, "can't read " + name,
+                       "check that the file exists and isn't empty");
+    }
+    return text.str();
+}
+
 exit_code report_error(command_context& context, const error& problem)
 {
     context.progress << to_string(problem) << "\n";
--- a/src/tools/carobfall/command_context.h
+++ b/src/tools/carobfall/command_context.h
@@ -17,6 +17,9 @@
     std::ostream& progress; ///< progress and errors
 };
 
+/// The whole file. Errors: `invalid_request` if it can't be read or is empty.
+[[nodiscard]] result<std::string> read_file(const std::string& name);
+
 /// Prints the error and returns its exit code. A failure to reach any entry is `unreachable`.
 exit_code report_error(command_context& context, const error& problem);
 
--- a/src/tools/carobfall/command_line.cpp
+++ b/src/tools/carobfall/command_line.cpp
@@ -8,9 +8,7 @@
 #include <absl/time/clock.h>
 
 #include <cstdlib>
-#include <fstream>
 #include <iostream>
-#include <iterator>
 #include <utility>
 
 namespace carobfall::tool {
@@ -235,12 +233,7 @@
 {
     std::string text;
     if (!token_file_.empty()) {
-        std::ifstream file(token_file_);
-        text.assign(std::istreambuf_iterator<char>(file), {});
-        if (!file) {
-            return failure(error_kind::invalid_request, "can't read the token file " + token_file_,
-                           "check the path and the permissions");
-        }
+        BOOST_OUTCOME_TRY(text, read_file(token_file_));
     } else if (const char* variable = std::getenv(token_variable)) {
         text = variable;
     }
--- a/src/tools/carobfall/load_command.cpp
+++ b/src/tools/carobfall/load_command.cpp
@@ -14,7 +14,6 @@
 
 #include <algorithm>
 #include <fstream>
-#include <iterator>
 #include <sstream>
 
 namespace carobfall::tool {
@@ -32,17 +31,6 @@
     return endpoint && (endpoint->ip.starts_with("127.") || endpoint->ip == "::1");
 }
 
-result<std::string> read_text_file(const std::string& name)
-{
-    std::ifstream file(name, std::ios::binary);
-    std::string text{std::istreambuf_iterator<char>(file), {}};
-    if (!file.is_open() || text.empty()) {
-        return failure(error_kind::invalid_request, "can't read " + name,
-                       "check that the file exists and isn't empty");
-    }
-    return text;
-}
-
 load_answer answer_of(const result<api_response>& response)
 {
     if (!response) {
@@ -84,7 +72,7 @@
     if (options.operator_entry.empty()) {
         return success();
     }
-    BOOST_OUTCOME_TRY(std::string token, read_text_file(options.operator_token_file));
+    BOOST_OUTCOME_TRY(std::string token, read_file(options.operator_token_file));
     absl::StripAsciiWhitespace(&token);
     api_client client({options.operator_entry}, token);
     BOOST_OUTCOME_TRY(const api_response answer, client.call({"GET", "/v1/backends"}));
@@ -207,7 +195,7 @@
     if (const auto allowed = check_load_addresses(options); !allowed) {
         return report_error(context, allowed.error());
     }
-    const auto text = read_text_file(options.workload_file);
+    const auto text = read_file(options.workload_file);
     if (!text) {
         return report_error(context, text.error());
     }
--- a/src/tools/carobfall/operator_commands.cpp
+++ b/src/tools/carobfall/operator_commands.cpp
@@ -4,9 +4,7 @@
 
 #include "carobfall/base/ids.h"
 
-#include <fstream>
 #include <optional>
-#include <sstream>
 #include <utility>
 
 namespace carobfall::tool {
@@ -22,13 +20,8 @@
 {
     std::string documents;
     for (const std::string& name : files) {
-        std::ifstream file(name, std::ios::binary);
-        std::ostringstream text;
-        if (!file || !(text << file.rdbuf())) {
-            return failure(error_kind::invalid_request, "can't read " + name,
-                           "check that the file exists and isn't empty");
-        }
-        documents += (documents.empty() ? "" : "\n---\n") + text.str();
+        BOOST_OUTCOME_TRY(const std::string text, read_file(name));
+        documents += (documents.empty() ? "" : "\n---\n") + text;
     }
     return documents;
 }
--- a/src/tools/carobfall/submit_command.cpp
+++ b/src/tools/carobfall/submit_command.cpp
@@ -4,7 +4,6 @@
 #include "carobfall/base/strict_json.h"
 
 #include <algorithm>
-#include <fstream>
 #include <sstream>
 
 namespace carobfall::tool {
@@ -22,16 +21,6 @@
     return failure(error_kind::invalid_request, std::move(message), std::move(remedy));
 }
 
-result<std::string> read_file(const std::string& name)
-{
-    std::ifstream file(name, std::ios::binary);
-    std::ostringstream text;
-    if (!file || !(text << file.rdbuf())) {
-        return invalid("can't read " + name, "check that the file exists and isn't empty");
-    }
-    return text.str();
-}
-
 result<void> add_task(json& body, const std::string& text)
 {
     auto value = parse_strict_json(text);
