--- a/src/libs/carobfall/entry/peer_monitor.cpp
+++ b/src/libs/carobfall/entry/peer_monitor.cpp
@@ -92,12 +92,13 @@
     absl::erase_if(senders_, [&](const auto& item) {
         return now - item.second.heard > settings_.failure_timeout;
     });
-    for (const auto& [id, sender] : senders_) {
+    for (const auto& item : senders_) {
+        const rpc::entry_member& sender = item.second.member;
         const bool listed = std::any_of(peers.begin(), peers.end(), [&](const auto& peer) {
-            return same_incarnation(peer, sender.member);
+            return same_incarnation(peer, sender);
         });
         if (!listed) {
-            peers.push_back(sender.member);
+            peers.push_back(sender);
         }
     }
     return peers;
--- a/tests/auto/dispatch/tst_coordinator.cpp
+++ b/tests/auto/dispatch/tst_coordinator.cpp
@@ -349,7 +349,7 @@
         return reply;
     };
     const auto submit = [&](int first) {
-        const std::string id = fixture.id_owned_by("e1", first);
+        std::string id = fixture.id_owned_by("e1", first);
         REQUIRE(fixture.submit(fixture.request(1, absl::Seconds(2), id)).has_value());
         return id;
     };
