Dispatch: Wake jobs that wait for a slot when one becomes free

Cause: each job with waiting tasks looked for a slot every 5 ms and copied the list of agents for it, so that the processor time of an entry grew with the number of waiting jobs.

Now the jobs queue up in slot_waiters. Every 50 ms at the latest a job looks by itself, because a backoff or a start rate ends without a signal. The agents are visited under the lock of the registry and not copied.

Ruled out: waking all jobs, which costs more than polling when many wait.

--- a/src/libs/carobfall/dispatch/admission.cpp
+++ b/src/libs/carobfall/dispatch/admission.cpp
@@ -110,15 +110,16 @@
     bool feasible = false;
     std::uint32_t slots = 0;
     std::uint64_t ahead = context_.limits.queued();
-    const std::vector<agent_state> agents = context_.outside.registry->agents();
-    for (const agent_state& agent : agents) {
+    bool any = false;
+    context_.outside.registry->for_each([&](const agent_state& agent) {
+        any = true;
         feasible = feasible || can_ever_run(*agent.info, declaration);
         if (may_place(agent, current, declaration, context_.settings, now)) {
             slots += agent.info->backend_server().slots();
             ahead += std::max(agent.load.running() + agent.load.queued(), agent.outstanding);
         }
-    }
-    if (!feasible && !agents.empty()) {
+    });
+    if (!feasible && any) {
         return failure(error_kind::infeasible,
                        "no backend server meets the data centres and requirements of the template",
                        "have an operator change the template or add a backend server");
--- a/src/libs/carobfall/dispatch/agent_registry.cpp
+++ b/src/libs/carobfall/dispatch/agent_registry.cpp
@@ -8,6 +8,7 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <limits>
 
 namespace carobfall {
 namespace {
@@ -17,6 +18,21 @@
     return absl::StrCat(name, "\n", incarnation);
 }
 
+/// Applies a change and returns how many tasks more the agent can take by it.
+template <typename Change>
+std::uint32_t room_gained(agent_state& agent, const Change& change)
+{
+    const std::uint32_t slots = agent.info->backend_server().slots();
+    const auto taken = [&] {
+        return agent.leaving || !agent.backend_available
+                   ? std::numeric_limits<std::uint32_t>::max()
+                   : std::max(agent.load.running() + agent.load.queued(), agent.outstanding);
+    };
+    const std::uint32_t before = taken();
+    change();
+    return std::min(slots, before - std::min(before, taken()));
+}
+
 } // namespace
 
 rpc::agent_ref ref_of(const rpc::agent_info& info)
@@ -46,6 +62,9 @@
         return reply;
     }
     reply.set_registered(register_incarnation(request.agent(), now));
+    if (reply.registered()) {
+        notify_room(request.agent().backend_server().slots());
+    }
     return reply;
 }
 
@@ -101,18 +120,31 @@
 
 bool agent_registry::update_from_beat(const rpc::beat_request& request, absl::Time now)
 {
-    const std::lock_guard lock(mutex_);
-    agent_state* state = find_locked(request.agent());
-    if (state == nullptr) {
-        return false;
+    std::uint32_t gained = 0;
+    {
+        const std::lock_guard lock(mutex_);
+        agent_state* state = find_locked(request.agent());
+        if (state == nullptr) {
+            return false;
+        }
+        gained = room_gained(*state, [&] {
+            state->load = request.load();
+            state->leaving = request.leaving();
+            state->backend_available = request.backend_available();
+        });
+        state->last_beat = now;
     }
-    state->load = request.load();
-    state->leaving = request.leaving();
-    state->backend_available = request.backend_available();
-    state->last_beat = now;
+    notify_room(gained);
     return true;
 }
 
+void agent_registry::notify_room(std::uint32_t slots) const
+{
+    if (slots > 0 && on_room_) {
+        on_room_(slots);
+    }
+}
+
 std::uint32_t agent_registry::lease_ms(const ownership_snapshot& snapshot, absl::Time now) const
 {
     if (!snapshot.usable()) {
@@ -124,13 +156,15 @@
 
 void agent_registry::on_report(const rpc::report_request& request, absl::Time now)
 {
+    std::uint32_t gained = 0;
     {
         const std::lock_guard lock(mutex_);
         agent_state* state = find_locked(request.agent());
         if (state != nullptr && request.has_load()) {
-            state->load = request.load();
+            gained = room_gained(*state, [&] { state->load = request.load(); });
         }
     }
+    notify_room(gained);
     if (on_report_) {
         on_report_(request, now);
     }
@@ -147,6 +181,14 @@
     return states;
 }
 
+void agent_registry::for_each(const std::function<void(const agent_state&)>& visit) const
+{
+    const std::lock_guard lock(mutex_);
+    for (const auto& [name, state] : agents_) {
+        visit(state);
+    }
+}
+
 std::optional<agent_state> agent_registry::find(const rpc::agent_ref& agent) const
 {
     const std::lock_guard lock(mutex_);
@@ -171,12 +213,14 @@
     }
 }
 
-void agent_registry::remove_outstanding(const rpc::agent_ref& agent, std::uint32_t tasks)
+std::uint32_t agent_registry::remove_outstanding(const rpc::agent_ref& agent, std::uint32_t tasks)
 {
     const std::lock_guard lock(mutex_);
-    if (agent_state* state = find_locked(agent)) {
-        state->outstanding -= std::min(tasks, state->outstanding);
+    agent_state* state = find_locked(agent);
+    if (state == nullptr) {
+        return 0;
     }
+    return room_gained(*state, [&] { state->outstanding -= std::min(tasks, state->outstanding); });
 }
 
 agent_state* agent_registry::find_locked(const rpc::agent_ref& agent)
--- a/src/libs/carobfall/dispatch/agent_registry.h
+++ b/src/libs/carobfall/dispatch/agent_registry.h
@@ -32,12 +32,16 @@
 class agent_registry final : public agent_events {
 public:
     using report_handler = std::function<void(const rpc::report_request&, absl::Time)>;
+    /// Gets the number of slots that may have become free; called without a lock.
+    using room_handler = std::function<void(std::uint32_t slots)>;
 
     agent_registry(agent_membership& members, const configuration_source& source,
                    const ownership& owner);
 
     /// Receives the reports of agents. Set before the first call of an agent.
     void set_report_handler(report_handler handler) { on_report_ = std::move(handler); }
+    /// Hears of slots that became free according to the agents. Set before their first call.
+    void set_room_handler(room_handler handler) { on_room_ = std::move(handler); }
 
     /// `registered` is set only once the join is durable. An incarnation that has been replaced
     /// is not registered again.
@@ -47,16 +51,20 @@
 
     /// All registered agents, whether or not they may get new tasks.
     [[nodiscard]] std::vector<agent_state> agents() const;
+    /// Calls `visit` for each of them under the lock, which spares the copies of `agents`.
+    void for_each(const std::function<void(const agent_state&)>& visit) const;
     [[nodiscard]] std::optional<agent_state> find(const rpc::agent_ref& agent) const;
     /// True once a later incarnation of the agent has registered here.
     [[nodiscard]] bool is_lost(const rpc::agent_ref& agent) const;
 
     void add_outstanding(const rpc::agent_ref& agent, std::uint32_t tasks);
-    void remove_outstanding(const rpc::agent_ref& agent, std::uint32_t tasks);
+    /// Returns the number of slots that may have become free by it.
+    std::uint32_t remove_outstanding(const rpc::agent_ref& agent, std::uint32_t tasks);
 
 private:
     bool register_incarnation(const rpc::agent_info& info, absl::Time now);
     bool update_from_beat(const rpc::beat_request& request, absl::Time now);
+    void notify_room(std::uint32_t slots) const;
     agent_state* find_locked(const rpc::agent_ref& agent);
     [[nodiscard]] std::uint32_t lease_ms(const ownership_snapshot& snapshot, absl::Time now) const;
 
@@ -64,6 +72,7 @@
     const configuration_source& source_;
     const ownership& owner_;
     report_handler on_report_;
+    room_handler on_room_;
 
     mutable std::mutex mutex_;
     absl::flat_hash_map<std::string, agent_state> agents_; ///< by agent name
--- a/src/libs/carobfall/dispatch/agent_selection.cpp
+++ b/src/libs/carobfall/dispatch/agent_selection.cpp
@@ -38,19 +38,19 @@
 }
 
 std::vector<placement_candidate>
-select_candidates(const std::vector<agent_state>& agents, const configuration& current,
+select_candidates(const agent_registry& agents, const configuration& current,
                   const dispatch_template& declaration, const backend_health& health,
                   const dispatch_settings& settings, absl::Time now)
 {
     std::vector<placement_candidate> candidates;
-    for (const agent_state& agent : agents) {
+    agents.for_each([&](const agent_state& agent) {
         const std::uint32_t room = room_at(agent, settings);
         if (room == 0 || !may_place(agent, current, declaration, settings, now)) {
-            continue;
+            return;
         }
         const backend_permission permission = health.permission(agent.info->name(), now);
         if (permission == backend_permission::closed) {
-            continue;
+            return;
         }
         placement_candidate candidate;
         candidate.info = agent.info;
@@ -59,7 +59,7 @@
         candidate.outstanding = agent.outstanding;
         candidate.room = permission == backend_permission::probe ? 1 : room;
         candidates.push_back(std::move(candidate));
-    }
+    });
     return candidates;
 }
 
--- a/src/libs/carobfall/dispatch/agent_selection.h
+++ b/src/libs/carobfall/dispatch/agent_selection.h
@@ -23,7 +23,7 @@
 /// The agents that may get tasks of the template now, with room for at least one. A backend
 /// server in backoff gets none, or one as a probe.
 [[nodiscard]] std::vector<placement_candidate>
-select_candidates(const std::vector<agent_state>& agents, const configuration& current,
+select_candidates(const agent_registry& agents, const configuration& current,
                   const dispatch_template& declaration, const backend_health& health,
                   const dispatch_settings& settings, absl::Time now);
 
--- a/src/libs/carobfall/dispatch/attempt_accounting.cpp
+++ b/src/libs/carobfall/dispatch/attempt_accounting.cpp
@@ -1,5 +1,7 @@
 #include "carobfall/dispatch/attempt_accounting.h"
 
+#include <algorithm>
+
 namespace carobfall {
 namespace {
 
@@ -42,13 +44,15 @@
     if (!attempt) {
         return;
     }
-    context_.outside.registry->remove_outstanding(attempt->agent, 1);
+    const std::uint32_t gained = context_.outside.registry->remove_outstanding(attempt->agent, 1);
     if (attempt->requeued) {
         context_.limits.requeue(key.client_account, 1, false);
     } else {
         context_.limits.release(key.client_account, 1);
     }
     record_health(*attempt, now);
+    // The limits of the account may have held back a job although the agent had room.
+    context_.waiting.signal(std::max(1U, gained));
 }
 
 void attempt_accounting::record_health(const closed_attempt& attempt, absl::Time now)
--- a/src/libs/carobfall/dispatch/coordinator.h
+++ b/src/libs/carobfall/dispatch/coordinator.h
@@ -34,6 +34,8 @@
 
     /// Matches results to running jobs; the handler of `agent_registry`.
     void on_report(const rpc::report_request& request, absl::Time now);
+    /// Wakes jobs that wait for a slot; the handler of `agent_registry`.
+    void on_room(std::uint32_t slots) { context_.waiting.signal(slots); }
     /// Takes over submissions whose coordinator has left the view. Call when a view takes effect.
     void on_view_in_effect(absl::Time now);
     /// Makes the submissions known that a fenced agent holds records of.
--- a/src/libs/carobfall/dispatch/dispatch_context.h
+++ b/src/libs/carobfall/dispatch/dispatch_context.h
@@ -9,6 +9,7 @@
 #include "carobfall/dispatch/dispatch_settings.h"
 #include "carobfall/dispatch/placement.h"
 #include "carobfall/dispatch/retry_budget.h"
+#include "carobfall/dispatch/slot_waiters.h"
 #include "carobfall/dispatch/submission_table.h"
 #include "carobfall/dispatch/work_pool.h"
 #include "carobfall/entry/agent_membership.h"
@@ -51,6 +52,7 @@
     account_limits limits;
     backend_health health;
     retry_budget retries;
+    slot_waiters waiting;
     work_pool calls; ///< helps with calls to several agents at once
 };
 
--- a/src/libs/carobfall/dispatch/dispatch_settings.h
+++ b/src/libs/carobfall/dispatch/dispatch_settings.h
@@ -25,8 +25,9 @@
     absl::Duration completeness_wait{absl::Seconds(3)};
     /// Longest wait for a backend server that can take tasks, before the submission is refused.
     absl::Duration agent_wait{absl::Seconds(3)};
-    /// Pause before waiting tasks are offered again when no slot was granted.
-    absl::Duration grant_retry_pause{absl::Milliseconds(5)};
+    /// Longest wait for the signal that a slot has become free before waiting tasks are offered
+    /// again. What ends by the time alone, such as a backoff or a start rate, gives no signal.
+    absl::Duration grant_retry_pause{absl::Milliseconds(50)};
     /// An agent that refused a start of a job is not tried again by that job for this time.
     absl::Duration refused_agent_pause{absl::Milliseconds(50)};
     /// Longest wait for reports before the state of the agents is looked at again.
--- a/src/libs/carobfall/dispatch/job.cpp
+++ b/src/libs/carobfall/dispatch/job.cpp
@@ -131,6 +131,12 @@
     changed_.wait_for(lock, absl::ToChronoMicroseconds(limit), [&] { return events_ != seen; });
 }
 
+void job::wake()
+{
+    const std::lock_guard lock(mutex_);
+    notify_event();
+}
+
 void job::finish(result<rpc::submission_answer> answer)
 {
     const std::lock_guard lock(mutex_);
--- a/src/libs/carobfall/dispatch/job.h
+++ b/src/libs/carobfall/dispatch/job.h
@@ -90,6 +90,9 @@
     /// Blocks until `events` differs from `seen`, or for `limit`.
     void wait_for_event(std::uint64_t seen, absl::Duration limit);
 
+    /// A slot may have become free: counts as an event.
+    void wake();
+
     /// Sets the answer, once; wakes all who wait for it. Later reports change nothing.
     void finish(result<rpc::submission_answer> answer);
     /// Blocks until the answer is there, or for `limit`.
--- a/src/libs/carobfall/dispatch/job_runner.cpp
+++ b/src/libs/carobfall/dispatch/job_runner.cpp
@@ -57,6 +57,7 @@
         revoke_uncertain();
         job_.wait_for_event(seen, next_wait());
     }
+    context_.waiting.leave(job_);
     wind_down();
     record_answer();
 }
@@ -110,13 +111,22 @@
 {
     const absl::Time now = context_.now();
     const std::uint32_t waiting = job_.progress().waiting;
-    if (waiting == 0 || !may_start_now(now)) {
+    waits_for_slot_ = false;
+    if (waiting == 0) {
+        context_.waiting.leave(job_);
+        return;
+    }
+    // Before the look at the agents, so that no slot becomes free unnoticed in between.
+    context_.waiting.enter(job_);
+    const std::optional<std::uint32_t> woken = context_.waiting.take_wake_up(job_);
+    if (!may_start_now(now)) {
         return;
     }
     const auto open = candidates(now);
     if (open.empty()) {
         block({error_kind::unavailable, "no backend server can take the tasks now",
                "submit again in a moment; operators check the list of backend servers"});
+        waits_for_slot_ = true;
         return;
     }
     std::uint32_t capacity = 0;
@@ -129,6 +139,10 @@
     if (granted == 0) {
         block({error_kind::overloaded, "no slot became free for the tasks in time",
                "submit again later or with a later deadline"});
+        waits_for_slot_ = true;
+        if (woken) {
+            context_.waiting.pass_on(job_, *woken);
+        }
         return;
     }
     const auto counts = context_.outside.placement(open, granted);
@@ -170,7 +184,7 @@
     const configuration_ptr current = context_.outside.configuration->current();
     const dispatch_template* latest =
         current->find_template(plan_.declaration.client_account, plan_.declaration.name);
-    auto found = select_candidates(context_.outside.registry->agents(), *current,
+    auto found = select_candidates(*context_.outside.registry, *current,
                                    latest == nullptr ? plan_.declaration : *latest, context_.health,
                                    context_.settings, now);
     std::erase_if(found, [&](const placement_candidate& candidate) {
@@ -370,7 +384,7 @@
 {
     const job_progress progress = job_.progress();
     absl::Duration wait = context_.settings.event_wait_limit;
-    if (progress.uncertain > 0 || (progress.waiting > 0 && blocked_)) {
+    if (progress.uncertain > 0 || (progress.waiting > 0 && blocked_ && !waits_for_slot_)) {
         wait = context_.settings.call_retry_pause;
     }
     if (progress.waiting > 0) {
--- a/src/libs/carobfall/dispatch/job_runner.h
+++ b/src/libs/carobfall/dispatch/job_runner.h
@@ -56,6 +56,7 @@
     absl::Time next_revoke_{absl::InfinitePast()};
     std::optional<error> blocked_; ///< why the waiting tasks can't be placed
     bool ownership_moved_{false};
+    bool waits_for_slot_{false}; ///< the next slot that becomes free wakes this job
     /// Agents that refused or could not be reached, and until when they are left alone.
     absl::flat_hash_map<std::string, absl::Time> avoided_;
 };
--- a/tests/auto/dispatch/tst_job_runner.cpp
+++ b/tests/auto/dispatch/tst_job_runner.cpp
@@ -47,6 +47,27 @@
     CHECK(fixture.agent("a1")->starts() + fixture.agent("a2")->starts() == 40);
 }
 
+// Guards against a job that notices a free slot only at its next look at the agents.
+TEST_CASE("a job that waits for a slot is woken when one becomes free")
+{
+    dispatch_fixture fixture;
+    fixture.settings.grant_retry_pause = absl::Seconds(5);
+    fixture.settings.event_wait_limit = absl::Seconds(5);
+    fixture.settings.queue_per_slot = 0;
+    fake_agent& agent = fixture.add_agent("a1", agent_mode::hold, 1);
+    auto first = submit_async(fixture, fixture.request(1, absl::Seconds(10)));
+    REQUIRE(fixture.wait_for_open(1));
+    auto second = submit_async(fixture, fixture.request(1, absl::Seconds(10), "s2"));
+    absl::SleepFor(absl::Milliseconds(50));
+    CHECK(agent.starts() == 1);
+    agent.set_mode(agent_mode::run);
+    const absl::Time freed = monotonic_now();
+    agent.finish(key, 0);
+    CHECK(second.get().state() == rpc::submission_complete);
+    CHECK(monotonic_now() - freed < absl::Seconds(2));
+    CHECK(first.get().state() == rpc::submission_complete);
+}
+
 // Guards against a second start of tasks whose start answer was lost.
 TEST_CASE("a lost start answer is followed by a revoke and not by another start")
 {
