Dispatch: Enforce max_result_bytes where results arrive

Cause: the bound of a template was parsed and never used; only the agent's cap of 1 MiB held.

Now a job takes a successful result longer than its template's max_result_bytes for a failure: the body is dropped, the task counts as ran and failed, and the answer is failed with payload_too_large. The backend server gets no backoff for it. Ruled out: a bound at the agent, which doesn't know the template, and in the takeover of a job, whose claim doesn't name it; there the cap of the agent still holds.

Before: any result up to 1 MiB was held and delivered. After: see the test.

--- a/src/libs/carobfall/dispatch/answer_builder.cpp
+++ b/src/libs/carobfall/dispatch/answer_builder.cpp
@@ -110,18 +110,24 @@
 rpc::submission_answer answer_for(const job& finished, const std::optional<error>& reason)
 {
     answer_builder builder(finished.key(), finished.task_count());
+    if (reason) {
+        builder.fail(*reason);
+    }
     std::uint32_t index = 0;
     for (const task_entry& task : finished.tasks()) {
         if (task.phase == task_phase::finished) {
             builder.ran(index, *task.result, task.agent.name());
+            if (task.result_too_long) {
+                builder.fail(
+                    {error_kind::payload_too_large,
+                     absl::StrCat("task ", index, ": ", task.result->error_message()),
+                     "shorten the results or have max_result_bytes of the template raised"});
+            }
         } else if (task.phase != task_phase::waiting || task.earlier_lost) {
             builder.outcome(index, rpc::outcome_may_have_run);
         }
         ++index;
     }
-    if (reason) {
-        builder.fail(*reason);
-    }
     return builder.build();
 }
 
--- a/src/libs/carobfall/dispatch/job.cpp
+++ b/src/libs/carobfall/dispatch/job.cpp
@@ -1,5 +1,7 @@
 #include "carobfall/dispatch/job.h"
 
+#include <absl/strings/str_cat.h>
+
 #include <utility>
 
 namespace carobfall {
@@ -39,7 +41,7 @@
     }
     switch (status.state()) {
     case rpc::task_state_finished:
-        task->result = std::make_shared<const rpc::task_result>(status.result());
+        take_result(*task, status.result());
         return close(*task, task_phase::finished, status);
     case rpc::task_state_refused:
         // A duplicate is refused without saying what became of the first message.
@@ -63,6 +65,30 @@
     }
 }
 
+void job::limit_results(std::uint32_t bytes)
+{
+    const std::lock_guard lock(mutex_);
+    max_result_bytes_ = bytes;
+}
+
+void job::take_result(task_entry& task, const rpc::task_result& result) const
+{
+    const std::size_t bytes = result.body().size();
+    task.result_too_long = result.success() && bytes > max_result_bytes_;
+    if (!task.result_too_long) {
+        task.result = std::make_shared<const rpc::task_result>(result);
+        return;
+    }
+    rpc::task_result shortened;
+    shortened.set_backend_status(result.backend_status());
+    shortened.set_run_ms(result.run_ms());
+    shortened.set_error_message(absl::StrCat("the result has ", bytes,
+                                             " bytes, and the template's "
+                                             "max_result_bytes is ",
+                                             max_result_bytes_));
+    task.result = std::make_shared<const rpc::task_result>(std::move(shortened));
+}
+
 void job::mark_uncertain(std::uint32_t index, std::uint32_t attempt)
 {
     const std::lock_guard lock(mutex_);
--- a/src/libs/carobfall/dispatch/job.h
+++ b/src/libs/carobfall/dispatch/job.h
@@ -7,6 +7,7 @@
 
 #include <condition_variable>
 #include <cstdint>
+#include <limits>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -33,6 +34,7 @@
     bool earlier_lost{false}; ///< an earlier attempt was lost and may have run
     rpc::agent_ref agent;     ///< holder of the present attempt
     std::shared_ptr<const rpc::task_result> result; ///< set when finished
+    bool result_too_long{false}; ///< `result` says so in place of what the backend server sent
 
     [[nodiscard]] bool is_open() const;
 };
@@ -65,6 +67,10 @@
     [[nodiscard]] absl::Time deadline() const { return deadline_; }
     [[nodiscard]] std::uint32_t task_count() const { return task_count_; }
 
+    /// A task that succeeds with a longer result counts as failed, and the result is dropped. Set
+    /// before the first attempt.
+    void limit_results(std::uint32_t bytes);
+
     /// Opens the next attempt of a waiting task at the agent and returns its number.
     std::uint32_t open_attempt(std::uint32_t index, const rpc::agent_ref& agent);
     /// Applies what an agent says about an attempt. Only the open attempt of the task matches;
@@ -102,6 +108,7 @@
 private:
     task_entry* find_open(std::uint32_t index, std::uint32_t attempt);
     void set_phase(task_entry& task, task_phase phase);
+    void take_result(task_entry& task, const rpc::task_result& result) const;
     closed_attempt close(task_entry& task, task_phase phase, const rpc::task_status& status);
     void notify_event();
 
@@ -114,6 +121,7 @@
     std::condition_variable changed_;
     std::vector<task_entry> tasks_;
     job_progress progress_;
+    std::uint32_t max_result_bytes_{std::numeric_limits<std::uint32_t>::max()};
     std::uint64_t events_{0};
     bool cancel_requested_{false};
     std::optional<result<rpc::submission_answer>> answer_;
--- a/src/libs/carobfall/dispatch/job_runner.cpp
+++ b/src/libs/carobfall/dispatch/job_runner.cpp
@@ -46,6 +46,7 @@
     stop_time_ =
         job_.deadline() - std::clamp(wind_down, settings.min_wind_down, settings.max_wind_down);
     answer_time_ = job_.deadline() - settings.answer_reserve;
+    job_.limit_results(plan_.declaration.max_result_bytes);
 }
 
 void job_runner::run()
--- a/tests/auto/dispatch/tst_job_runner.cpp
+++ b/tests/auto/dispatch/tst_job_runner.cpp
@@ -68,6 +68,25 @@
     CHECK(first.get().state() == rpc::submission_complete);
 }
 
+// Guards against results beyond the template's bound in the memory of the entry and in answers.
+TEST_CASE("a result longer than the template allows fails the job, and its body is dropped")
+{
+    dispatch_fixture fixture;
+    fixture.source.change_template([](dispatch_template& edited) { edited.max_result_bytes = 2; });
+    fixture.add_agent("a1");
+    CHECK(fixture.submit(fixture.request(10)).value().state() == rpc::submission_complete);
+    const rpc::submission_answer answer =
+        fixture.submit(fixture.request(11, absl::Seconds(2), "s2")).value();
+    CHECK(answer.state() == rpc::submission_failed);
+    CHECK(answer.error_kind() == "payload_too_large");
+    CHECK(answer.tasks(10).outcome() == rpc::outcome_ran);
+    CHECK(answer.tasks(10).result().body().empty());
+    CHECK_FALSE(answer.tasks(10).result().success());
+    // The backend server has done its work, so that it gets no backoff.
+    CHECK(fixture.submit(fixture.request(10, absl::Seconds(2), "s3")).value().state() ==
+          rpc::submission_complete);
+}
+
 // Guards against a second start of tasks whose start answer was lost.
 TEST_CASE("a lost start answer is followed by a revoke and not by another start")
 {
