Operators: Report the backoff of backend servers

Cause: the list of backend servers always had a backoff of 0, because configuration_service didn't read backend_health.

Now it reports the rest of the backoff and the kind of the failure with the longest pause, as the entry that is asked sees them. 0 ms with a kind means that a probe decides.

Before: backoff_ms 0 and an empty backoff_reason for a backend server that fails everything. After: a process test finds it with a positive backoff and the kind failed or fast_failure, and another one without.

--- a/src/libs/carobfall/daemon/configuration_service.cpp
+++ b/src/libs/carobfall/daemon/configuration_service.cpp
@@ -66,7 +66,7 @@
     return success();
 }
 
-backend_status status_of(const agent_state& agent)
+backend_status status_of(const agent_state& agent, const backend_backoff& backoff)
 {
     const rpc::backend_server_info& server = agent.info->backend_server();
     return {.agent = agent.info->name(),
@@ -78,7 +78,8 @@
             .queued = agent.load.queued(),
             .available = agent.backend_available && !agent.leaving,
             .leaving = agent.leaving,
-            .backoff = absl::ZeroDuration()};
+            .backoff = backoff.remaining,
+            .backoff_reason = backoff.kind ? std::string(name_of(*backoff.kind)) : ""};
 }
 
 } // namespace
@@ -203,8 +204,9 @@
 result<std::vector<backend_status>> configuration_service::backends()
 {
     std::vector<backend_status> list;
+    const absl::Time now = parts_.clock();
     for (const agent_state& agent : parts_.agents.agents()) {
-        list.push_back(status_of(agent));
+        list.push_back(status_of(agent, parts_.health.backoff(agent.info->name(), now)));
     }
     std::sort(list.begin(), list.end(),
               [](const auto& left, const auto& right) { return left.agent < right.agent; });
--- a/src/libs/carobfall/daemon/configuration_service.h
+++ b/src/libs/carobfall/daemon/configuration_service.h
@@ -2,6 +2,7 @@
 
 #include "carobfall/base/clock.h"
 #include "carobfall/dispatch/agent_registry.h"
+#include "carobfall/dispatch/backend_health.h"
 #include "carobfall/dispatch/submission_service.h"
 #include "carobfall/entry/configuration_keeper.h"
 #include "carobfall/entry/membership.h"
@@ -19,6 +20,7 @@
     submission_service& submissions;
     entry_channel_factory entries;
     clock_function clock;
+    const backend_health& health;
 };
 
 /// Operators' requests at an entry: changes go to the table service and are then published to the
--- a/src/libs/carobfall/daemon/entry_daemon.cpp
+++ b/src/libs/carobfall/daemon/entry_daemon.cpp
@@ -125,7 +125,8 @@
                           .with_clock(clock)
                           .with_settings(dispatch_settings_of(settings))
                           .build()),
-          operations({store, keeper, members, registry, *submissions, entries, clock}),
+          operations({store, keeper, members, registry, *submissions, entries, clock,
+                      submissions->health()}),
           rpc_server({.address = settings.rpc_address, .limits = {}},
                      {members, claims, transfer, keeper, registry, *submissions, clock}),
           callers(*submissions, keeper, metrics, caller_settings_of(settings), clock),
--- a/src/libs/carobfall/dispatch/backend_health.cpp
+++ b/src/libs/carobfall/dispatch/backend_health.cpp
@@ -88,6 +88,22 @@
     return backend_permission::probe;
 }
 
+backend_backoff backend_health::backoff(const std::string& agent, absl::Time now) const
+{
+    const std::lock_guard lock(mutex_);
+    const auto found = backends_.find(agent);
+    if (found == backends_.end() || !found->second.in_backoff()) {
+        return {absl::ZeroDuration(), std::nullopt};
+    }
+    const auto& kinds = found->second.kinds;
+    const auto longest =
+        std::max_element(kinds.begin(), kinds.end(), [](const auto& left, const auto& right) {
+            return left.closed_until < right.closed_until;
+        });
+    return {std::max(absl::ZeroDuration(), longest->closed_until - now),
+            static_cast<failure_kind>(longest - kinds.begin())};
+}
+
 bool backend_health::take_probe(const std::string& agent, absl::Time now)
 {
     const std::lock_guard lock(mutex_);
--- a/src/libs/carobfall/dispatch/backend_health.h
+++ b/src/libs/carobfall/dispatch/backend_health.h
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -38,6 +39,12 @@
 /// Whether a backend server may get tasks.
 enum class backend_permission { open, probe, closed };
 
+/// Why and for how long a backend server gets no tasks.
+struct backend_backoff {
+    absl::Duration remaining;         ///< zero if it gets tasks, or waits for the result of a probe
+    std::optional<failure_kind> kind; ///< of the longest pause; nothing without a backoff
+};
+
 /// Backoff of backend servers, keyed by agent name and failure kind. After a pause a backend
 /// server gets one probe at a time until a task succeeds. Thread-safe.
 class backend_health {
@@ -51,6 +58,7 @@
     void release_probe(const std::string& agent);
 
     [[nodiscard]] backend_permission permission(const std::string& agent, absl::Time now) const;
+    [[nodiscard]] backend_backoff backoff(const std::string& agent, absl::Time now) const;
     /// Reserves the probe. False if another one is under way.
     bool take_probe(const std::string& agent, absl::Time now);
 
--- a/src/libs/carobfall/dispatch/coordinator.h
+++ b/src/libs/carobfall/dispatch/coordinator.h
@@ -44,6 +44,7 @@
     void expire(absl::Time now);
     /// Refuses new submissions from now on; running ones go on.
     void begin_shutdown() { shutting_down_ = true; }
+    [[nodiscard]] const backend_health& health() const { return context_.health; }
     [[nodiscard]] std::size_t running_jobs() const { return context_.table.running(); }
 
 private:
--- a/src/libs/carobfall/operators/operator_service.h
+++ b/src/libs/carobfall/operators/operator_service.h
@@ -71,8 +71,9 @@
     std::uint32_t queued{0};
     bool available{false};
     bool leaving{false};
-    absl::Duration backoff;       ///< until it is tried again; zero if not backed off
-    std::string backoff_reason{}; ///< kind of the failure
+    /// Until it is tried again; zero if not backed off, or if a probe decides now.
+    absl::Duration backoff;
+    std::string backoff_reason{}; ///< kind of the failure; empty if not backed off
 };
 
 /// What operators can ask for. Implemented by the entry daemon. Thread-safe; calls block for at
--- a/tests/auto/dispatch/tst_limits.cpp
+++ b/tests/auto/dispatch/tst_limits.cpp
@@ -41,8 +41,13 @@
     // A second failure within the pause belongs to the first.
     health.record_failure("a1", failure_kind::failed, start + absl::Milliseconds(1));
     CHECK(health.permission("a1", start + absl::Milliseconds(990)) == backend_permission::closed);
+    CHECK(health.backoff("a1", start).kind == failure_kind::failed);
+    CHECK(absl::AbsDuration(health.backoff("a1", start).remaining - absl::Seconds(1)) <
+          absl::Milliseconds(1));
     absl::Time now = start + absl::Milliseconds(1010);
     CHECK(health.permission("a1", now) == backend_permission::probe);
+    CHECK(health.backoff("a1", now).remaining == absl::ZeroDuration());
+    CHECK(health.backoff("a1", now).kind.has_value());
     CHECK(health.take_probe("a1", now));
     CHECK(!health.take_probe("a1", now));
     CHECK(health.permission("a1", now) == backend_permission::closed);
@@ -54,6 +59,7 @@
     CHECK(health.take_probe("a1", now));
     health.record_success("a1");
     CHECK(health.permission("a1", now) == backend_permission::open);
+    CHECK_FALSE(health.backoff("a1", now).kind.has_value());
 }
 
 TEST_CASE("failure kinds have their own steps, and retry-now clears them")
--- a/tests/process/test_agent_failure.py
+++ b/tests/process/test_agent_failure.py
@@ -2,7 +2,9 @@
 import time
 import unittest
 
-from support import ProcessTest, body, wait_until
+from support import ProcessTest, body, wait_until  # makes scripts/ importable
+
+from cluster import http
 
 
 class AgentFailure(ProcessTest):
@@ -44,6 +46,26 @@
         self.path_works("after")
         self.assert_no_second_start()
 
+    def test_backoff_of_a_failing_backend_server_is_listed(self):
+        """Guards against a list of backend servers that shows none as backed off."""
+        worker = self.deployment.workers[0]
+        self.assertEqual(http("POST", worker.backend_url + "/control", {"fail": True})[0], 200)
+
+        def backed_off(name):
+            rows = [row for entry in self.deployment.entries for row in
+                    self.deployment.operate("GET", "/v1/backends", entry=entry)[1]["backends"]]
+            return [row["backoff_reason"] for row in rows
+                    if row["agent"] == name and row["backoff_ms"] > 0]
+
+        def failed_and_listed():
+            self.submit(f"fail-{time.monotonic_ns()}", body(6, 50, 10))
+            return backed_off(worker.name)
+
+        reasons = wait_until(failed_and_listed, 20, "backoff listed")
+        self.assertLessEqual(set(reasons), {"failed", "fast_failure"})
+        self.assertEqual(backed_off(self.deployment.workers[1].name), [])
+        http("POST", worker.backend_url + "/control", {"fail": False})
+
     def test_backend_server_that_leaves_gets_no_new_work(self):
         """Guards against starts on a backend server after it has announced that it leaves."""
         worker = self.deployment.workers[0]
