--- a/src/libs/carobfall/dispatch/coordinator.h
+++ b/src/libs/carobfall/dispatch/coordinator.h
@@ -36,6 +36,8 @@
 
     /// Matches results to running jobs; the handler of `agent_registry`.
     void on_report(const rpc::report_request& request, absl::Time now);
+    /// Wakes jobs that wait for a slot; the handler of `agent_registry`.
+    void on_room(std::uint32_t slots) { context_.waiting.signal(slots); }
     /// Takes over submissions whose coordinator has left the view. Call when a view takes effect.
     void on_view_in_effect(absl::Time now);
     /// Tells the witnesses which submissions have been answered. Call several times a second.
@@ -44,6 +46,7 @@
     void expire(absl::Time now);
     /// Refuses new submissions from now on; running ones go on.
     void begin_shutdown() { shutting_down_ = true; }
+    [[nodiscard]] const backend_health& health() const { return context_.health; }
     [[nodiscard]] std::size_t running_jobs() const { return context_.table.running(); }
 
 private:
--- a/src/libs/carobfall/dispatch/dispatch_context.h
+++ b/src/libs/carobfall/dispatch/dispatch_context.h
@@ -10,6 +10,7 @@
 #include "carobfall/dispatch/dispatch_settings.h"
 #include "carobfall/dispatch/placement.h"
 #include "carobfall/dispatch/retry_budget.h"
+#include "carobfall/dispatch/slot_waiters.h"
 #include "carobfall/dispatch/submission_table.h"
 #include "carobfall/dispatch/work_pool.h"
 #include "carobfall/entry/agent_membership.h"
@@ -54,6 +55,7 @@
     backend_health health;
     answered_notes notes;
     retry_budget retries;
+    slot_waiters waiting;
     work_pool calls; ///< helps with calls to several agents at once
 };
 
