Stateful: Drive leaves, waiting callers, failures and permitted reruns

Cause: docs/guarantees.md listed graceful leaves, leaving backend servers, callers that wait, failing tasks, rerun_lost, the loss of all entries at once and resubmissions with another body as not covered. Ruled out: waiting callers without a change of the product: the wait for an answer slept in real time up to the deadline, so it now looks at the injected clock once a second.

--- a/src/libs/carobfall/dispatch/coordinator.cpp
+++ b/src/libs/carobfall/dispatch/coordinator.cpp
@@ -314,9 +314,13 @@
 coordinator::answer_result coordinator::wait_for(job& running,
                                                  const rpc::submission_request& request)
 {
-    const absl::Duration limit = time_to(running.deadline(), context_.now());
-    if (auto answer = running.wait_for_answer(limit)) {
-        return *answer;
+    absl::Time now = context_.now();
+    const absl::Time end = now + time_to(running.deadline(), now);
+    for (; now < end; now = context_.now()) {
+        if (auto answer =
+                running.wait_for_answer(std::min(context_.settings.answer_wait_limit, end - now))) {
+            return *answer;
+        }
     }
     return failure(error_kind::outcome_unknown,
                    absl::StrCat("submission ", request.key().submission_id(),
--- a/src/libs/carobfall/dispatch/coordinator.h
+++ b/src/libs/carobfall/dispatch/coordinator.h
@@ -43,6 +43,8 @@
     /// Refuses new submissions from now on; running ones go on.
     void begin_shutdown() { shutting_down_ = true; }
     [[nodiscard]] std::size_t running_jobs() const { return context_.table.running(); }
+    /// Submissions that run or wait on its own threads, without those that callers' threads run.
+    [[nodiscard]] std::size_t pooled_jobs() const { return runs_->pending(); }
 
 private:
     friend class coordinator_builder;
--- a/src/libs/carobfall/dispatch/dispatch_settings.h
+++ b/src/libs/carobfall/dispatch/dispatch_settings.h
@@ -30,6 +30,8 @@
     absl::Duration refused_agent_pause{absl::Milliseconds(50)};
     /// Longest wait for reports before the state of the agents is looked at again.
     absl::Duration event_wait_limit{absl::Milliseconds(50)};
+    /// Longest wait of a caller for its answer before the clock is looked at again.
+    absl::Duration answer_wait_limit{absl::Seconds(1)};
 
     /// Part of the time to the deadline that is kept for revoking what hasn't finished, and its
     /// bounds. A revoke takes one round trip (under 1 ms) unless the agent hangs.
--- a/src/libs/carobfall/dispatch/work_pool.cpp
+++ b/src/libs/carobfall/dispatch/work_pool.cpp
@@ -63,6 +63,7 @@
             return false;
         }
         queue_.push_back(std::move(work));
+        ++pending_;
     }
     changed_.notify_one();
     return true;
@@ -96,6 +97,7 @@
         queue_.pop_front();
         lock.unlock();
         work();
+        --pending_;
         lock.lock();
     }
 }
--- a/src/libs/carobfall/dispatch/work_pool.h
+++ b/src/libs/carobfall/dispatch/work_pool.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <condition_variable>
 #include <cstddef>
 #include <deque>
@@ -21,6 +22,9 @@
     /// False if the queue is full; the work is dropped then.
     bool post(std::function<void()> work);
 
+    /// Work that is queued or under way.
+    [[nodiscard]] std::size_t pending() const { return pending_; }
+
     /// Calls `work(0)` to `work(count - 1)`, on the calling thread and on free threads of the
     /// pool, and returns when all calls have returned. Never waits for a busy pool.
     void for_each(std::size_t count, const std::function<void(std::size_t)>& work);
@@ -33,6 +37,7 @@
     std::condition_variable changed_;
     std::deque<std::function<void()>> queue_;
     bool stopping_{false};
+    std::atomic<std::size_t> pending_{0};
     std::vector<std::thread> threads_;
 };
 
--- a/tests/auto/stateful/agent_process.cpp
+++ b/tests/auto/stateful/agent_process.cpp
@@ -2,6 +2,7 @@
 
 #include "world.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace carobfall::stateful {
@@ -47,17 +48,43 @@
 
 void agent_process::announce_backend()
 {
-    if (!backend_leaves) {
+    if (backend_ == backend_state::present || region_.mutation() == rule_removed::leaving) {
         ledger_->announce_backend(backend_slots, region_.now() + announcement_validity);
     }
 }
 
+void agent_process::set_backend(backend_state next)
+{
+    backend_ = next;
+    backend_left_at_ = next == backend_state::present ? absl::InfiniteFuture()
+                                                      : std::min(backend_left_at_, region_.now());
+    if (next == backend_state::leaves && region_.mutation() != rule_removed::leaving) {
+        ledger_->remove_backend();
+    }
+}
+
+void agent_process::leave()
+{
+    left_at_ = std::min(left_at_, region_.now());
+    if (region_.mutation() != rule_removed::leaving) {
+        ledger_->begin_leaving();
+    }
+}
+
+bool agent_process::has_left() const
+{
+    const rpc::agent_load load = ledger_->load();
+    const bool idle = load.running() + load.queued() == 0 && unsent_.empty();
+    return left_at_ <= region_.now() && (idle || region_.mutation() == rule_removed::drain);
+}
+
 rpc::beat_request agent_process::make_beat(absl::Time now) const
 {
     rpc::beat_request beat;
     beat.mutable_agent()->set_name(info_.name());
     beat.mutable_agent()->set_incarnation(info_.incarnation());
     *beat.mutable_load() = ledger_->load();
+    beat.set_leaving(ledger_->leaving());
     beat.set_backend_available(ledger_->backend_available(now));
     beat.set_view_number(ledger_->view_number());
     beat.set_configuration_version(lease_.configuration_version());
@@ -92,6 +119,9 @@
     if (!reply) {
         return;
     }
+    if (region_.mutation() == rule_removed::out_list) {
+        reply.value().clear_data_centres_out();
+    }
     if (region_.mutation() == rule_removed::lease) {
         reply.value().set_lease_ms(longest_lease_ms);
         reply.value().set_send_time_us(absl::ToUnixMicros(sent + endless));
@@ -119,7 +149,7 @@
         if (!ledger_->confirm_start(task, now)) {
             continue;
         }
-        if (backend_leaves) {
+        if (backend_ == backend_state::gone) {
             ledger_->remove_backend();
             if (auto report = ledger_->refuse_unsent(task.key, task.attempt,
                                                      rpc::refusal_backend_unavailable, now)) {
@@ -128,7 +158,9 @@
             continue;
         }
         region_.note_committed();
-        region_.facts().on_start(task.key, task.payload, info_.data_centre(), now);
+        region_.facts().on_start(
+            task.key, task.payload,
+            {info_.incarnation(), info_.data_centre(), std::min(backend_left_at_, left_at_)}, now);
         const absl::Time end = now + shortest_run + run_step * (task.key.index % run_steps);
         running_.push_back({std::move(task), end});
     }
@@ -144,7 +176,7 @@
             continue;
         }
         rpc::task_result result;
-        result.set_success(true);
+        result.set_success(!must_fail(ran.task.key));
         result.set_body(ran.task.payload);
         if (auto report = ledger_->finish(ran.task.key, ran.task.attempt, result, now)) {
             add_reports({*report});
@@ -176,6 +208,10 @@
         request.mutable_agent()->set_incarnation(info_.incarnation());
         *request.mutable_load() = ledger_->load();
         *request.add_reports() = *content;
+        if (region_.mutation() == rule_removed::matching) {
+            rpc::task_status& status = *request.mutable_reports(0)->mutable_status();
+            status.set_index(status.index() ^ 1U);
+        }
         if (!region_.report(*this, report.coordinator.name(), request)) {
             kept.push_back(report);
         }
--- a/tests/auto/stateful/agent_process.h
+++ b/tests/auto/stateful/agent_process.h
@@ -15,6 +15,14 @@
 
 class world;
 
+/// What the backend server beside an agent does.
+enum class backend_state {
+    present,
+    gone,   ///< refuses connections
+    leaves, ///< has told its agent that it leaves
+    silent, ///< no longer announces itself, but still takes tasks
+};
+
 /// One agent process with its real ledger and lease, and the backend server beside it. It does
 /// the work of the agent's session and executor threads step by step.
 class agent_process {
@@ -27,7 +35,7 @@
     task_ledger& ledger() { return *ledger_; }
     start_lease& lease() { return lease_; }
 
-    /// The backend server renews its announcement, unless it leaves.
+    /// The backend server renews its announcement while it is present.
     void announce_backend();
     /// Registers where needed and sends a heartbeat to every entry.
     void keep_contact();
@@ -39,8 +47,12 @@
     void finish_tasks();
     /// All of the above.
     void step();
-    /// The backend server leaves until `backend_leaves` is false and the next step announces it.
-    bool backend_leaves{false};
+    void set_backend(backend_state next);
+    /// SIGTERM: hands the queue back and runs what has started.
+    void leave();
+    /// All work is done and reported after `leave`.
+    [[nodiscard]] bool has_left() const;
+    [[nodiscard]] std::size_t unfinished() const { return ledger_->load().running(); }
 
 private:
     struct running_task {
@@ -63,6 +75,9 @@
     rpc::agent_info info_;
     start_lease lease_;
     std::unique_ptr<task_ledger> ledger_;
+    backend_state backend_{backend_state::present};
+    absl::Time backend_left_at_{absl::InfiniteFuture()};
+    absl::Time left_at_{absl::InfiniteFuture()};
     std::set<std::string> registered_; ///< names of the entries that confirmed the registration
     std::vector<startable_task> taken_;
     std::vector<running_task> running_;
--- a/tests/auto/stateful/commands.cpp
+++ b/tests/auto/stateful/commands.cpp
@@ -98,7 +98,9 @@
          }},
         {"submit",
          [](world& w, int first, int second) {
-             w.submit(first % entry_count, w.request_for(second % ids, 0));
+             auto request = w.request_for(second % ids, 0);
+             request.set_wait(second / ids % 2 == 1);
+             w.submit(first % entry_count, request);
          }},
         {"submit_other_body",
          [](world& w, int first, int second) {
@@ -117,6 +119,13 @@
         {"drop_late",
          [](world& w, int first, int) { w.network().drop_late(static_cast<std::size_t>(first)); }},
         {"kill", [](world& w, int first, int) { w.kill_entry(first % entry_count); }},
+        {"kill_all",
+         [](world& w, int, int) {
+             for (int i = 0; i < entry_count; ++i) {
+                 w.kill_entry(i);
+             }
+         }},
+        {"leave", [](world& w, int first, int) { w.leave_entry(first % entry_count); }},
         {"restart", [](world& w, int first, int) { w.start_entry(first % entry_count); }},
         {"pause", [](world& w, int first, int) { w.pause_entry(first % entry_count, true); }},
         {"resume", [](world& w, int first, int) { w.pause_entry(first % entry_count, false); }},
@@ -124,13 +133,13 @@
         {"isolate", isolate},
         {"heal", [](world& w, int, int) { w.network().heal(); }},
         {"restart_agent", [](world& w, int first, int) { w.restart_agent(first % agent_count); }},
+        {"leave_agent", [](world& w, int first, int) { w.agent(first % agent_count)->leave(); }},
         {"pause_agent", [](world& w, int first, int) { w.pause_agent(first % agent_count, true); }},
         {"resume_agent",
          [](world& w, int first, int) { w.pause_agent(first % agent_count, false); }},
         {"backend",
-         [](world& w, int first, int) {
-             bool& leaves = w.agent(first % agent_count)->backend_leaves;
-             leaves = !leaves;
+         [](world& w, int first, int second) {
+             w.agent(first % agent_count)->set_backend(static_cast<backend_state>(second % 4));
          }},
         {"outage", [](world& w, int first, int) { w.table().set_outage(first % 2 == 0); }},
         {"lose_store_answer", [](world& w, int, int) { w.table().lose_answers(1); }},
--- a/tests/auto/stateful/entry_process.cpp
+++ b/tests/auto/stateful/entry_process.cpp
@@ -22,6 +22,7 @@
     settings.call_retry_pause = real_pause;
     settings.grant_retry_pause = real_pause;
     settings.event_wait_limit = real_pause;
+    settings.answer_wait_limit = real_pause;
     settings.run_threads = run_threads;
     settings.call_threads = 0; // calls to several agents are made one after the other
     return settings;
@@ -72,7 +73,7 @@
     make_members(region);
     make_transfer(region);
     make_coordinator(region);
-    gate.busy_workers = [this] { return std::min(submissions->running_jobs(), run_threads); };
+    gate.busy_workers = [this] { return std::min(submissions->pooled_jobs(), run_threads); };
 }
 
 void entry_process::make_members(world& region)
@@ -83,7 +84,12 @@
         return region.refuses(address);
     };
     hooks.run_parallel = run_in_order;
-    hooks.sleep = [this, &region](absl::Duration) { region.turns().pass(gate); };
+    hooks.sleep = [this, &region](absl::Duration time) {
+        const absl::Time end = region.now() + time;
+        while (!gate.dead && region.now() < end) {
+            region.turns().pass(gate);
+        }
+    };
     hooks.configuration_version = [this] { return keeper->reported_version(); };
     hooks.on_answers = [this](auto&&... arguments) { keeper->on_answers(arguments...); };
     hooks.on_superseded = [this] { superseded = true; };
@@ -104,7 +110,7 @@
     source.channels = hooks.channels;
     source.run_parallel = run_in_order;
     source.clock = region.clock_of(gate);
-    source.sleep = hooks.sleep;
+    source.sleep = [this, &region](absl::Duration) { region.turns().pass(gate); };
     keeper = std::make_unique<configuration_keeper>(*members, source);
 }
 
--- a/tests/auto/stateful/entry_process.h
+++ b/tests/auto/stateful/entry_process.h
@@ -10,6 +10,7 @@
 #include "carobfall/entry/membership.h"
 #include "carobfall/platform/configuration_store.h"
 
+#include <atomic>
 #include <memory>
 #include <string>
 
@@ -37,6 +38,9 @@
     std::unique_ptr<agent_registry> registry;
     std::unique_ptr<coordinator> submissions;
     bool superseded{false};
+    bool draining{false};
+    bool has_left{false};                   ///< the graceful shutdown is complete
+    std::atomic<std::size_t> open_calls{0}; ///< of clients that wait for an answer of this entry
 
     /// One round of every thread of the process.
     void step(absl::Time now);
--- a/tests/auto/stateful/fake_network.cpp
+++ b/tests/auto/stateful/fake_network.cpp
@@ -43,15 +43,14 @@
         return;
     }
     const auto chosen = late_.begin() + static_cast<std::ptrdiff_t>(number % late_.size());
-    const process_gate* process = chosen->to.find();
+    process_gate* process = chosen->to.find();
     if (process != nullptr && (process->paused || is_cut(chosen->sender, chosen->to.name))) {
         return;
     }
     const late_message message = *chosen;
     late_.erase(chosen);
     if (process != nullptr) {
-        message.deliver();
-        turns_.settle();
+        turns_.spawn(*process, message.deliver);
     }
 }
 
--- a/tests/auto/stateful/mutations.h
+++ b/tests/auto/stateful/mutations.h
@@ -13,6 +13,13 @@
     tombstones,   ///< a revoke is answered without a record
     lease,        ///< agents hold an endless lease
     body_hash,    ///< all bodies have the same hash
+    out_list,     ///< agents don't hear which data centres are out
+    matching,     ///< reports name the neighbouring task
+    partial,      ///< complete answers lack their last result
+    rerun,        ///< the template that forbids a second run permits it
+    leaving,      ///< agents take no notice of their own leave and their backend server's
+    drain,        ///< a graceful shutdown doesn't wait for work in flight
+    versions,     ///< a configuration counts as in force before the entries hold it
 };
 
 /// Passes everything on.
--- a/tests/auto/stateful/oracle.cpp
+++ b/tests/auto/stateful/oracle.cpp
@@ -12,6 +12,12 @@
     return nlohmann::json{{"id", key.submission_id}, {"body", body}, {"index", index}}.dump();
 }
 
+bool must_fail(const task_key& task)
+{
+    const char last = task.submission.submission_id.back();
+    return task.index == 1 && (last == '4' || last == '9');
+}
+
 void oracle::report(const std::string& problem)
 {
     if (violation_.empty()) {
@@ -19,14 +25,19 @@
     }
 }
 
-void oracle::on_start(const task_key& task, const std::string& payload,
-                      const std::string& data_centre, absl::Time now)
+void oracle::on_start(const task_key& task, const std::string& payload, const start_place& place,
+                      absl::Time now)
 {
     const std::lock_guard lock(mutex_);
     const std::string name = absl::StrCat(to_string(task.submission), "#", task.index);
-    if (++starts_[task] > 1) {
+    if (!may_start_again(task)) {
         report(absl::StrCat("started twice: ", name));
     }
+    starts_[task].push_back(place.agent_incarnation);
+    if (now > place.leaving_since + leave_grace) {
+        report(absl::StrCat("started on an agent or backend server that left ",
+                            absl::FormatDuration(now - place.leaving_since), " ago: ", name));
+    }
     const std::string body = nlohmann::json::parse(payload).at("body");
     if (payload != payload_of(task.submission, body, task.index)) {
         report(absl::StrCat("wrong payload for ", name, ": ", payload));
@@ -39,7 +50,31 @@
     if (told != told_not_run_.end() && calls_for(task.submission) == told->second) {
         report(absl::StrCat("started after not_run: ", name));
     }
-    check_data_centre(data_centre, now);
+    check_data_centre(place.data_centre, now);
+}
+
+/// True for the first start, and if the template permits it and all earlier runs were lost.
+bool oracle::may_start_again(const task_key& task) const
+{
+    const auto found = starts_.find(task);
+    return found == starts_.end() ||
+           (rerunnable_.contains(task.submission) &&
+            std::all_of(found->second.begin(), found->second.end(),
+                        [&](const auto& agent) { return ended_agents_.contains(agent); }));
+}
+
+void oracle::on_agent_end(const std::string& incarnation)
+{
+    const std::lock_guard lock(mutex_);
+    ended_agents_.insert(incarnation);
+}
+
+void oracle::on_graceful_end(const std::string& name, std::size_t unfinished)
+{
+    const std::lock_guard lock(mutex_);
+    if (unfinished > 0) {
+        report(absl::StrCat("the shutdown of ", name, " interrupted ", unfinished, " in flight"));
+    }
 }
 
 void oracle::check_data_centre(const std::string& data_centre, absl::Time now)
@@ -58,7 +93,14 @@
 std::size_t oracle::on_submit(const rpc::submission_request& request)
 {
     const std::lock_guard lock(mutex_);
-    calls_.push_back({request, calls_.size(), false});
+    const submission_key key = from_message(request.key());
+    const auto started = body_started_.find(key);
+    if (request.template_name() == rerun_template) {
+        rerunnable_.insert(key);
+    }
+    calls_.push_back({request, false,
+                      started != body_started_.end() &&
+                          request.tasks(0) != payload_of(key, started->second, 0)});
     return calls_.size() - 1;
 }
 
@@ -74,6 +116,12 @@
     submit_call& made = calls_[call];
     if (answer) {
         made.answered = true;
+        // The records of agents, which is all that the loss of both holders leaves, name no body.
+        if (made.other_body && (answer.value().state() != rpc::submission_failed ||
+                                answer.value().error_kind() != name_of(error_kind::task_lost))) {
+            report(absl::StrCat("another body got no conflict: ",
+                                to_string(from_message(made.request.key()))));
+        }
         check_answer(made.request, answer.value());
     } else if (answer.error().kind != error_kind::outcome_unknown) {
         made.answered = true;
@@ -208,7 +256,7 @@
 int oracle::starts_locked(const task_key& task) const
 {
     const auto found = starts_.find(task);
-    return found == starts_.end() ? 0 : found->second;
+    return found == starts_.end() ? 0 : static_cast<int>(found->second.size());
 }
 
 int oracle::starts(const submission_key& key, std::uint32_t index) const
@@ -221,8 +269,8 @@
 {
     const std::lock_guard lock(mutex_);
     std::size_t total = 0;
-    for (const auto& [task, count] : starts_) {
-        total += static_cast<std::size_t>(count);
+    for (const auto& [task, agents] : starts_) {
+        total += agents.size();
     }
     return total;
 }
--- a/tests/auto/stateful/oracle.h
+++ b/tests/auto/stateful/oracle.h
@@ -17,11 +17,23 @@
 /// Longest time after an accepted change until nothing starts in a data centre that it took out.
 inline constexpr absl::Duration out_grace = absl::Seconds(5);
 
+/// Longest time from the leave of a backend server or its agent until nothing starts on it.
+inline constexpr absl::Duration leave_grace = absl::Seconds(5);
+/// Name of the template whose tasks may run again when their agent was lost.
+inline constexpr const char* rerun_template = "rerun";
+
+/// Where a task starts.
+struct start_place {
+    std::string agent_incarnation;
+    std::string data_centre;
+    absl::Time leaving_since;
+};
+
 /// One submit call of a client.
 struct submit_call {
     rpc::submission_request request;
-    std::size_t number{0};
     bool answered{false};
+    bool other_body{false}; ///< a task with another body had started before
 };
 
 /// What the fake backend servers, the clients and the operators have seen, and the rules between
@@ -29,8 +41,12 @@
 class oracle {
 public:
     /// A backend server got the task.
-    void on_start(const task_key& task, const std::string& payload, const std::string& data_centre,
+    void on_start(const task_key& task, const std::string& payload, const start_place& place,
                   absl::Time now);
+    /// The process with the agent incarnation has ended.
+    void on_agent_end(const std::string& incarnation);
+    /// A process has shut down gracefully with this much work that was neither done nor refused.
+    void on_graceful_end(const std::string& name, std::size_t unfinished);
     /// A client sends a request; returns the number of the call.
     std::size_t on_submit(const rpc::submission_request& request);
     /// The answer to the call, or the loss of the connection.
@@ -67,11 +83,14 @@
     void check_data_centre(const std::string& data_centre, absl::Time now);
     [[nodiscard]] bool has_open_call(const submission_key& key) const;
     [[nodiscard]] std::size_t calls_for(const submission_key& key) const;
+    [[nodiscard]] bool may_start_again(const task_key& task) const;
     [[nodiscard]] int starts_locked(const task_key& task) const;
 
     mutable std::mutex mutex_;
     std::string violation_;
-    std::map<task_key, int> starts_;
+    std::map<task_key, std::vector<std::string>> starts_; ///< agent incarnation of each start
+    std::set<std::string> ended_agents_;
+    std::set<submission_key> rerunnable_;
     std::map<submission_key, std::string> body_started_; ///< body hash of the started tasks
     std::vector<submit_call> calls_;
     /// Tasks reported as `not_run`, with the number of calls for their submission until then.
@@ -82,6 +101,8 @@
     std::uint64_t accepted_version_{0};
 };
 
+/// The backend servers fail this task whenever it runs.
+[[nodiscard]] bool must_fail(const task_key& task);
 /// Payload by which a backend server and a client recognise the task and the body.
 [[nodiscard]] std::string payload_of(const submission_key& key, const std::string& body,
                                      std::uint32_t index);
--- a/tests/auto/stateful/schedules.cpp
+++ b/tests/auto/stateful/schedules.cpp
@@ -77,7 +77,7 @@
     }
 
     /// The agent gets no more work.
-    void take_work_from(int agent) { region.agent(agent)->backend_leaves = true; }
+    void take_work_from(int agent) { region.agent(agent)->set_backend(backend_state::gone); }
 
     /// The first call from the coordinator to an agent gets the fault.
     void plan_for_agents(call_fault fault)
@@ -172,7 +172,7 @@
     at.region.run(view_change_rounds);
     at.region.submit(at.other, at.request);
     const bool ran = at.run_until([&] { return at.region.facts().starts(at.key, 0) > 0; });
-    at.region.agent(late_agent)->backend_leaves = false;
+    at.region.agent(late_agent)->set_backend(backend_state::present);
     at.region.run(1);
     at.region.network().deliver_late(0);
     at.region.run(2);
@@ -189,7 +189,7 @@
     const int late_agent = at.delayed_at.empty() ? 0 : at.delayed_at.back() - '0';
     at.take_work_from(late_agent);
     const bool ran = at.run_until([&] { return at.region.facts().starts(at.key, 0) > 0; });
-    at.region.agent(late_agent)->backend_leaves = false;
+    at.region.agent(late_agent)->set_backend(backend_state::present);
     at.region.run(1);
     at.region.network().deliver_late(0);
     at.region.run(2);
@@ -254,4 +254,31 @@
     return at.end(accepted);
 }
 
+schedule_outcome lost_region(rule_removed mutation)
+{
+    scene at(mutation);
+    at.region.submit(at.coordinator, at.request);
+    const bool ran = at.run_until([&] { return at.region.facts().starts(at.key, 0) > 0; });
+    at.region.run(2);
+    for (int i = 0; i < entry_count; ++i) {
+        at.region.kill_entry(i);
+    }
+    at.region.start_entry(at.other);
+    const bool alone = at.run_until([&] {
+        const ownership_snapshot snapshot = at.region.entry(at.other)->members->snapshot();
+        return snapshot.usable() && snapshot.complete && snapshot.view.members_size() == 1;
+    });
+    const bool joined = at.restart_until_healthy();
+    const rpc::entry_view view = at.region.entry(at.other)->members->snapshot().view;
+    const bool moved = scene::index_of(*coordinator_of(view, at.key)) != at.other;
+    // The agent would answer with its record; another one knows nothing.
+    at.region.agent(at.holder())->set_backend(backend_state::leaves);
+    at.region.run(silent_agent_rounds);
+    for (int i = 0; i < entry_count; ++i) {
+        at.region.submit(i, at.request);
+    }
+    at.region.run(20);
+    return at.end(ran && alone && joined && moved);
+}
+
 } // namespace carobfall::stateful
--- a/tests/auto/stateful/schedules.h
+++ b/tests/auto/stateful/schedules.h
@@ -26,6 +26,9 @@
 schedule_outcome restarted_entries(rule_removed mutation);
 /// The coordinator dies after the task has started, and its witness gets the submission.
 schedule_outcome dead_coordinator(rule_removed mutation);
+/// All entries die after the task has run. One starts alone and learns the agents' records; then
+/// the others join, one of which owns the submission, and it is sent again through all.
+schedule_outcome lost_region(rule_removed mutation);
 /// An agent with a queued task is paused while its data centre is taken out.
 schedule_outcome paused_agent(rule_removed mutation);
 
--- a/tests/auto/stateful/turn_scheduler.cpp
+++ b/tests/auto/stateful/turn_scheduler.cpp
@@ -42,7 +42,9 @@
         own.home = &process;
         own.order = next_order_++;
     }
-    if (own.home->dead || own.credit > 0) {
+    // A request goes on at its receiver when the process that passed it on has died.
+    const bool free = own.client ? process.dead.load() : own.home->dead.load();
+    if (free || own.credit > 0) {
         own.credit -= own.credit > 0 ? 1 : 0;
         return;
     }
@@ -115,7 +117,8 @@
 
 void turn_scheduler::resume_turn(turn* chosen, int credit)
 {
-    if (!chosen->home->dead && (chosen->home->paused || chosen->at->paused)) {
+    const auto is_held = [](const process_gate& gate) { return gate.paused && !gate.dead; };
+    if (is_held(*chosen->home) || is_held(*chosen->at)) {
         return;
     }
     std::erase(parked_, chosen);
@@ -156,7 +159,7 @@
         process.dead = true;
         const std::vector<turn*> present = parked_;
         for (turn* held : present) {
-            if (held->home == &process) {
+            if (held->client ? held->at == &process : held->home == &process) {
                 resume_turn(held, 1);
             }
         }
--- a/tests/auto/stateful/world.cpp
+++ b/tests/auto/stateful/world.cpp
@@ -7,6 +7,7 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace carobfall::stateful {
 namespace {
@@ -27,6 +28,13 @@
 client_account: dambi
 name: check
 expected_run: 50ms
+---
+kind: template
+client_account: dambi
+name: rerun
+expected_run: 50ms
+idempotent: true
+rerun_lost: true
 )";
 
 std::string data_centre_of(int index)
@@ -67,7 +75,11 @@
     configuration_store store(table_);
     configuration_change_set request;
     request.change_id = "declare";
-    const auto parsed = parse_declarations(declarations_text, "test");
+    std::string text = declarations_text;
+    if (mutation_ == rule_removed::rerun) {
+        text.insert(text.find("expected_run"), "idempotent: true\nrerun_lost: true\n");
+    }
+    const auto parsed = parse_declarations(text, "test");
     for (const declaration& value : parsed.value()) {
         request.changes.push_back(to_change(value));
     }
@@ -150,6 +162,7 @@
     const auto slot = static_cast<std::size_t>(index);
     if (agents_[slot] != nullptr) {
         agents_[slot]->gate().dead = true;
+        facts_.on_agent_end(agents_[slot]->info().incarnation());
         dead_agents_.push_back(agents_[slot]);
     }
     agents_[slot] = std::make_shared<agent_process>(*this, absl::StrCat("agent-", index),
@@ -165,7 +178,10 @@
 void world::end_superseded()
 {
     for (int i = 0; i < entry_count; ++i) {
-        if (entry(i) != nullptr && entry(i)->superseded) {
+        if (entry(i) != nullptr && entry(i)->has_left) {
+            facts_.on_graceful_end(entry(i)->self.name(), entry(i)->open_calls);
+        }
+        if (entry(i) != nullptr && (entry(i)->superseded || entry(i)->has_left)) {
             kill_entry(i);
         }
     }
@@ -186,6 +202,10 @@
     const std::shared_ptr<agent_process> stepped = agent(index);
     if (!stepped->gate().paused) {
         stepped->step();
+        if (stepped->has_left()) {
+            facts_.on_graceful_end(stepped->info().name(), stepped->unfinished());
+            restart_agent(index);
+        }
     }
 }
 
@@ -214,6 +234,26 @@
     }
 }
 
+void world::leave_entry(int index)
+{
+    const std::shared_ptr<entry_process> target = entry(index);
+    if (target == nullptr || target->gate.paused || std::exchange(target->draining, true)) {
+        return;
+    }
+    target->submissions->begin_shutdown();
+    turns_.spawn(target->gate, [this, target] {
+        const auto wait_until = [&](const std::function<bool()>& done) {
+            while (mutation_ != rule_removed::drain && !target->gate.dead && !done()) {
+                turns_.pass(target->gate);
+            }
+        };
+        wait_until([&] { return target->submissions->running_jobs() == 0; });
+        (void)target->members->leave(now());
+        wait_until([&] { return target->open_calls == 0; });
+        target->has_left = !target->gate.dead;
+    });
+}
+
 rpc::submission_request world::request_for(int id, int body)
 {
     constexpr absl::Duration deadlines[] = {absl::Seconds(2), absl::Seconds(5), absl::Seconds(20)};
@@ -224,7 +264,7 @@
     rpc::submission_request request;
     request.mutable_key()->set_client_account("dambi");
     request.mutable_key()->set_submission_id(absl::StrCat("s", id));
-    request.set_template_name("check");
+    request.set_template_name(id % 4 == 3 ? rerun_template : "check");
     request.set_parameters_json("{}");
     request.set_deadline_unix_ms(fixed->second);
     const std::string name = absl::StrCat("b", body);
@@ -239,12 +279,18 @@
 void world::submit(int index, const rpc::submission_request& request)
 {
     const std::shared_ptr<entry_process> target = entry(index);
-    if (target == nullptr || target->gate.paused) {
+    if (target == nullptr || target->gate.paused || target->draining) {
         return;
     }
     const std::size_t call = facts_.on_submit(request);
+    ++target->open_calls;
     turns_.spawn(target->gate, [this, target, request, call] {
-        const auto answer = target->submissions->submit(request, now());
+        auto answer = target->submissions->submit(request, now());
+        --target->open_calls;
+        if (mutation_ == rule_removed::partial && answer &&
+            answer.value().state() == rpc::submission_complete) {
+            answer.value().mutable_tasks()->RemoveLast();
+        }
         if (target->gate.dead) {
             return facts_.on_lost(call);
         }
@@ -287,7 +333,8 @@
     turns_.spawn(target->gate, [this, target, request] {
         const result<std::uint64_t> version = target->store.apply(request);
         if (version && !target->gate.dead &&
-            target->keeper->publish(version.value(), publish_limit)) {
+            (mutation_ == rule_removed::versions ||
+             target->keeper->publish(version.value(), publish_limit))) {
             note_committed();
             facts_.on_accepted(version.value(), now());
         }
@@ -315,7 +362,7 @@
 {
     std::uint64_t number = 0;
     for (int i = 0; i < entry_count; ++i) {
-        if (entry(i) == nullptr) {
+        if (entry(i) == nullptr || entry(i)->draining) {
             return false;
         }
         const ownership_snapshot snapshot = entry(i)->members->snapshot();
@@ -357,7 +404,7 @@
         }
         for (int i = 0; i < agent_count; ++i) {
             pause_agent(i, false);
-            agent(i)->backend_leaves = false;
+            agent(i)->set_backend(backend_state::present);
         }
         run(1, round < short_rounds ? absl::Milliseconds(100) : heartbeat_interval);
     }
--- a/tests/auto/stateful/world.h
+++ b/tests/auto/stateful/world.h
@@ -55,6 +55,8 @@
     void start_entry(int index);
     void kill_entry(int index);
     void pause_entry(int index, bool paused);
+    /// SIGTERM: the entry finishes its work, leaves the view and ends.
+    void leave_entry(int index);
     void restart_agent(int index);
     void pause_agent(int index, bool paused);
     /// An entry that has been removed from the view ends.
