Stateful: Add the loss of all entries as a directed schedule

Cause: invariant 1 broke when all entries of a region were lost, one formed the view alone and learned the agents' records, and a later joiner owned the key of an old submission. Ruled out: leaving the backend server of the task's agent in place; the agent then answers the second start with its record, and the fault doesn't show. Removing completeness as the counter-check; the joiners now have the claims anyway, so the schedule removes the records from the agents' answers. Conclusion: the fix holds in this schedule, and the schedule notices its removal.

--- a/tests/auto/stateful/channels.cpp
+++ b/tests/auto/stateful/channels.cpp
@@ -157,8 +157,14 @@
     }
     result<rpc::fence_reply> fence(const rpc::fence_request& request, absl::Duration) override
     {
-        return call<rpc::fence_reply>(
-            [request](agent_process& agent) { return agent.ledger().fence(request); });
+        const bool recorded = region_.mutation() != rule_removed::records;
+        return call<rpc::fence_reply>([request, recorded](agent_process& agent) {
+            rpc::fence_reply reply = agent.ledger().fence(request);
+            if (!recorded) {
+                reply.clear_records();
+            }
+            return reply;
+        });
     }
 
 private:
--- a/tests/auto/stateful/mutations.h
+++ b/tests/auto/stateful/mutations.h
@@ -10,6 +10,7 @@
     witness,      ///< claims are acknowledged without being stored
     view_check,   ///< agents take starts of every view for current
     completeness, ///< every entry takes itself for complete
+    records,      ///< fenced agents deliver no records
     tombstones,   ///< a revoke is answered without a record
     lease,        ///< agents hold an endless lease
     body_hash,    ///< all bodies have the same hash
--- a/tests/auto/stateful/tst_schedules.cpp
+++ b/tests/auto/stateful/tst_schedules.cpp
@@ -68,6 +68,14 @@
     check_noticed(dead_coordinator(rule_removed::witness));
 }
 
+// Guards against records of agents that only the entry that fenced them knows.
+TEST_CASE("an entry that joins after the loss of all doesn't start a submission again")
+{
+    silence_logs();
+    check_holds(lost_region(rule_removed::none), 1);
+    check_noticed(lost_region(rule_removed::records));
+}
+
 // Guards against queued work that starts when a paused agent resumes in a data centre that is out.
 TEST_CASE("an agent that resumes starts nothing before it has renewed its lease")
 {
