--- a/tests/auto/stateful/agent_process.cpp
+++ b/tests/auto/stateful/agent_process.cpp
@@ -35,7 +35,7 @@
 
 } // namespace
 
-agent_process::agent_process(world& region, std::string name, std::string incarnation,
+agent_process::agent_process(world& region, const std::string& name, std::string incarnation,
                              std::string data_centre)
     : region_(region), info_(make_info(name, incarnation, data_centre))
 {
--- a/tests/auto/stateful/agent_process.h
+++ b/tests/auto/stateful/agent_process.h
@@ -27,7 +27,7 @@
 /// the work of the agent's session and executor threads step by step.
 class agent_process {
 public:
-    agent_process(world& region, std::string name, std::string incarnation,
+    agent_process(world& region, const std::string& name, std::string incarnation,
                   std::string data_centre);
 
     [[nodiscard]] const rpc::agent_info& info() const { return info_; }
