--- a/src/libs/carobfall/dispatch/coordinator.h
+++ b/src/libs/carobfall/dispatch/coordinator.h
@@ -48,6 +48,8 @@
     void begin_shutdown() { shutting_down_ = true; }
     [[nodiscard]] const backend_health& health() const { return context_.health; }
     [[nodiscard]] std::size_t running_jobs() const { return context_.table.running(); }
+    /// Submissions that run or wait on its own threads, without those that callers' threads run.
+    [[nodiscard]] std::size_t pooled_jobs() const { return runs_->pending(); }
 
 private:
     friend class coordinator_builder;
--- a/src/libs/carobfall/dispatch/job_runner.cpp
+++ b/src/libs/carobfall/dispatch/job_runner.cpp
@@ -91,9 +91,6 @@
     // An agent that hangs may take up half of the time of this thread, no more.
     const absl::Time end = context_.now();
     next_revoke_ = end + std::max(context_.settings.call_retry_pause, end - begin);
-    if (may_rerun()) {
-        give_up_attempts([&](const task_entry& task) { return is_silent(task.agent, begin); });
-    }
 }
 
 void job_runner::give_up_attempts(const std::function<bool(const task_entry&)>& chosen)
