--- a/src/libs/carobfall/daemon/entry_daemon.cpp
+++ b/src/libs/carobfall/daemon/entry_daemon.cpp
@@ -96,7 +96,7 @@
 /// The members are in the order of their dependencies: each uses only those above it.
 struct entry_daemon::parts {
     parts(const entry_settings& settings, const clock_function& clock,
-          const std::function<void()>& on_superseded)
+          const std::function<void()>& on_superseded, const coordinator_hook& adjust_coordinator)
         : self(member_of(settings)),
           table(parse_ip_endpoint(settings.platform_address).value_or(ip_endpoint{}),
                 table_call_limit),
@@ -114,17 +114,7 @@
                .on_agent_records =
                    [this](const rpc::fence_reply& reply) { submissions->learn_records(reply); }}),
           registry(agent_rows, keeper, members),
-          submissions(coordinator_builder()
-                          .with_ownership(members)
-                          .with_configuration(keeper)
-                          .with_claims(claims)
-                          .with_membership(agent_rows)
-                          .with_registry(registry)
-                          .with_entries(entries)
-                          .with_agents(agents)
-                          .with_clock(clock)
-                          .with_settings(dispatch_settings_of(settings))
-                          .build()),
+          submissions(make_coordinator(settings, clock, adjust_coordinator)),
           operations({store, keeper, members, registry, *submissions, entries, clock}),
           rpc_server({.address = settings.rpc_address, .limits = {}},
                      {members, claims, transfer, keeper, registry, *submissions, clock}),
@@ -136,6 +126,26 @@
         add_entry_sections(dump, members, claims, keeper, registry, *submissions, clock);
     }
 
+    std::unique_ptr<coordinator> make_coordinator(const entry_settings& settings,
+                                                  const clock_function& clock,
+                                                  const coordinator_hook& adjust)
+    {
+        coordinator_builder builder;
+        builder.with_ownership(members)
+            .with_configuration(keeper)
+            .with_claims(claims)
+            .with_membership(agent_rows)
+            .with_registry(registry)
+            .with_entries(entries)
+            .with_agents(agents)
+            .with_clock(clock)
+            .with_settings(dispatch_settings_of(settings));
+        if (adjust) {
+            adjust(builder);
+        }
+        return builder.build();
+    }
+
     membership_hooks membership_environment(const std::function<void()>& on_superseded)
     {
         membership_hooks hooks;
@@ -218,10 +228,11 @@
 };
 
 entry_daemon::entry_daemon(entry_settings settings, clock_function clock,
-                           const std::function<void()>& on_superseded)
+                           const std::function<void()>& on_superseded,
+                           const coordinator_hook& adjust_coordinator)
     : settings_(std::move(settings)),
       clock_(std::move(clock)),
-      parts_(std::make_unique<parts>(settings_, clock_, on_superseded))
+      parts_(std::make_unique<parts>(settings_, clock_, on_superseded, adjust_coordinator))
 {}
 
 entry_daemon::~entry_daemon() = default;
--- a/src/libs/carobfall/daemon/entry_daemon.h
+++ b/src/libs/carobfall/daemon/entry_daemon.h
@@ -2,19 +2,24 @@
 
 #include "carobfall/base/clock.h"
 #include "carobfall/config/entry_settings.h"
+#include "carobfall/dispatch/coordinator_builder.h"
 
 #include <functional>
 #include <memory>
 
 namespace carobfall {
 
+/// Changes the coordinator before it is built. Used by measurements to compare policies.
+using coordinator_hook = std::function<void(coordinator_builder&)>;
+
 /// All parts of one entry, connected.
 class entry_daemon {
 public:
     /// `on_superseded` is called once if this incarnation was removed from the view and has to be
     /// replaced by a new one.
     entry_daemon(entry_settings settings, clock_function clock,
-                 const std::function<void()>& on_superseded);
+                 const std::function<void()>& on_superseded,
+                 const coordinator_hook& adjust_coordinator = {});
     ~entry_daemon();
     entry_daemon(const entry_daemon&) = delete;
     entry_daemon& operator=(const entry_daemon&) = delete;
--- a/src/libs/carobfall/dispatch/coordinator_builder.cpp
+++ b/src/libs/carobfall/dispatch/coordinator_builder.cpp
@@ -54,6 +54,12 @@
     return *this;
 }
 
+coordinator_builder& coordinator_builder::with_backoff(backoff_table steps)
+{
+    outside_.backoff = std::move(steps);
+    return *this;
+}
+
 coordinator_builder& coordinator_builder::with_random(random_source random)
 {
     outside_.random = std::move(random);
--- a/src/libs/carobfall/dispatch/coordinator_builder.h
+++ b/src/libs/carobfall/dispatch/coordinator_builder.h
@@ -6,8 +6,8 @@
 
 namespace carobfall {
 
-/// Builds a coordinator. All collaborators are required except the policy, the random source and
-/// the clock; those that are passed by reference must outlive the coordinator.
+/// Builds a coordinator. All collaborators are required except the policy, the backoff, the
+/// random source and the clock; those that are passed by reference must outlive the coordinator.
 class coordinator_builder {
 public:
     coordinator_builder& with_ownership(const ownership& owner);
@@ -19,6 +19,7 @@
     coordinator_builder& with_entries(entry_channel_factory entries);
     coordinator_builder& with_agents(agent_channel_factory agents);
     coordinator_builder& with_placement(placement_policy policy);
+    coordinator_builder& with_backoff(backoff_table steps);
     coordinator_builder& with_random(random_source random);
     coordinator_builder& with_clock(clock_function clock);
     coordinator_builder& with_settings(const dispatch_settings& settings);
--- a/src/libs/carobfall/dispatch/dispatch_context.h
+++ b/src/libs/carobfall/dispatch/dispatch_context.h
@@ -28,6 +28,7 @@
     entry_channel_factory entries;
     agent_channel_factory agents;
     placement_policy placement;
+    backoff_table backoff{default_backoff_table()};
     random_source random;
     clock_function clock;
 };
@@ -38,7 +39,7 @@
         : outside(std::move(given)),
           settings(set),
           table(set.recorded_answer_bytes),
-          health(default_backoff_table(), outside.random),
+          health(outside.backoff, outside.random),
           retries(set.retry_share, set.retries_per_second),
           calls(set.call_threads, set.run_queue)
     {}
--- a/tests/standins/backend/backend_standin.cpp
+++ b/tests/standins/backend/backend_standin.cpp
@@ -116,9 +116,10 @@
 
 void backend_standin::run_task(const httplib::Request& request, httplib::Response& response)
 {
-    log_start(request);
     const json body = parse_object(request.body);
-    absl::SleepFor(absl::Milliseconds(choose_run_ms(body)));
+    const std::uint32_t run_ms = choose_run_ms(body);
+    log_start(request, run_ms);
+    absl::SleepFor(absl::Milliseconds(run_ms));
     while (hanging()) {
         absl::SleepFor(hang_poll);
     }
@@ -133,13 +134,14 @@
                          "application/json");
 }
 
-void backend_standin::log_start(const httplib::Request& request)
+void backend_standin::log_start(const httplib::Request& request, std::uint32_t run_ms)
 {
     const json line = {
         {"account", request.get_header_value("X-Carobfall-Account")},
         {"submission", request.get_header_value("X-Carobfall-Submission")},
         {"task", std::atoi(request.get_header_value("X-Carobfall-Task").c_str())},
         {"attempt", std::atoi(request.get_header_value("X-Carobfall-Attempt").c_str())},
+        {"run_ms", run_ms},
         {"time_unix_ms", absl::ToUnixMillis(absl::Now())}};
     const std::lock_guard lock(mutex_);
     absl::StrAppend(&starts_, line.dump(), "\n");
@@ -147,15 +149,15 @@
 
 std::uint32_t backend_standin::choose_run_ms(const json& body)
 {
+    const std::lock_guard lock(mutex_);
+    if (std::uniform_real_distribution<double>()(random_) < options_.straggler_share) {
+        return options_.straggler_ms;
+    }
     const auto task = body.find("task");
     if (task != body.end() && task->is_object() && task->contains("run_ms") &&
         (*task)["run_ms"].is_number_unsigned()) {
         return (*task)["run_ms"].get<std::uint32_t>();
     }
-    const std::lock_guard lock(mutex_);
-    if (std::uniform_real_distribution<double>()(random_) < options_.straggler_share) {
-        return options_.straggler_ms;
-    }
     return std::uniform_int_distribution<std::uint32_t>(
         options_.run_ms, std::max(options_.run_ms, options_.run_max_ms))(random_);
 }
--- a/tests/standins/backend/backend_standin.h
+++ b/tests/standins/backend/backend_standin.h
@@ -22,7 +22,7 @@
     std::uint64_t memory_mib{262'144};
     std::uint32_t run_ms{50};     ///< shortest run, unless the task names `run_ms`
     std::uint32_t run_max_ms{50}; ///< longest run; uniform in between
-    double straggler_share{0};    ///< share of the tasks that run for `straggler_ms`
+    double straggler_share{0};    ///< share of all tasks that run for `straggler_ms`
     std::uint32_t straggler_ms{5000};
     bool fail{false}; ///< answer every task with status 500
     bool hang{false}; ///< don't answer while set
@@ -48,7 +48,7 @@
 
 private:
     void run_task(const httplib::Request& request, httplib::Response& response);
-    void log_start(const httplib::Request& request);
+    void log_start(const httplib::Request& request, std::uint32_t run_ms);
     std::uint32_t choose_run_ms(const nlohmann::json& body);
     void control(const httplib::Request& request, httplib::Response& response);
     void announce_repeatedly();
