Base: Read the clocks of the anchor without a pause between them

Cause: monotonic_now read the wall clock and then the steady clock once, at the start. A thread that is preempted in between leaves the clock of the process behind for good, and deadlines at the limit of a template then look too far ahead. That the pause was the cause is taken from the code, not proved. Ruled out: a tolerance in the check of deadlines, which would hide a clock that is wrong everywhere else too. Before: one pair of readings.

--- a/src/libs/carobfall/base/clock.cpp
+++ b/src/libs/carobfall/base/clock.cpp
@@ -1,5 +1,7 @@
 #include "carobfall/base/clock.h"
 
+#include "carobfall/base/clock_anchor.h"
+
 #include <absl/time/clock.h>
 
 #include <chrono>
@@ -9,9 +11,8 @@
 absl::Time monotonic_now()
 {
     using steady = std::chrono::steady_clock;
-    static const absl::Time start_wall = absl::Now();
-    static const steady::time_point start_steady = steady::now();
-    return start_wall + absl::FromChrono(steady::now() - start_steady);
+    static const clock_anchor start = read_clock_anchor(absl::Now, steady::now);
+    return start.wall + absl::FromChrono(steady::now() - start.steady);
 }
 
 std::int64_t to_unix_ms(absl::Time time)
