Dispatch: Take the load of an agent from the answer to a start

Cause: the answer to a start carries the agent's load, but the entry dropped it and placed tasks by the last heartbeat or report, which are up to 500 ms old and miss the starts of the other entries. Ruled out: heartbeats at shorter intervals, which cost every entry more (docs/CAPACITY.md).

--- a/src/libs/carobfall/dispatch/agent_registry.cpp
+++ b/src/libs/carobfall/dispatch/agent_registry.cpp
@@ -118,14 +118,18 @@
     return static_cast<std::uint32_t>(std::max<std::int64_t>(0, absl::ToInt64Milliseconds(lease)));
 }
 
+void agent_registry::update_load(const rpc::agent_ref& agent, const rpc::agent_load& load)
+{
+    const std::lock_guard lock(mutex_);
+    if (agent_state* state = find_locked(agent)) {
+        state->load = load;
+    }
+}
+
 void agent_registry::on_report(const rpc::report_request& request, absl::Time now)
 {
-    {
-        const std::lock_guard lock(mutex_);
-        agent_state* state = find_locked(request.agent());
-        if (state != nullptr && request.has_load()) {
-            state->load = request.load();
-        }
+    if (request.has_load()) {
+        update_load(request.agent(), request.load());
     }
     if (on_report_) {
         on_report_(request, now);
--- a/src/libs/carobfall/dispatch/agent_registry.h
+++ b/src/libs/carobfall/dispatch/agent_registry.h
@@ -51,6 +51,8 @@
     /// True once a later incarnation of the agent has registered here.
     [[nodiscard]] bool is_lost(const rpc::agent_ref& agent) const;
 
+    /// Load from the answer to a start, which is newer than that of the last heartbeat.
+    void update_load(const rpc::agent_ref& agent, const rpc::agent_load& load);
     void add_outstanding(const rpc::agent_ref& agent, std::uint32_t tasks);
     void remove_outstanding(const rpc::agent_ref& agent, std::uint32_t tasks);
 
--- a/tests/auto/dispatch/fakes.h
+++ b/tests/auto/dispatch/fakes.h
@@ -15,6 +15,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -270,6 +271,7 @@
 
     const rpc::agent_info& registered() const { return info; }
     rpc::refusal_reason reason{rpc::refusal_queue_full};
+    std::optional<std::uint32_t> queued_in_reply; ///< load in the answers to starts
     bool task_succeeds{true};
     bool refuse_revokes{false}; ///< the answers to revokes are lost
 
--- a/tests/auto/dispatch/tst_job_runner.cpp
+++ b/tests/auto/dispatch/tst_job_runner.cpp
@@ -102,6 +102,15 @@
     CHECK(other.starts() == 12);
 }
 
+// Guards against placement by the last heartbeat while other entries have filled the agent.
+TEST_CASE("the load in the answer to a start replaces the reported one")
+{
+    dispatch_fixture fixture;
+    fixture.add_agent("a1").queued_in_reply = 5;
+    REQUIRE(fixture.submit(fixture.request(1)));
+    CHECK(fixture.registry.agents().front().load.queued() == 5);
+}
+
 // Guards against tasks that a leaving agent hands back from its queue and nobody runs.
 TEST_CASE("a handed-back task is placed again")
 {
