Dispatch: Keep only the default placement policy in the library

Cause: random, round robin and least loaded placement were in the library to be measured. Ruled out: another default. Before: four policies in the library, one in use. After: the library has make_two_choices; the others are in tests/measure, where measured_entry chooses them by flag.

--- a/src/libs/carobfall/dispatch/coordinator_builder.cpp
+++ b/src/libs/carobfall/dispatch/coordinator_builder.cpp
@@ -91,7 +91,7 @@
         outside_.random = make_random_source();
     }
     if (!outside_.placement) {
-        outside_.placement = make_placement(placement_kind::two_choices, outside_.random);
+        outside_.placement = make_two_choices(outside_.random);
     }
     agent_registry* registry = outside_.registry;
     std::unique_ptr<coordinator> built(new coordinator(std::move(outside_), settings_));
--- a/src/libs/carobfall/dispatch/placement.cpp
+++ b/src/libs/carobfall/dispatch/placement.cpp
@@ -3,10 +3,6 @@
 #include <absl/random/random.h>
 
 #include <algorithm>
-#include <array>
-#include <atomic>
-#include <numeric>
-#include <queue>
 #include <utility>
 
 namespace carobfall {
@@ -19,18 +15,6 @@
 // number of start batches low; a factor of one would fill each chosen agent to its last slot.
 constexpr std::uint64_t spread_factor = 2;
 
-struct kind_row {
-    placement_kind kind;
-    std::string_view name;
-};
-
-constexpr std::array kind_table{
-    kind_row{placement_kind::random, "random"},
-    kind_row{placement_kind::round_robin, "round_robin"},
-    kind_row{placement_kind::two_choices, "two_choices"},
-    kind_row{placement_kind::least_loaded, "least_loaded"},
-};
-
 double load_with(const placement_candidate& candidate, std::uint32_t added)
 {
     const double tasks = static_cast<double>(candidate.reported) + candidate.outstanding + added;
@@ -136,44 +120,6 @@
     return counts;
 }
 
-counts_type place_random(const candidates_type& candidates, std::uint32_t tasks,
-                         const random_source& random)
-{
-    counts_type counts(candidates.size(), 0);
-    add_each(candidates, counts, tasks, [&](const std::vector<std::size_t>& open) {
-        return static_cast<std::size_t>(random() % open.size());
-    });
-    return counts;
-}
-
-counts_type place_round_robin(const candidates_type& candidates, std::uint32_t tasks,
-                              std::atomic<std::uint64_t>& cursor)
-{
-    counts_type counts(candidates.size(), 0);
-    add_each(candidates, counts, tasks, [&](const std::vector<std::size_t>& open) {
-        return static_cast<std::size_t>(cursor++ % open.size());
-    });
-    return counts;
-}
-
-counts_type place_least_loaded(const candidates_type& candidates, std::uint32_t tasks)
-{
-    counts_type counts(candidates.size(), 0);
-    using scored = std::pair<double, std::size_t>;
-    std::priority_queue<scored, std::vector<scored>, std::greater<>> open;
-    for (const std::size_t index : with_room(candidates, counts)) {
-        open.emplace(load_with(candidates[index], 0), index);
-    }
-    for (; tasks > 0 && !open.empty(); --tasks) {
-        const std::size_t index = open.top().second;
-        open.pop();
-        if (++counts[index] < candidates[index].room) {
-            open.emplace(load_with(candidates[index], counts[index]), index);
-        }
-    }
-    return counts;
-}
-
 } // namespace
 
 random_source make_random_source()
@@ -196,44 +142,9 @@
     return used >= slots ? 0 : slots - used;
 }
 
-std::string_view name_of(placement_kind kind)
+placement_policy make_two_choices(random_source random)
 {
-    for (const kind_row& row : kind_table) {
-        if (row.kind == kind) {
-            return row.name;
-        }
-    }
-    return kind_table.front().name;
-}
-
-std::optional<placement_kind> placement_kind_from_name(std::string_view name)
-{
-    for (const kind_row& row : kind_table) {
-        if (row.name == name) {
-            return row.kind;
-        }
-    }
-    return std::nullopt;
-}
-
-placement_policy make_placement(placement_kind kind, const random_source& random)
-{
-    switch (kind) {
-    case placement_kind::random:
-        return [random](const candidates_type& candidates, std::uint32_t tasks) {
-            return place_random(candidates, tasks, random);
-        };
-    case placement_kind::round_robin:
-        return [cursor = std::make_shared<std::atomic<std::uint64_t>>(0)](
-                   const candidates_type& candidates, std::uint32_t tasks) {
-            return place_round_robin(candidates, tasks, *cursor);
-        };
-    case placement_kind::least_loaded:
-        return place_least_loaded;
-    case placement_kind::two_choices:
-        break;
-    }
-    return [random](const candidates_type& candidates, std::uint32_t tasks) {
+    return [random = std::move(random)](const candidates_type& candidates, std::uint32_t tasks) {
         return place_two_choices(candidates, tasks, random);
     };
 }
--- a/src/libs/carobfall/dispatch/placement.h
+++ b/src/libs/carobfall/dispatch/placement.h
@@ -5,8 +5,6 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
-#include <optional>
-#include <string_view>
 #include <vector>
 
 namespace carobfall {
@@ -34,12 +32,9 @@
 using placement_policy = std::function<std::vector<std::uint32_t>(
     const std::vector<placement_candidate>& candidates, std::uint32_t tasks)>;
 
-enum class placement_kind { random, round_robin, two_choices, least_loaded };
-
-[[nodiscard]] std::string_view name_of(placement_kind kind);
-[[nodiscard]] std::optional<placement_kind> placement_kind_from_name(std::string_view name);
-
-/// The policies may be called by several threads at once if `random` may be.
-[[nodiscard]] placement_policy make_placement(placement_kind kind, const random_source& random);
+/// Power of two choices: tasks go to the less loaded of two agents drawn at random; large jobs are
+/// shared among few agents by their free slots. May be called by several threads at once if
+/// `random` may be. The policies that were measured against it are in tests/measure.
+[[nodiscard]] placement_policy make_two_choices(random_source random);
 
 } // namespace carobfall
--- a/tests/auto/dispatch/tst_placement.cpp
+++ b/tests/auto/dispatch/tst_placement.cpp
@@ -1,4 +1,5 @@
 #include "fakes.h"
+#include "placement_candidates.h"
 
 #include "carobfall/dispatch/placement.h"
 
@@ -7,6 +8,7 @@
 #include <numeric>
 
 using namespace carobfall;
+using namespace carobfall::measure;
 using namespace carobfall::testing;
 
 namespace {
@@ -71,7 +73,7 @@
 // Guards against start batches of one task each for large jobs.
 TEST_CASE("large jobs are spread in proportion to free slots over few agents")
 {
-    const placement_policy place = make_placement(placement_kind::two_choices, seeded_random());
+    const placement_policy place = make_two_choices(seeded_random());
     const auto counts = place(candidates_with(std::vector<std::uint32_t>(400, 0)), 670);
     CHECK(sum(counts) == 670);
     const auto used = std::count_if(counts.begin(), counts.end(), [](auto n) { return n > 0; });
--- a/tests/measure/measured_entry.cpp
+++ b/tests/measure/measured_entry.cpp
@@ -1,10 +1,12 @@
 // An entry whose policies are chosen by flags, so that they can be compared. They are no settings
 // of the product.
 #include "call_counter.h"
+#include "placement_candidates.h"
 
 #include "carobfall/base/clock.h"
 #include "carobfall/config/entry_settings.h"
 #include "carobfall/daemon/entry_daemon.h"
+#include "carobfall/dispatch/dispatch_settings.h"
 #include "carobfall/entry/periodic_task.h"
 
 #include <CLI/CLI.hpp>
@@ -31,6 +33,7 @@
     std::string settings_file;
     std::string placement{"two_choices"};
     std::string backoff{"by_kind"};
+    double queue_per_slot{dispatch_settings{}.queue_per_slot};
     std::string counts_file;
     std::uint64_t seed{1};
 };
@@ -62,9 +65,12 @@
 {
     return [arguments](coordinator_builder& builder) {
         const random_source random = seeded_source(arguments.seed);
-        const auto kind = placement_kind_from_name(arguments.placement);
+        const auto kind = measure::placement_kind_from_name(arguments.placement);
         builder.with_random(random).with_placement(
-            make_placement(kind.value_or(placement_kind::two_choices), random));
+            measure::make_placement(kind.value_or(measure::placement_kind::two_choices), random));
+        dispatch_settings settings;
+        settings.queue_per_slot = arguments.queue_per_slot;
+        builder.with_settings(settings);
         if (arguments.backoff == "single") {
             builder.with_backoff(single_backoff());
         }
@@ -128,6 +134,8 @@
         ->check(CLI::IsMember({"random", "round_robin", "two_choices", "least_loaded"}));
     app.add_option("--backoff", arguments.backoff, "backoff of failing backend servers")
         ->check(CLI::IsMember({"by_kind", "single"}));
+    app.add_option("--queue-per-slot", arguments.queue_per_slot,
+                   "tasks that an entry lets wait at an agent; 0: all wait at the entry");
     app.add_option("--counts", arguments.counts_file, "file for the counts of calls")->required();
     app.add_option("--seed", arguments.seed, "of the policies");
     CLI11_PARSE(app, argc, argv);
