--- a/src/libs/carobfall/dispatch/agent_registry.cpp
+++ b/src/libs/carobfall/dispatch/agent_registry.cpp
@@ -154,17 +154,23 @@
     return static_cast<std::uint32_t>(std::max<std::int64_t>(0, absl::ToInt64Milliseconds(lease)));
 }
 
-void agent_registry::on_report(const rpc::report_request& request, absl::Time now)
+void agent_registry::update_load(const rpc::agent_ref& agent, const rpc::agent_load& load)
 {
     std::uint32_t gained = 0;
     {
         const std::lock_guard lock(mutex_);
-        agent_state* state = find_locked(request.agent());
-        if (state != nullptr && request.has_load()) {
-            gained = room_gained(*state, [&] { state->load = request.load(); });
+        if (agent_state* state = find_locked(agent)) {
+            gained = room_gained(*state, [&] { state->load = load; });
         }
     }
     notify_room(gained);
+}
+
+void agent_registry::on_report(const rpc::report_request& request, absl::Time now)
+{
+    if (request.has_load()) {
+        update_load(request.agent(), request.load());
+    }
     if (on_report_) {
         on_report_(request, now);
     }
