Entry: Read the store at once when a view takes effect

Cause: an entry's configuration counts in a view only after it has read the store there, which it did once a second. An outage of the store that began within that second stopped the starts 2 s later with stale_configuration. Conclusion: the window is 50 ms and a read, not closed.

--- a/src/libs/carobfall/daemon/entry_daemon.cpp
+++ b/src/libs/carobfall/daemon/entry_daemon.cpp
@@ -175,6 +175,9 @@
         if (keeper.fresh_for(now) <= absl::ZeroDuration()) {
             reasons.emplace_back("the configuration is not confirmed as current");
         }
+        if (keeper.reported_version() == unconfirmed_version) {
+            reasons.emplace_back("the configuration has not been read since the view took effect");
+        }
         if (registry.agents().empty()) {
             reasons.emplace_back("no agent has registered");
         }
--- a/src/libs/carobfall/entry/entry_threads.cpp
+++ b/src/libs/carobfall/entry/entry_threads.cpp
@@ -8,12 +8,41 @@
 constexpr absl::Duration transfer_interval = absl::Milliseconds(100);
 constexpr absl::Duration expiry_interval = absl::Seconds(5);
 
+constexpr absl::Duration view_check_interval = absl::Milliseconds(50);
+
+/// Reads the store every `interval` and as soon as a view takes effect: until then the entry's
+/// configuration doesn't count in that view, and an outage of the store would stop the starts.
+class store_reader {
+public:
+    store_reader(membership& members, configuration_keeper& keeper, absl::Duration interval)
+        : members_(members), keeper_(keeper), interval_(interval)
+    {}
+
+    void operator()(absl::Time now)
+    {
+        const std::uint64_t view = members_.snapshot().view.number();
+        if (now < next_ && view == view_) {
+            return;
+        }
+        view_ = view;
+        next_ = now + interval_;
+        keeper_.poll(now);
+    }
+
+private:
+    membership& members_;
+    configuration_keeper& keeper_;
+    absl::Duration interval_;
+    std::uint64_t view_{0};
+    absl::Time next_{absl::InfinitePast()};
+};
+
 } // namespace
 
 entry_threads::entry_threads(membership& members, claim_transfer& transfer, claim_store& claims,
                              configuration_keeper& keeper, const clock_function& clock,
                              entry_thread_intervals intervals)
-    : poll_(intervals.poll, clock, [&keeper](absl::Time now) { keeper.poll(now); }),
+    : poll_(view_check_interval, clock, store_reader(members, keeper, intervals.poll)),
       beat_(intervals.heartbeat, clock, [&members](absl::Time now) { members.beat(now); }),
       view_(intervals.heartbeat, clock, [&members](absl::Time now) { members.tick(now); }),
       transfer_(transfer_interval, clock, [&transfer](absl::Time now) { transfer.tick(now); }),
