--- a/scripts/cluster.py
+++ b/scripts/cluster.py
@@ -249,6 +249,15 @@
                    "all backend servers are available at every entry")
         return self
 
+    def configuration_versions(self):
+        """Version that each entry holds, 0 for one that doesn't answer."""
+        answers = [self.operate("GET", "/debug/state", entry=entry) for entry in self.entries]
+        return [state["state"]["configuration"]["version"] if status == 200 else 0
+                for status, state in answers]
+
+    def same_configuration(self):
+        return len(set(self.configuration_versions())) == 1
+
     def usable_backends(self):
         """Least number of available backend servers that an entry knows."""
         counts = []
