Entry: Record the join of an agent only after it has answered

Cause: a registration that arrived after its incarnation had ended was taken for the next incarnation. The running one counted as lost from then on: it got no tasks, and tasks of a template with rerun_lost would have run again beside it. Ruled out: an order of incarnations by start time, because a clock that is set back would keep an agent out for good. After: the entry asks the agent at its address between the reading of the row and the commit; another incarnation's registration is refused.

--- a/src/libs/carobfall/daemon/entry_daemon.cpp
+++ b/src/libs/carobfall/daemon/entry_daemon.cpp
@@ -106,7 +106,11 @@
           members(membership_settings_of(self, settings), table,
                   membership_environment(on_superseded)),
           keeper(members, keeper_environment(clock)),
-          agent_rows(table, settings.region, [this] { return members.may_record_joins(); }),
+          agent_rows(
+              table, settings.region, [this] { return members.may_record_joins(); },
+              [this](const rpc::agent_info& agent) {
+                  return check_incarnation(*agents(agent), agent);
+              }),
           transfer({}, members.state(), claims, agent_rows, {.entries = entries, .agents = agents}),
           registry(agent_rows, keeper, members),
           submissions(make_coordinator(settings, clock, adjust_coordinator)),
--- a/src/libs/carobfall/entry/agent_membership_table.cpp
+++ b/src/libs/carobfall/entry/agent_membership_table.cpp
@@ -7,6 +7,8 @@
 namespace carobfall {
 namespace {
 
+constexpr absl::Duration check_limit = absl::Seconds(1);
+
 // A lost answer or a concurrent write is resolved by reading the row again.
 constexpr int max_attempts = 3;
 
@@ -32,12 +34,28 @@
 
 } // namespace
 
+result<void> check_incarnation(agent_channel& channel, const rpc::agent_info& agent)
+{
+    // A fence with no view changes nothing and is answered with the incarnation.
+    const auto reply = channel.fence({}, check_limit);
+    if (!reply) {
+        return failure(error_kind::unavailable,
+                       absl::StrCat("agent ", agent.name(), " doesn't answer at ", agent.address()),
+                       "check rpc_address in its settings; it registers again by itself");
+    }
+    if (reply.value().incarnation() != agent.incarnation()) {
+        return replaced(agent.name());
+    }
+    return success();
+}
+
 agent_membership_table::agent_membership_table(
     table_service& table, std::string_view region,
-    std::function<std::optional<join_permission>()> permission)
+    std::function<std::optional<join_permission>()> permission, incarnation_check check)
     : table_(table),
       prefix_(absl::StrCat("agent/", std::string(region), "/")),
-      permission_(std::move(permission))
+      permission_(std::move(permission)),
+      check_(std::move(check))
 {}
 
 result<void> agent_membership_table::record_join(const rpc::agent_info& agent, absl::Time now)
@@ -115,6 +133,7 @@
     if (is_lost(record, agent.incarnation())) {
         return replaced(agent.name());
     }
+    BOOST_OUTCOME_TRYV(check_(agent));
     if (exists && !record.left) {
         record.lost.push_back({record.current, true, now});
     }
--- a/tests/auto/entry/region_simulation.cpp
+++ b/tests/auto/entry/region_simulation.cpp
@@ -192,7 +192,8 @@
     members = std::make_unique<membership>(settings, region.table, hooks);
     keeper = std::make_unique<configuration_keeper>(*members, make_keeper_hooks(region, hooks));
     agents = std::make_unique<agent_membership_table>(
-        region.table, "r", [this] { return members->may_record_joins(); });
+        region.table, "r", [this] { return members->may_record_joins(); },
+        [](const rpc::agent_info&) { return success(); });
     claim_transfer_hooks transfer_hooks;
     transfer_hooks.entries = hooks.channels;
     transfer_hooks.agents = [&region](const rpc::agent_info& agent) {
--- a/tests/auto/entry/tst_agent_membership_table.cpp
+++ b/tests/auto/entry/tst_agent_membership_table.cpp
@@ -15,13 +15,17 @@
     absl::Time now{absl::FromUnixSeconds(1'000'000)};
 
     table_fixture() { write_view(); }
+    std::function<result<void>(const rpc::agent_info&)> check{[](auto&&) { return success(); }};
+
     void write_view() { REQUIRE(table.commit({{}, {{"view/r", "x"}}})); }
     agent_membership_table entry()
     {
         const std::uint64_t version = table.read("view/r").value()->version;
-        return {table, "r", [this, version] {
+        return {table, "r",
+                [this, version] {
                     return std::optional(join_permission{{"view/r", version}, view_number});
-                }};
+                },
+                [this](const rpc::agent_info& info) { return check(info); }};
     }
 };
 
@@ -56,6 +60,40 @@
     CHECK(entry.record_join(agent("1"), now));
 }
 
+// Guards against a late registration of an incarnation that has ended, which made the present one
+// count as lost while it went on with its tasks.
+TEST_CASE_FIXTURE(table_fixture, "only the incarnation that answers at the address joins")
+{
+    agent_membership_table entry = this->entry();
+    std::string running = "2";
+    check = [&](const rpc::agent_info& info) -> result<void> {
+        if (info.incarnation() == running) {
+            return success();
+        }
+        return failure(error_kind::invalid_request, "another incarnation", "restart the agent");
+    };
+    CHECK(entry.record_join(agent("2"), now));
+    CHECK(entry.record_join(agent("1"), now).error().kind == error_kind::invalid_request);
+
+    // The incarnation is replaced, through another entry, after it has answered.
+    agent_membership_table other = this->entry();
+    running = "3";
+    check = [&](const rpc::agent_info& info) -> result<void> {
+        if (info.incarnation() == "3" && running == "3") {
+            running = "4";
+            REQUIRE(other.record_join(agent("4"), now));
+            return success();
+        }
+        return info.incarnation() == running
+                   ? result<void>(success())
+                   : failure(error_kind::invalid_request, "another incarnation", "restart");
+    };
+    CHECK(entry.record_join(agent("3"), now).error().kind == error_kind::invalid_request);
+    const auto members = entry.members(now);
+    REQUIRE(members);
+    CHECK(members.value().front().info.incarnation() == "4");
+}
+
 // Guards against records that nobody asks for although a restarted agent may have lost them.
 TEST_CASE_FIXTURE(table_fixture, "replaced and departed incarnations count until the deadlines end")
 {
--- a/tests/auto/entry/tst_entry_server.cpp
+++ b/tests/auto/entry/tst_entry_server.cpp
@@ -95,7 +95,9 @@
           channels_(make_grpc_entry_channels()),
           members_({self_, "r"}, table, make_hooks()),
           keeper_(members_, make_keeper_hooks()),
-          agents_table_(table, "r", [this] { return members_.may_record_joins(); }),
+          agents_table_(
+              table, "r", [this] { return members_.may_record_joins(); },
+              [](const rpc::agent_info&) { return success(); }),
           transfer_({}, members_.state(), claims_, agents_table_, {channels_, nullptr}),
           server_({self_.address(), {2, 2, 2}, 8},
                   {members_, claims_, transfer_, keeper_, agents_, submissions, monotonic_now})
--- a/tests/auto/stateful/entry_process.cpp
+++ b/tests/auto/stateful/entry_process.cpp
@@ -117,7 +117,10 @@
 void entry_process::make_transfer(world& region)
 {
     agent_rows = std::make_unique<agent_membership_table>(
-        region.table(), "r", [this] { return members->may_record_joins(); });
+        region.table(), "r", [this] { return members->may_record_joins(); },
+        [channels = agent_channels_from(region, *this)](const rpc::agent_info& agent) {
+            return check_incarnation(*channels(agent), agent);
+        });
     claim_transfer_hooks hooks;
     hooks.entries = entry_channels_from(region, *this);
     hooks.agents = agent_channels_from(region, *this);
