Stateful: Show that the oracle notices three more removed rules

Cause: body_hash, leaving and versions had been removed without a notice by the random sequences of 60 s, so that the proofs of invariants 7 and 9 had never been seen to fail. Ruled out: a schedule for out_list: a delayed start in a data centre that is out was refused without the list as well, for a reason that was not looked into. Before: not noticed.

--- a/tests/auto/stateful/schedules.cpp
+++ b/tests/auto/stateful/schedules.cpp
@@ -1,6 +1,7 @@
 #include "schedules.h"
 
 #include "carobfall/entry/rendezvous.h"
+#include "carobfall/platform/configuration_rows.h"
 
 namespace carobfall::stateful {
 namespace {
@@ -8,6 +9,12 @@
 constexpr int most_steps = 2000;
 /// Long enough for a view change, a transfer of claims and the expiry of all leases.
 constexpr int view_change_rounds = 120;
+/// Rounds of a heartbeat interval that last as long as the given time.
+int rounds_of(absl::Duration time)
+{
+    return static_cast<int>(time / heartbeat_interval);
+}
+
 /// Long enough for entries to notice that an agent is silent.
 constexpr int silent_agent_rounds = 40;
 /// An id with one task.
@@ -254,6 +261,57 @@
     return at.end(accepted);
 }
 
+schedule_outcome left_backend_server(rule_removed mutation)
+{
+    scene at(mutation);
+    at.region.agent(0)->set_backend(backend_state::leaves);
+    at.region.run(rounds_of(leave_grace) + 1, heartbeat_interval);
+    for (int id = 0; id < 24; ++id) {
+        at.region.submit(id % entry_count, at.region.request_for(id, 0));
+    }
+    at.region.run(10);
+    // The end of the schedule would let the backend server return.
+    return {at.healthy && at.region.facts().total_starts() > 0, at.region.violation(), 0};
+}
+
+schedule_outcome other_body(rule_removed mutation)
+{
+    scene at(mutation);
+    rpc::submission_request other = at.region.request_for(single_task_id, 1);
+    other.set_deadline_unix_ms(at.request.deadline_unix_ms());
+    at.region.submit(at.coordinator, at.request);
+    const bool started = at.run_until([&] { return at.region.facts().starts(at.key, 0) > 0; });
+    at.region.submit(at.other, other);
+    at.region.run(10);
+    return at.end(started);
+}
+
+schedule_outcome change_at_isolated_entry(rule_removed mutation)
+{
+    scene at(mutation);
+    const std::string& isolated = at.region.entry_names()[static_cast<std::size_t>(at.other)];
+    for (const std::string& entry : at.region.entry_names()) {
+        if (entry != isolated) {
+            at.region.network().cut(isolated, entry);
+        }
+    }
+    for (int i = 0; i < agent_count; ++i) {
+        at.region.network().cut(isolated, at.region.agent(i)->info().name());
+    }
+    at.region.change_data_centre(at.other, at.region.agent(0)->info().data_centre(), true);
+    // The change is committed, and no other entry has read it yet.
+    const bool committed =
+        at.step_until([&] { return at.region.table().rows().contains(configuration_log_key(1)); });
+    at.region.table().set_outage(true);
+    at.region.turns().resume_all(100);
+    at.region.run(rounds_of(out_grace) + 1, heartbeat_interval);
+    for (int id = 0; id < 24; ++id) {
+        at.region.submit(at.coordinator, at.region.request_for(id, 0));
+    }
+    at.region.run(10);
+    return at.end(committed);
+}
+
 schedule_outcome lost_region(rule_removed mutation)
 {
     scene at(mutation);
--- a/tests/auto/stateful/schedules.h
+++ b/tests/auto/stateful/schedules.h
@@ -31,5 +31,11 @@
 schedule_outcome lost_region(rule_removed mutation);
 /// An agent with a queued task is paused while its data centre is taken out.
 schedule_outcome paused_agent(rule_removed mutation);
+/// A backend server leaves, and submissions go on for longer than it may get work.
+schedule_outcome left_backend_server(rule_removed mutation);
+/// The submission is sent again with another body while the first is running.
+schedule_outcome other_body(rule_removed mutation);
+/// An entry that only reaches the store takes a data centre out; then the store is down as well.
+schedule_outcome change_at_isolated_entry(rule_removed mutation);
 
 } // namespace carobfall::stateful
--- a/tests/auto/stateful/tst_schedules.cpp
+++ b/tests/auto/stateful/tst_schedules.cpp
@@ -84,6 +84,30 @@
     check_noticed(paused_agent(rule_removed::lease));
 }
 
+// Guards against entries that go on placing tasks on a backend server that is leaving.
+TEST_CASE("a backend server that has left gets no tasks")
+{
+    silence_logs();
+    check_holds(left_backend_server(rule_removed::none), 0);
+    check_noticed(left_backend_server(rule_removed::leaving));
+}
+
+// Guards against the answer to one body that is given for another under the same id.
+TEST_CASE("the same id with another body is a conflict")
+{
+    silence_logs();
+    check_holds(other_body(rule_removed::none), 1);
+    check_noticed(other_body(rule_removed::body_hash));
+}
+
+// Guards against a change that is called in force although only one entry holds it.
+TEST_CASE("a change that no majority holds isn't accepted")
+{
+    silence_logs();
+    CHECK(change_at_isolated_entry(rule_removed::none).violation == "");
+    check_noticed(change_at_isolated_entry(rule_removed::versions));
+}
+
 // Guards against an entry that has been paused, doesn't know of its removal from the view yet, and
 // refuses with not_run what another entry has run.
 TEST_CASE("a superseded entry doesn't report not_run for a task that ran")
--- a/tests/auto/stateful/world.cpp
+++ b/tests/auto/stateful/world.cpp
@@ -18,7 +18,6 @@
 /// What the clock of a dead process begins with; it moves at each look, so that all waits end.
 const absl::Time after_death = absl::FromUnixSeconds(4'000'000'000);
 constexpr absl::Duration publish_limit = absl::Seconds(5);
-constexpr absl::Duration heartbeat_interval = absl::Milliseconds(500);
 
 constexpr const char* declarations_text = R"(kind: client_account
 name: dambi
--- a/tests/auto/stateful/world.h
+++ b/tests/auto/stateful/world.h
@@ -20,6 +20,8 @@
 inline constexpr int entry_count = 3;
 inline constexpr int agent_count = 4;
 
+inline constexpr absl::Duration heartbeat_interval = absl::Milliseconds(500);
+
 /// Three entries and four agents in three data centres, the table service, clients and operators.
 /// Time moves only by `run`. All calls come from the controlling thread.
 class world {
