Dispatch: Move status and cancellation out of the coordinator

Ruled out: one template for both calls, as their errors and remedies differ. Behaviour is the same. The sanitizers were not run on it.

--- a/src/libs/carobfall/dispatch/answer_builder.cpp
+++ b/src/libs/carobfall/dispatch/answer_builder.cpp
@@ -85,6 +85,12 @@
     return snapshot.usable() && now < snapshot.confirmed_until;
 }
 
+error recovering(std::string message)
+{
+    return {error_kind::recovering, std::move(message),
+            "submit again in a moment with the same id"};
+}
+
 error unconfirmed_view()
 {
     return {error_kind::recovering, "this entry can't confirm that it still owns the submission",
--- a/src/libs/carobfall/dispatch/answer_builder.h
+++ b/src/libs/carobfall/dispatch/answer_builder.h
@@ -37,6 +37,9 @@
 /// Given in place of `not_run` while the view isn't confirmed; says nothing about the tasks.
 [[nodiscard]] error unconfirmed_view();
 
+/// Given while the entry doesn't know yet what became of the submission.
+[[nodiscard]] error recovering(std::string message);
+
 /// Answer in state failed in which no task has run.
 [[nodiscard]] rpc::submission_answer answer_not_run(const submission_key& key,
                                                     std::uint32_t task_count, const error& reason);
--- a/src/libs/carobfall/dispatch/coordinator.cpp
+++ b/src/libs/carobfall/dispatch/coordinator.cpp
@@ -26,11 +26,6 @@
 // Differences between the clocks of entries that the completeness rule allows for.
 constexpr absl::Duration clock_tolerance = absl::Seconds(1);
 
-result<rpc::submission_answer> recovering(const std::string& message)
-{
-    return failure(error_kind::recovering, message, "submit again in a moment with the same id");
-}
-
 result<rpc::submission_answer> late()
 {
     return failure(
@@ -39,28 +34,12 @@
         "id with a later deadline if the tasks may run again");
 }
 
-result<rpc::submission_answer> expired()
-{
-    return boost::outcome_v2::failure(expired_answer_error());
-}
-
 // No earlier view can have accepted a request whose deadline was too far ahead then.
 bool is_new_in_view(const ownership_snapshot& snapshot, absl::Time deadline)
 {
     return deadline - max_deadline > snapshot.effective_since + clock_tolerance;
 }
 
-// An entry that passes the question on waits for an answer itself.
-absl::Duration question_limit(bool passed_on)
-{
-    return passed_on ? min_forward_limit : 2 * min_forward_limit;
-}
-
-bool is_unanswered(const error& reason)
-{
-    return reason.kind == error_kind::unavailable || reason.kind == error_kind::outcome_unknown;
-}
-
 absl::Duration time_to(absl::Time deadline, absl::Time now)
 {
     return std::max(deadline - now, min_forward_limit);
@@ -70,6 +49,7 @@
 
 coordinator::coordinator(dispatch_collaborators outside, const dispatch_settings& settings)
     : context_(std::move(outside), settings),
+      queries_(context_),
       started_at_(context_.now()),
       runs_(std::make_unique<work_pool>(settings.run_threads, settings.run_queue)),
       takeover_(std::make_unique<takeover>(context_, *runs_))
@@ -166,7 +146,7 @@
         return give(answer_known(*known, submission));
     }
     if (request.view_number() == claim_directed) {
-        return give(expired());
+        return give(expired_answer_error());
     }
     const rpc::entry_member* owner = coordinator_of(snapshot.view, key);
     if (!snapshot.usable() || request.view_number() != snapshot.view.number() ||
@@ -274,7 +254,7 @@
         return answer_known(*known, request);
     }
     const auto refuse = [&](const error& reason) {
-        answer_result answer = boost::outcome_v2::failure(unconfirmed_view());
+        answer_result answer = unconfirmed_view();
         if (is_confirmed(*context_.outside.owner, context_.now())) {
             answer = answer_not_run(opened->key(), opened->task_count(), reason);
         }
@@ -316,7 +296,7 @@
     if (const auto* answer = std::get_if<submission_table::answer_ptr>(&known.state)) {
         return **answer;
     }
-    return expired();
+    return expired_answer_error();
 }
 
 coordinator::answer_result coordinator::wait_for(job& running,
@@ -338,117 +318,24 @@
 
 coordinator::answer_result coordinator::status(const submission_key& key, absl::Time now)
 {
-    rpc::status_request request;
-    *request.mutable_key() = to_message(key);
-    if (const auto claimed = claimed_by_other(key)) {
-        request.set_passed_on(true);
-        return ask_status(*claimed, request);
-    }
-    const auto owner = other_coordinator(key);
-    return owner ? ask_status(*owner, request) : local_status(key, now);
+    return queries_.status(key, now);
 }
 
 coordinator::answer_result coordinator::cancel(const submission_key& key, absl::Time now)
 {
-    rpc::cancel_request request;
-    *request.mutable_key() = to_message(key);
-    if (const auto claimed = claimed_by_other(key)) {
-        request.set_passed_on(true);
-        return ask_cancel(*claimed, request);
-    }
-    const auto owner = other_coordinator(key);
-    return owner ? ask_cancel(*owner, request) : local_cancel(key, now);
+    return queries_.cancel(key, now);
 }
 
 coordinator::answer_result coordinator::status_forwarded(const rpc::status_request& request,
                                                          absl::Time now)
 {
-    const submission_key key = from_message(request.key());
-    const auto claimed = request.passed_on() ? std::nullopt : claimed_by_other(key);
-    if (!claimed) {
-        return local_status(key, now);
-    }
-    rpc::status_request passed = request;
-    passed.set_passed_on(true);
-    return ask_status(*claimed, passed);
+    return queries_.status_forwarded(request, now);
 }
 
 coordinator::answer_result coordinator::cancel_forwarded(const rpc::cancel_request& request,
                                                          absl::Time now)
 {
-    const submission_key key = from_message(request.key());
-    const auto claimed = request.passed_on() ? std::nullopt : claimed_by_other(key);
-    if (!claimed) {
-        return local_cancel(key, now);
-    }
-    rpc::cancel_request passed = request;
-    passed.set_passed_on(true);
-    return ask_cancel(*claimed, passed);
-}
-
-coordinator::answer_result coordinator::ask_status(const rpc::entry_member& target,
-                                                   const rpc::status_request& request) const
-{
-    const auto answer =
-        context_.outside.entries(target)->status(request, question_limit(request.passed_on()));
-    if (!answer && is_unanswered(answer.error())) {
-        return failure(error_kind::unavailable,
-                       absl::StrCat("entry ", target.name(), " did not answer"),
-                       "ask again in a moment");
-    }
-    return answer ? decode_error(answer.value()) : answer;
-}
-
-coordinator::answer_result coordinator::ask_cancel(const rpc::entry_member& target,
-                                                   const rpc::cancel_request& request) const
-{
-    const auto answer =
-        context_.outside.entries(target)->cancel(request, question_limit(request.passed_on()));
-    if (!answer && is_unanswered(answer.error())) {
-        return failure(answer.error().kind,
-                       absl::StrCat("entry ", target.name(), " did not answer"),
-                       "cancel again in a moment; a repeated cancellation does no harm");
-    }
-    return answer ? decode_error(answer.value()) : answer;
-}
-
-coordinator::answer_result coordinator::local_status(const submission_key& key,
-                                                     absl::Time now) const
-{
-    if (const auto known = context_.table.find(key)) {
-        if (const auto* running = std::get_if<std::shared_ptr<job>>(&known->state)) {
-            return answer_running(**running);
-        }
-        if (const auto* answer = std::get_if<submission_table::answer_ptr>(&known->state)) {
-            return **answer;
-        }
-        return expired();
-    }
-    const ownership_snapshot snapshot = context_.outside.owner->snapshot();
-    if (const auto claim = context_.outside.claims->find(key)) {
-        if (is_from_records(*claim)) {
-            return recovering("only agents hold records of the submission");
-        }
-        if (same_incarnation(claim->coordinator(), context_.outside.owner->self())) {
-            return expired();
-        }
-        return recovering(absl::StrCat("the submission was run by entry ",
-                                       claim->coordinator().name(),
-                                       " and has not been taken over"));
-    }
-    if (!snapshot.complete || now < snapshot.effective_since) {
-        return recovering("the records of the last view are still being collected");
-    }
-    return failure(error_kind::not_found, "the submission is not known",
-                   "check the id; submissions are kept until their deadline and one minute more");
-}
-
-coordinator::answer_result coordinator::local_cancel(const submission_key& key, absl::Time now)
-{
-    if (const auto running = context_.table.find_job(key)) {
-        running->request_cancel();
-    }
-    return local_status(key, now);
+    return queries_.cancel_forwarded(request, now);
 }
 
 std::uint32_t coordinator::retry_now(const std::string& agent, absl::Time /*now*/)
@@ -478,31 +365,4 @@
     context_.outside.claims->expire(now);
 }
 
-// The rendezvous owner of the key, if it isn't this entry and nothing is known here.
-std::optional<rpc::entry_member> coordinator::other_coordinator(const submission_key& key) const
-{
-    if (context_.table.find(key)) {
-        return std::nullopt;
-    }
-    const ownership_snapshot snapshot = context_.outside.owner->snapshot();
-    const rpc::entry_member* owner = coordinator_of(snapshot.view, key);
-    if (owner == nullptr || same_incarnation(*owner, context_.outside.owner->self())) {
-        return std::nullopt;
-    }
-    return *owner;
-}
-
-// The member that runs the submission according to a claim held here, if it isn't this entry.
-std::optional<rpc::entry_member> coordinator::claimed_by_other(const submission_key& key) const
-{
-    const auto claim = context_.outside.claims->find(key);
-    if (!claim || context_.table.find(key) ||
-        same_incarnation(claim->coordinator(), context_.outside.owner->self())) {
-        return std::nullopt;
-    }
-    const ownership_snapshot snapshot = context_.outside.owner->snapshot();
-    const rpc::entry_member* member = find_member(snapshot.view, claim->coordinator());
-    return member == nullptr ? std::nullopt : std::optional(*member);
-}
-
 } // namespace carobfall
--- a/src/libs/carobfall/dispatch/coordinator.h
+++ b/src/libs/carobfall/dispatch/coordinator.h
@@ -2,11 +2,11 @@
 
 #include "carobfall/dispatch/agent_calls.h"
 #include "carobfall/dispatch/dispatch_context.h"
+#include "carobfall/dispatch/submission_queries.h"
 #include "carobfall/dispatch/submission_service.h"
 
 #include <atomic>
 #include <memory>
-#include <optional>
 #include <string>
 
 namespace carobfall {
@@ -70,18 +70,9 @@
     answer_result answer_known(const submission_table::entry& known,
                                const rpc::submission_request& request);
     answer_result wait_for(job& running, const rpc::submission_request& request);
-    answer_result ask_status(const rpc::entry_member& target,
-                             const rpc::status_request& request) const;
-    answer_result ask_cancel(const rpc::entry_member& target,
-                             const rpc::cancel_request& request) const;
-    [[nodiscard]] answer_result local_status(const submission_key& key, absl::Time now) const;
-    answer_result local_cancel(const submission_key& key, absl::Time now);
-    [[nodiscard]] std::optional<rpc::entry_member>
-    other_coordinator(const submission_key& key) const;
-    [[nodiscard]] std::optional<rpc::entry_member>
-    claimed_by_other(const submission_key& key) const;
 
     dispatch_context context_;
+    const submission_queries queries_;
     const absl::Time started_at_;
     std::atomic<bool> shutting_down_{false};
     /// Runs submissions whose caller doesn't wait, and takeovers.
