Dispatch: Share the steps of the placement policies with the measurements

Cause: when the policies that lost were moved to tests/measure, load_with, with_room and add_each were copied, and placement_candidate::load had no caller left. Before: two copies. After: placement_candidate::load_with and task_counts.h, used by both. Conclusion: the policies place as before; tst_placement passes. The sanitizers were not run on it.

--- a/src/libs/carobfall/dispatch/placement.cpp
+++ b/src/libs/carobfall/dispatch/placement.cpp
@@ -1,5 +1,7 @@
 #include "carobfall/dispatch/placement.h"
 
+#include "carobfall/dispatch/task_counts.h"
+
 #include <absl/random/random.h>
 
 #include <algorithm>
@@ -9,44 +11,12 @@
 namespace {
 
 using candidates_type = std::vector<placement_candidate>;
-using counts_type = std::vector<std::uint32_t>;
+using counts_type = internal::task_counts;
 
 // Agents are chosen until their free slots are this many times the tasks. Few agents keep the
 // number of start batches low; a factor of one would fill each chosen agent to its last slot.
 constexpr std::uint64_t spread_factor = 2;
 
-double load_with(const placement_candidate& candidate, std::uint32_t added)
-{
-    const double tasks = static_cast<double>(candidate.reported) + candidate.outstanding + added;
-    return tasks / std::max<std::uint32_t>(1, candidate.slots);
-}
-
-std::vector<std::size_t> with_room(const candidates_type& candidates, const counts_type& counts)
-{
-    std::vector<std::size_t> indices;
-    for (std::size_t i = 0; i < candidates.size(); ++i) {
-        if (counts[i] < candidates[i].room) {
-            indices.push_back(i);
-        }
-    }
-    return indices;
-}
-
-// Adds tasks one at a time to the candidate that `choose` picks from those with room.
-template <typename Choose>
-void add_each(const candidates_type& candidates, counts_type& counts, std::uint32_t tasks,
-              Choose choose)
-{
-    std::vector<std::size_t> open = with_room(candidates, counts);
-    for (; tasks > 0 && !open.empty(); --tasks) {
-        const std::size_t position = choose(open);
-        const std::size_t index = open[position];
-        if (++counts[index] >= candidates[index].room) {
-            open.erase(open.begin() + static_cast<std::ptrdiff_t>(position));
-        }
-    }
-}
-
 // The less loaded of two positions that are drawn at random.
 std::size_t better_of_two(const candidates_type& candidates, const counts_type& counts,
                           const std::vector<std::size_t>& open, const random_source& random)
@@ -57,8 +27,8 @@
     const std::size_t first = random() % open.size();
     std::size_t second = random() % (open.size() - 1);
     second += second >= first ? 1 : 0;
-    const double first_load = load_with(candidates[open[first]], counts[open[first]]);
-    const double second_load = load_with(candidates[open[second]], counts[open[second]]);
+    const double first_load = candidates[open[first]].load_with(counts[open[first]]);
+    const double second_load = candidates[open[second]].load_with(counts[open[second]]);
     return second_load < first_load ? second : first;
 }
 
@@ -114,9 +84,10 @@
     counts_type counts(candidates.size(), 0);
     const std::vector<std::size_t> drawn = draw_for(candidates, tasks, random);
     const std::uint32_t placed = share_by_free_slots(candidates, drawn, tasks, counts);
-    add_each(candidates, counts, tasks - placed, [&](const std::vector<std::size_t>& open) {
-        return better_of_two(candidates, counts, open, random);
-    });
+    internal::add_each(candidates, counts, tasks - placed,
+                       [&](const std::vector<std::size_t>& open) {
+                           return better_of_two(candidates, counts, open, random);
+                       });
     return counts;
 }
 
@@ -130,9 +101,10 @@
     };
 }
 
-double placement_candidate::load() const
+double placement_candidate::load_with(std::uint32_t added) const
 {
-    return load_with(*this, 0);
+    const double tasks = static_cast<double>(reported) + outstanding + added;
+    return tasks / std::max<std::uint32_t>(1, slots);
 }
 
 std::uint32_t placement_candidate::free_slots() const
@@ -142,6 +114,18 @@
     return used >= slots ? 0 : slots - used;
 }
 
+std::vector<std::size_t> internal::with_room(const candidates_type& candidates,
+                                             const task_counts& counts)
+{
+    std::vector<std::size_t> indices;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        if (counts[i] < candidates[i].room) {
+            indices.push_back(i);
+        }
+    }
+    return indices;
+}
+
 placement_policy make_two_choices(random_source random)
 {
     return [random = std::move(random)](const candidates_type& candidates, std::uint32_t tasks) {
--- a/src/libs/carobfall/dispatch/placement.h
+++ b/src/libs/carobfall/dispatch/placement.h
@@ -23,7 +23,8 @@
     std::uint32_t outstanding{0}; ///< attempts of this entry at the agent
     std::uint32_t room{0};        ///< most tasks that may be added now
 
-    [[nodiscard]] double load() const;
+    /// Tasks to a slot, with `added` more.
+    [[nodiscard]] double load_with(std::uint32_t added) const;
     [[nodiscard]] std::uint32_t free_slots() const;
 };
 
--- a/tests/measure/placement_candidates.cpp
+++ b/tests/measure/placement_candidates.cpp
@@ -1,5 +1,7 @@
 #include "placement_candidates.h"
 
+#include "carobfall/dispatch/task_counts.h"
+
 #include <algorithm>
 #include <array>
 #include <atomic>
@@ -13,7 +15,7 @@
 namespace {
 
 using candidates_type = std::vector<placement_candidate>;
-using counts_type = std::vector<std::uint32_t>;
+using counts_type = internal::task_counts;
 
 struct kind_row {
     placement_kind kind;
@@ -27,43 +29,11 @@
     kind_row{placement_kind::least_loaded, "least_loaded"},
 };
 
-double load_with(const placement_candidate& candidate, std::uint32_t added)
-{
-    const double tasks = static_cast<double>(candidate.reported) + candidate.outstanding + added;
-    return tasks / std::max<std::uint32_t>(1, candidate.slots);
-}
-
-std::vector<std::size_t> with_room(const candidates_type& candidates, const counts_type& counts)
-{
-    std::vector<std::size_t> indices;
-    for (std::size_t i = 0; i < candidates.size(); ++i) {
-        if (counts[i] < candidates[i].room) {
-            indices.push_back(i);
-        }
-    }
-    return indices;
-}
-
-// Adds tasks one at a time to the candidate that `choose` picks from those with room.
-template <typename Choose>
-void add_each(const candidates_type& candidates, counts_type& counts, std::uint32_t tasks,
-              Choose choose)
-{
-    std::vector<std::size_t> open = with_room(candidates, counts);
-    for (; tasks > 0 && !open.empty(); --tasks) {
-        const std::size_t position = choose(open);
-        const std::size_t index = open[position];
-        if (++counts[index] >= candidates[index].room) {
-            open.erase(open.begin() + static_cast<std::ptrdiff_t>(position));
-        }
-    }
-}
-
 counts_type place_random(const candidates_type& candidates, std::uint32_t tasks,
                          const random_source& random)
 {
     counts_type counts(candidates.size(), 0);
-    add_each(candidates, counts, tasks, [&](const std::vector<std::size_t>& open) {
+    internal::add_each(candidates, counts, tasks, [&](const std::vector<std::size_t>& open) {
         return static_cast<std::size_t>(random() % open.size());
     });
     return counts;
@@ -73,7 +43,7 @@
                               std::atomic<std::uint64_t>& cursor)
 {
     counts_type counts(candidates.size(), 0);
-    add_each(candidates, counts, tasks, [&](const std::vector<std::size_t>& open) {
+    internal::add_each(candidates, counts, tasks, [&](const std::vector<std::size_t>& open) {
         return static_cast<std::size_t>(cursor++ % open.size());
     });
     return counts;
@@ -84,14 +54,14 @@
     counts_type counts(candidates.size(), 0);
     using scored = std::pair<double, std::size_t>;
     std::priority_queue<scored, std::vector<scored>, std::greater<>> open;
-    for (const std::size_t index : with_room(candidates, counts)) {
-        open.emplace(load_with(candidates[index], 0), index);
+    for (const std::size_t index : internal::with_room(candidates, counts)) {
+        open.emplace(candidates[index].load_with(0), index);
     }
     for (; tasks > 0 && !open.empty(); --tasks) {
         const std::size_t index = open.top().second;
         open.pop();
         if (++counts[index] < candidates[index].room) {
-            open.emplace(load_with(candidates[index], counts[index]), index);
+            open.emplace(candidates[index].load_with(counts[index]), index);
         }
     }
     return counts;
