--- a/src/libs/carobfall/dispatch/job_runner.cpp
+++ b/src/libs/carobfall/dispatch/job_runner.cpp
@@ -72,9 +72,16 @@
 
 void job_runner::give_up_lost_attempts()
 {
-    if (job_.progress().open > 0) {
-        give_up_attempts(
-            [&](const task_entry& task) { return context_.outside.registry->is_lost(task.agent); });
+    if (job_.progress().open == 0) {
+        return;
+    }
+    std::uint32_t index = 0;
+    for (const task_entry& task : job_.tasks()) {
+        if (task.is_open() && context_.outside.registry->is_lost(task.agent)) {
+            attempt_accounting(context_).closed(
+                job_.key(), job_.mark_lost(index, task.attempt, may_rerun()), context_.now());
+        }
+        ++index;
     }
 }
 
@@ -93,18 +100,6 @@
     next_revoke_ = end + std::max(context_.settings.call_retry_pause, end - begin);
 }
 
-void job_runner::give_up_attempts(const std::function<bool(const task_entry&)>& chosen)
-{
-    std::uint32_t index = 0;
-    for (const task_entry& task : job_.tasks()) {
-        if (task.is_open() && chosen(task)) {
-            attempt_accounting(context_).closed(
-                job_.key(), job_.mark_lost(index, task.attempt, may_rerun()), context_.now());
-        }
-        ++index;
-    }
-}
-
 void job_runner::place_waiting()
 {
     const absl::Time now = context_.now();
--- a/src/libs/carobfall/dispatch/job_runner.h
+++ b/src/libs/carobfall/dispatch/job_runner.h
@@ -23,7 +23,6 @@
 private:
     [[nodiscard]] bool must_stop() const;
     void give_up_lost_attempts();
-    void give_up_attempts(const std::function<bool(const task_entry&)>& chosen);
     void revoke_uncertain();
     void place_waiting();
     void wind_down();
--- a/src/libs/carobfall/entry/peer_monitor.cpp
+++ b/src/libs/carobfall/entry/peer_monitor.cpp
@@ -52,8 +52,7 @@
             note_answer(receivers[i], reply.value(), now);
             if (i < peers.size() && same_incarnation(reply.value().member(), peers[i])) {
                 answers[i] = {peers[i], reply.value().view_number(),
-                              reply.value().configuration_version(), reply.value().in_transition(),
-                              reply.value().reached()};
+                              reply.value().configuration_version(), reply.value().in_transition()};
             }
         });
     }
--- a/src/libs/carobfall/entry/peer_monitor.h
+++ b/src/libs/carobfall/entry/peer_monitor.h
@@ -24,7 +24,6 @@
     std::uint64_t view_number{0};
     std::uint64_t configuration_version{0};
     bool in_transition{false}; ///< it has acknowledged a later view than `view_number`
-    bool reached{false};       ///< this entry answers its heartbeats
 };
 
 /// Sends heartbeats to other entries and judges by this entry's clock which of them have failed.
