Scripts: Read the version of an entry in one place

Cause: the demo's wait and the process tests each read the configuration version from the state dump. Before: two copies.

--- a/scripts/cluster.py
+++ b/scripts/cluster.py
@@ -249,14 +249,13 @@
                    "all backend servers are available at every entry")
         return self
 
-    def configuration_versions(self):
-        """Version that each entry holds, 0 for one that doesn't answer."""
-        answers = [self.operate("GET", "/debug/state", entry=entry) for entry in self.entries]
-        return [state["state"]["configuration"]["version"] if status == 200 else 0
-                for status, state in answers]
+    def configuration_version(self, entry):
+        """Version that the entry holds, 0 if it doesn't answer."""
+        status, state = self.operate("GET", "/debug/state", entry=entry)
+        return state["state"]["configuration"]["version"] if status == 200 else 0
 
     def same_configuration(self):
-        return len(set(self.configuration_versions())) == 1
+        return len({self.configuration_version(entry) for entry in self.entries}) == 1
 
     def usable_backends(self):
         """Least number of available backend servers that an entry knows."""
--- a/tests/process/support.py
+++ b/tests/process/support.py
@@ -70,8 +70,7 @@
             wait_until(lambda e=entry: self.version(e) >= answer["version"], 5, "every entry has it")
 
     def version(self, entry):
-        status, state = self.deployment.operate("GET", "/debug/state", entry=entry)
-        return state["state"]["configuration"]["version"] if status == 200 else 0
+        return self.deployment.configuration_version(entry)
 
     def clean_up(self):
         self.deployment.stop()
