Tests: Wait until a paused process has stopped

In a failed trial run the agents adopted view 3 from entry-1 1 ms after they were continued, with no heartbeat in flight when they were paused, and the calls to the other entries timed out. Ruled out: a start with a lapsed lease; the agent had a renewed one. Conclusion: the checks are the same, and the condition that they rely on holds.

--- a/scripts/cluster.py
+++ b/scripts/cluster.py
@@ -122,6 +122,15 @@
         if self.running():
             self.child.send_signal(number)
 
+    def pause(self):
+        """Stops the process and returns when all its threads have stopped.
+
+        An entry that went on for a millisecond after the signal renewed the leases of agents.
+        """
+        if self.running():
+            self.child.send_signal(signal.SIGSTOP)
+            os.waitid(os.P_PID, self.child.pid, os.WSTOPPED | os.WEXITED | os.WNOWAIT)
+
     def kill(self):
         self.send(signal.SIGKILL)
         self.wait(10)
--- a/tests/process/test_agent_failure.py
+++ b/tests/process/test_agent_failure.py
@@ -17,11 +17,11 @@
         agents = [worker.agent for worker in self.deployment.workers]
         others = [entry.process for entry in self.deployment.entries]
         for agent in agents:
-            agent.send(signal.SIGSTOP)
+            agent.pause()
         time.sleep(3)
         before = len(self.deployment.starts())
         for process in others:
-            process.send(signal.SIGSTOP)
+            process.pause()
         for agent in agents:
             agent.send(signal.SIGCONT)
         time.sleep(1.5)
--- a/tests/process/test_entry_failure.py
+++ b/tests/process/test_entry_failure.py
@@ -67,7 +67,7 @@
         content = body(4, 300, 25)
         job = self.job("paused", content)
         index = self.coordinator_of("paused")
-        self.deployment.entries[index].process.send(signal.SIGSTOP)
+        self.deployment.entries[index].process.pause()
         survivor = (index + 1) % 3
         self.path_works("meanwhile", survivor, 30)
         answer = self.submit("paused", content, survivor)[1]
