Agent: Let the backend server refuse a task that arrives after the lease

Cause: between the agent's last check and the sending a pause can last as long as it likes, and the task then started late, possibly in a data centre that had been taken out. Ruled out: a further check in the agent, which leaves a shorter gap of the same kind. Before: docs/guarantees.md listed the gap as not proved; with a limit that had passed, the stand-in started the task.

--- a/src/libs/carobfall/agent/task_executor.cpp
+++ b/src/libs/carobfall/agent/task_executor.cpp
@@ -2,6 +2,7 @@
 
 #include "carobfall/base/log_fields.h"
 
+#include <absl/time/clock.h>
 #include <glog/logging.h>
 
 #include <algorithm>
@@ -102,13 +103,17 @@
 
 void task_executor::run_task(startable_task task, task_runner& runner)
 {
+    // Read first: a pause between the two readings then shortens the time that is left to start.
+    const absl::Time system_time = absl::Now();
     const absl::Time now = clock_();
     if (!ledger_.confirm_start(task, now)) {
         return;
     }
     const task_key key = task.key;
     const std::uint32_t attempt = task.attempt;
-    run_outcome outcome = runner.run(request_of(std::move(task)), now);
+    run_request request = request_of(std::move(task));
+    request.start_before = system_time + (ledger_.lease_end() - now);
+    run_outcome outcome = runner.run(request, now);
 
     std::optional<pending_report> report;
     if (outcome.refusal == rpc::refusal_none) {
--- a/src/libs/carobfall/agent/task_ledger.h
+++ b/src/libs/carobfall/agent/task_ledger.h
@@ -84,11 +84,14 @@
     /// was paused in between. If false, the task was put back or refused and must not be run.
     bool confirm_start(const startable_task& task, absl::Time now);
 
+    /// Until when a task that was confirmed may start, in the time of `confirm_start`.
+    [[nodiscard]] absl::Time lease_end() const { return lease_.valid_until(); }
+
     /// Records the result of a started task. Nothing if the task isn't started in this attempt.
     std::optional<pending_report> finish(const task_key& key, std::uint32_t attempt,
                                          rpc::task_result result, absl::Time now);
 
-    /// Refuses a started task that was never sent to the backend server, for example because no
+    /// Refuses a started task that the backend server never began, for example because no
     /// connection could be made.
     std::optional<pending_report> refuse_unsent(const task_key& key, std::uint32_t attempt,
                                                 rpc::refusal_reason reason, absl::Time now);
--- a/src/libs/carobfall/backend/http_task_runner.cpp
+++ b/src/libs/carobfall/backend/http_task_runner.cpp
@@ -20,6 +20,10 @@
 /// after 5 s) and a request that meets the close fails although it may have run.
 constexpr absl::Duration idle_limit = absl::Seconds(2);
 
+/// A backend server that gets a task too late to start it answers with this status and header.
+constexpr int too_late_status = 412;
+constexpr const char* not_started_header = "X-Carobfall-Not-Started";
+
 constexpr int success_status_first = 200;
 constexpr int success_status_last = 299;
 
@@ -47,6 +51,7 @@
         {"X-Carobfall-Task", absl::StrCat(request.key.index)},
         {"X-Carobfall-Attempt", absl::StrCat(request.attempt)},
         {"X-Carobfall-Deadline-Unix-Ms", absl::StrCat(request.deadline_unix_ms)},
+        {"X-Carobfall-Start-Before-Unix-Ms", absl::StrCat(to_unix_ms(request.start_before))},
     };
     http.body = body_of(request);
     return http;
@@ -57,7 +62,7 @@
     return error == httplib::Error::Connection || error == httplib::Error::ConnectionTimeout;
 }
 
-run_outcome not_sent(rpc::refusal_reason reason)
+run_outcome not_run(rpc::refusal_reason reason)
 {
     run_outcome outcome;
     outcome.refusal = reason;
@@ -107,11 +112,11 @@
 {
     const std::uint16_t port = port_();
     if (port == 0) {
-        return not_sent(rpc::refusal_backend_unavailable);
+        return not_run(rpc::refusal_backend_unavailable);
     }
     const absl::Time deadline = from_unix_ms(request.deadline_unix_ms);
     if (deadline <= now) {
-        return not_sent(rpc::refusal_deadline);
+        return not_run(rpc::refusal_deadline);
     }
     prepare_client(port, now, deadline - now);
 
@@ -133,8 +138,8 @@
     if (!response) {
         client_.reset();
         if (failed_to_connect(response.error())) {
-            return not_sent(end < deadline ? rpc::refusal_backend_unavailable
-                                           : rpc::refusal_deadline);
+            return not_run(end < deadline ? rpc::refusal_backend_unavailable
+                                          : rpc::refusal_deadline);
         }
     }
     run_outcome outcome;
@@ -148,6 +153,9 @@
                                     httplib::to_string(response.error()), "); see its log"));
         return outcome;
     }
+    if (response->status == too_late_status && response->has_header(not_started_header)) {
+        return not_run(rpc::refusal_no_lease);
+    }
     set_response(outcome.result, response->status, std::move(body));
     return outcome;
 }
--- a/src/libs/carobfall/backend/task_runner.h
+++ b/src/libs/carobfall/backend/task_runner.h
@@ -17,12 +17,16 @@
     task_key key;
     std::uint32_t attempt{0};
     std::int64_t deadline_unix_ms{0};
+    /// Time of the system clock, which the backend server beside the agent shares, after which the
+    /// task must not start: the permission to start it has lapsed by then.
+    absl::Time start_before{absl::InfiniteFuture()};
     std::string request_path;
     std::string parameters_json;
     std::string payload; ///< JSON text
 };
 
-/// Result of a run. With a refusal the task was not sent to the backend server and has not run.
+/// Result of a run. With a refusal the task has not run: it was not sent to the backend server, or
+/// arrived there too late and was refused.
 struct run_outcome {
     rpc::refusal_reason refusal{rpc::refusal_none};
     rpc::task_result result;
--- a/tests/auto/backend/tst_http_task_runner.cpp
+++ b/tests/auto/backend/tst_http_task_runner.cpp
@@ -21,6 +21,11 @@
     {
         add("/v1/run", [](httplib::Response& reply) { reply.set_content("done", "text/plain"); });
         add("/fail", [](httplib::Response& reply) { reply.status = 500; });
+        add("/late", [](httplib::Response& reply) {
+            reply.status = 412;
+            reply.set_header("X-Carobfall-Not-Started", "true");
+        });
+        add("/condition", [](httplib::Response& reply) { reply.status = 412; });
         add("/long", [](httplib::Response& reply) {
             reply.set_content(std::string(max_result_bytes + 1, 'x'), "text/plain");
         });
@@ -62,6 +67,7 @@
     request.attempt = 2;
     request.request_path = path;
     request.deadline_unix_ms = to_unix_ms(monotonic_now() + limit);
+    request.start_before = from_unix_ms(1'800'000'000'000);
     request.parameters_json = R"({"rate":3})";
     request.payload = R"({"age":71})";
     return request;
@@ -94,6 +100,7 @@
     CHECK(backend.last.get_header_value("X-Carobfall-Task") == "7");
     CHECK(backend.last.get_header_value("X-Carobfall-Attempt") == "2");
     CHECK(backend.last.has_header("X-Carobfall-Deadline-Unix-Ms"));
+    CHECK(backend.last.get_header_value("X-Carobfall-Start-Before-Unix-Ms") == "1800000000000");
     CHECK(backend.last.body == R"({"parameters":{"rate":3},"task":{"age":71}})");
 }
 
@@ -107,6 +114,11 @@
     CHECK_FALSE(failed.result.success());
     CHECK(failed.result.backend_status() == 500);
 
+    CHECK(run(runner, "/late").refusal == rpc::refusal_no_lease);
+    const run_outcome condition = run(runner, "/condition");
+    CHECK(condition.refusal == rpc::refusal_none);
+    CHECK(condition.result.backend_status() == 412);
+
     const run_outcome too_long = run(runner, "/long");
     CHECK_FALSE(too_long.result.success());
     CHECK(too_long.result.body().empty());
@@ -121,7 +133,7 @@
 
     CHECK(run(runner, "/v1/run").result.success());
     const std::lock_guard lock(backend.mutex);
-    CHECK(backend.requests == 4);
+    CHECK(backend.requests == 6);
 }
 
 // Guards against a task reported as run although no backend server can have got it.
--- a/tests/standins/backend/backend_standin.cpp
+++ b/tests/standins/backend/backend_standin.cpp
@@ -1,5 +1,6 @@
 #include "backend_standin.h"
 
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <absl/time/clock.h>
 #include <nlohmann/json.hpp>
@@ -28,6 +29,14 @@
     return document.is_object() ? document : json::object();
 }
 
+// The permission to start the task has lapsed, for instance because the agent was paused.
+bool arrives_too_late(const httplib::Request& request)
+{
+    const std::string limit = request.get_header_value("X-Carobfall-Start-Before-Unix-Ms");
+    std::int64_t start_before = 0;
+    return absl::SimpleAtoi(limit, &start_before) && absl::ToUnixMillis(absl::Now()) > start_before;
+}
+
 } // namespace
 
 backend_standin::backend_standin(standin_options options)
@@ -103,6 +112,11 @@
 
 void backend_standin::run_task(const httplib::Request& request, httplib::Response& response)
 {
+    if (arrives_too_late(request)) {
+        response.status = 412;
+        response.set_header("X-Carobfall-Not-Started", "true");
+        return;
+    }
     const json body = parse_object(request.body);
     const std::uint32_t run_ms = choose_run_ms(body);
     log_start(request, run_ms);
