Tools: Validate declarations without an entry, and remove what files no longer declare

Cause: declarations are kept in version control, but validate asked an entry and needed a token, an error had the line of the concatenated files, and a template whose document was deleted stayed in force for good: the command line could not remove one. Ruled out: a prune flag in the request. Sent again after a lost answer it would stand for other changes, since the rows have gone; the command lists the rows, so that the request stays the same under its change id. Before: validate of the examples without a token: exit code 2. Conclusion: a folder of files and the configuration can be kept the same by one command.

--- a/src/libs/carobfall/daemon/configuration_service.cpp
+++ b/src/libs/carobfall/daemon/configuration_service.cpp
@@ -55,6 +55,19 @@
     return row;
 }
 
+// Data centres are not declared: they are taken out and in.
+result<rpc::configuration_change> removal_of(const std::string& key)
+{
+    if (!key.starts_with("account/") && !key.starts_with("template/")) {
+        return failure(error_kind::invalid_request, key + " is not an account or a template",
+                       "name it account/<client account> or template/<client account>/<name>");
+    }
+    rpc::configuration_change change;
+    change.set_key(key);
+    change.set_deleted(true);
+    return canonical_change(change);
+}
+
 result<void> check_expected(const change_options& options, std::uint64_t version)
 {
     if (options.expected_version && *options.expected_version != version) {
@@ -122,11 +135,16 @@
                                                    const std::string& only_key,
                                                    const change_options& options)
 {
-    BOOST_OUTCOME_TRY(const auto declarations, parse_declarations(yaml, "request"));
     std::vector<rpc::configuration_change> changes;
-    changes.reserve(declarations.size());
-    for (const declaration& declared : declarations) {
-        changes.push_back(to_change(declared));
+    if (!yaml.empty() || options.remove.empty()) {
+        BOOST_OUTCOME_TRY(const auto declarations, parse_declarations(yaml, "request"));
+        for (const declaration& declared : declarations) {
+            changes.push_back(to_change(declared));
+        }
+    }
+    for (const std::string& key : options.remove) {
+        BOOST_OUTCOME_TRY(rpc::configuration_change removal, removal_of(key));
+        changes.push_back(std::move(removal));
     }
     if (!only_key.empty() && (changes.size() != 1 || changes.front().key() != only_key)) {
         return failure(error_kind::invalid_request, "the text doesn't declare " + only_key,
--- a/src/libs/carobfall/operators/change_request.cpp
+++ b/src/libs/carobfall/operators/change_request.cpp
@@ -34,6 +34,19 @@
     return given;
 }
 
+result<std::vector<std::string>> keys_to_remove(const json& given)
+{
+    std::vector<std::string> keys;
+    for (const json& key : given) {
+        if (!key.is_string()) {
+            return invalid("remove has an element that is not a string",
+                           "send keys as GET /v1/configuration lists them");
+        }
+        keys.push_back(key.get<std::string>());
+    }
+    return keys;
+}
+
 } // namespace
 
 result<change_options> options_from_query(const httplib::Request& request)
@@ -75,10 +88,12 @@
             request.options.dry_run = value.get<bool>();
         } else if (key == "expected_version" && value.is_number_unsigned()) {
             request.options.expected_version = value.get<std::uint64_t>();
+        } else if (key == "remove" && value.is_array()) {
+            BOOST_OUTCOME_TRY(request.options.remove, keys_to_remove(value));
         } else if (key != "yaml") {
             return invalid("the body has an unknown key or a value of the wrong type",
-                           "send yaml and change_id as strings, dry_run as true or false and "
-                           "expected_version as a number");
+                           "send yaml and change_id as strings, remove as an array of keys, "
+                           "dry_run as true or false and expected_version as a number");
         }
     }
     return request;
--- a/src/libs/carobfall/operators/change_request.h
+++ b/src/libs/carobfall/operators/change_request.h
@@ -19,7 +19,7 @@
 /// id a random one is used. Errors: `invalid_request`.
 [[nodiscard]] result<change_options> options_from_query(const httplib::Request& request);
 
-/// Decodes {"yaml", "change_id", "expected_version", "dry_run"}; only `yaml` is required.
+/// Decodes {"yaml", "remove", "change_id", "expected_version", "dry_run"}; only `yaml` is required.
 /// Errors: `invalid_request`.
 [[nodiscard]] result<apply_request> decode_apply(std::string_view body);
 
--- a/src/libs/carobfall/operators/operator_service.h
+++ b/src/libs/carobfall/operators/operator_service.h
@@ -27,6 +27,9 @@
     /// The change is refused with `conflict` unless the configuration has this version.
     std::optional<std::uint64_t> expected_version{};
     bool dry_run{false}; ///< validate and report only
+    /// Keys of accounts and templates that `apply` removes in the same transaction. A row that
+    /// doesn't exist counts as unchanged, so that the change can be sent again.
+    std::vector<std::string> remove{};
 };
 
 enum class change_action { unchanged, created, updated, removed };
@@ -89,8 +92,9 @@
     /// Version of the configuration in force at this entry.
     virtual std::uint64_t configuration_version() = 0;
 
-    /// Declares the YAML documents, all or none. If `only_key` is not empty, the text must declare
-    /// exactly this row.
+    /// Declares the YAML documents and removes the rows of `options.remove`, all or none. The text
+    /// may be empty if rows are removed. If `only_key` is not empty, the text must declare exactly
+    /// this row.
     /// Errors: `invalid_request` (message with line numbers), `conflict`, `unavailable` (nothing
     /// was changed), `outcome_unknown` (send again with the same change id).
     virtual result<change_report> apply(const std::string& yaml, const std::string& only_key,
--- a/src/tools/carobfall/command_line.cpp
+++ b/src/tools/carobfall/command_line.cpp
@@ -1,7 +1,5 @@
 #include "command_line.h"
 
-#include "operator_commands.h"
-
 #include "carobfall/base/ids.h"
 
 #include <absl/strings/ascii.h>
@@ -134,19 +132,33 @@
 {
     CLI::App& group = *app_.add_subcommand("template", "Templates and client accounts.");
     group.require_subcommand(1);
-    CLI::App* apply = add_operator_command(
-        group, "apply", "Declares the documents of the files, all or none.",
-        [this](auto& commands) { return commands.apply(files_, dry_run_, false); });
-    apply->add_flag("--dry-run", dry_run_, "Report what would change; change nothing.");
-    CLI::App* diff =
-        add_operator_command(group, "diff", "Prints the lines that an apply would change.",
-                             [this](auto& commands) { return commands.apply(files_, true, true); });
-    CLI::App* validate = add_operator_command(
-        group, "validate", "Has an entry check the files; changes nothing.",
-        [this](auto& commands) { return commands.apply(files_, true, false); });
+    CLI::App* apply =
+        add_operator_command(group, "apply", "Declares the documents of the files, all or none.",
+                             [this](auto& commands) { return commands.apply(files_, apply_); });
+    apply->add_flag("--dry-run", apply_.dry_run, "Report what would change; change nothing.");
+    CLI::App* diff = add_operator_command(
+        group, "diff", "Prints the lines that an apply would change.", [this](auto& commands) {
+            return commands.apply(files_,
+                                  {.dry_run = true, .as_diff = true, .prune = apply_.prune});
+        });
+    for (CLI::App* command : {apply, diff}) {
+        command->add_flag("--prune", apply_.prune,
+                          "Also remove the templates of these client accounts that no file "
+                          "declares.");
+    }
+    CLI::App* validate =
+        group.add_subcommand("validate", "Checks the files; needs neither an entry nor a token.");
+    validate->callback([this] {
+        local_action_ = [this] { return validate_files(files_, std::cout, std::cerr); };
+    });
     for (CLI::App* command : {apply, diff, validate}) {
         command->add_option("files", files_, "YAML files.")->required();
     }
+    add_operator_command(group, "remove", "Removes a template.",
+                         [this](auto& commands) { return commands.remove_template(first_name_); })
+        ->add_option("name", first_name_, "ACCOUNT/TEMPLATE")
+        ->required()
+        ->check(check_template_name);
     add_operator_command(group, "get", "Prints a template as YAML.",
                          [this](auto& commands) { return commands.get_template(first_name_); })
         ->add_option("name", first_name_, "ACCOUNT/TEMPLATE")
@@ -252,6 +264,9 @@
     } catch (const CLI::ParseError& problem) {
         return app_.exit(problem) == 0 ? 0 : static_cast<int>(exit_code::invalid_input);
     }
+    if (local_action_) {
+        return static_cast<int>(local_action_());
+    }
     const auto bearer = token();
     if (!bearer) {
         std::cerr << to_string(bearer.error()) << "\n";
--- a/src/tools/carobfall/command_line.h
+++ b/src/tools/carobfall/command_line.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "load_command.h"
+#include "operator_commands.h"
 #include "submit_command.h"
 
 #include <CLI/CLI.hpp>
@@ -12,8 +13,6 @@
 
 namespace carobfall::tool {
 
-class operator_commands;
-
 /// Parses the arguments of `carobfall` and runs the chosen command.
 class command_line {
 public:
@@ -47,9 +46,10 @@
     load_options load_;
     std::string first_name_;
     std::vector<std::string> files_;
-    bool dry_run_{false};
+    apply_options apply_;
     std::string default_entry_;
     std::function<exit_code(command_context&)> action_;
+    std::function<exit_code()> local_action_; ///< needs neither an entry nor a token
 };
 
 } // namespace carobfall::tool
--- a/src/tools/carobfall/operator_commands.cpp
+++ b/src/tools/carobfall/operator_commands.cpp
@@ -3,6 +3,7 @@
 #include "line_diff.h"
 
 #include "carobfall/base/ids.h"
+#include "carobfall/config/declarations.h"
 
 #include <optional>
 #include <utility>
@@ -16,33 +17,105 @@
 constexpr int confirmation_attempts = 20;
 constexpr absl::Duration confirmation_pause = absl::Milliseconds(500);
 
-result<std::string> read_documents(const std::vector<std::string>& files)
+/// The documents of all files in one text, and the keys of what they declare.
+struct document_set {
+    std::string yaml;
+    std::set<std::string> keys;
+};
+
+result<document_set> read_documents(const std::vector<std::string>& files)
 {
-    std::string documents;
+    document_set documents;
     for (const std::string& name : files) {
         BOOST_OUTCOME_TRY(const std::string text, read_file(name));
-        documents += (documents.empty() ? "" : "\n---\n") + text;
+        BOOST_OUTCOME_TRY(const auto declarations, parse_declarations(text, name));
+        for (const declaration& declared : declarations) {
+            if (!documents.keys.insert(key_of(declared)).second) {
+                return failure(error_kind::invalid_request,
+                               name + ": " + key_of(declared) + " is declared in another file, too",
+                               "keep one of the two documents");
+            }
+        }
+        documents.yaml += (documents.yaml.empty() ? "" : "\n---\n") + text;
     }
     return documents;
 }
 
+std::string account_of(const std::string& key)
+{
+    const std::string rest = key.substr(key.find('/') + 1);
+    return rest.substr(0, rest.find('/'));
+}
+
 } // namespace
 
+exit_code validate_files(const std::vector<std::string>& files, std::ostream& out,
+                         std::ostream& errors)
+{
+    const auto documents = read_documents(files);
+    if (!documents) {
+        errors << to_string(documents.error()) << "\n";
+        return exit_code::invalid_input;
+    }
+    for (const std::string& key : documents.value().keys) {
+        out << "valid " << key << "\n";
+    }
+    return exit_code::ok;
+}
+
 operator_commands::operator_commands(command_context& context,
                                      std::function<void(absl::Duration)> sleep)
     : context_(context), sleep_(std::move(sleep))
 {}
 
-exit_code operator_commands::apply(const std::vector<std::string>& files, bool dry_run,
-                                   bool as_diff)
+exit_code operator_commands::apply(const std::vector<std::string>& files,
+                                   const apply_options& options)
 {
     const auto documents = read_documents(files);
     if (!documents) {
         return report_error(context_, documents.error());
     }
-    const json body{{"yaml", documents.value()}, {"dry_run", dry_run}, {"change_id", random_id()}};
+    json body{
+        {"yaml", documents.value().yaml}, {"dry_run", options.dry_run}, {"change_id", random_id()}};
+    if (options.prune) {
+        exit_code code = exit_code::ok;
+        const auto removed = undeclared_templates(documents.value().keys, code);
+        if (!removed) {
+            return code;
+        }
+        body["remove"] = *removed;
+    }
     return change({"POST", "/v1/apply", body.dump(-1, ' ', false, json::error_handler_t::replace)},
-                  as_diff);
+                  options.as_diff);
+}
+
+std::optional<std::vector<std::string>>
+operator_commands::undeclared_templates(const std::set<std::string>& declared, exit_code& code)
+{
+    std::set<std::string> accounts;
+    for (const std::string& key : declared) {
+        accounts.insert(account_of(key));
+    }
+    std::vector<std::string> keys;
+    for (const std::string& account : accounts) {
+        const auto stored =
+            fetch(context_, {"GET", "/v1/configuration?prefix=template/" + account + "/"}, code);
+        if (!stored) {
+            return std::nullopt;
+        }
+        for (const json& row : stored->value("rows", json::array())) {
+            if (!declared.contains(text_of(row, "key"))) {
+                keys.push_back(text_of(row, "key"));
+            }
+        }
+    }
+    return keys;
+}
+
+exit_code operator_commands::remove_template(const std::string& name)
+{
+    const json body{{"yaml", ""}, {"remove", {"template/" + name}}, {"change_id", random_id()}};
+    return change({"POST", "/v1/apply", body.dump()}, false);
 }
 
 exit_code operator_commands::set_data_centre(const std::string& name, bool out)
--- a/src/tools/carobfall/operator_commands.h
+++ b/src/tools/carobfall/operator_commands.h
@@ -5,19 +5,35 @@
 #include "carobfall/base/clock.h"
 
 #include <functional>
+#include <optional>
+#include <ostream>
+#include <set>
 #include <string>
 #include <vector>
 
 namespace carobfall::tool {
 
+/// How `template apply` works.
+struct apply_options {
+    bool dry_run{false}; ///< report what would change
+    bool as_diff{false}; ///< print the changed lines
+    bool prune{false};   ///< remove the templates of the declared accounts that no file declares
+};
+
+/// Checks the files without an entry and prints what they declare.
+exit_code validate_files(const std::vector<std::string>& files, std::ostream& out,
+                         std::ostream& errors);
+
 /// Commands over the operators' interface.
 class operator_commands {
 public:
     operator_commands(command_context& context, std::function<void(absl::Duration)> sleep);
 
-    /// Declares the documents of the files, all or none. A dry run changes nothing; with `as_diff`
-    /// the changed lines are printed.
-    exit_code apply(const std::vector<std::string>& files, bool dry_run, bool as_diff);
+    /// Declares the documents of the files, all or none. They are checked here first, so that an
+    /// error names the file and the line.
+    exit_code apply(const std::vector<std::string>& files, const apply_options& options);
+    /// Removes a template; one that doesn't exist counts as unchanged.
+    exit_code remove_template(const std::string& name);
     /// `name` is ACCOUNT/TEMPLATE.
     exit_code get_template(const std::string& name);
     /// Templates of one account, or of all if `account` is empty.
@@ -34,6 +50,9 @@
 private:
     /// Sends the change again, with the same change id, until it is confirmed in force.
     exit_code change(const api_request& request, bool as_diff);
+    /// Keys of the stored templates of the declared accounts that `declared` lacks.
+    std::optional<std::vector<std::string>>
+    undeclared_templates(const std::set<std::string>& declared, exit_code& code);
     exit_code print_list(const std::string& path, const char* member,
                          const std::vector<const char*>& columns);
     void print_change(const nlohmann::json& report, bool as_diff);
--- a/tests/auto/operators/tst_operator_server.cpp
+++ b/tests/auto/operators/tst_operator_server.cpp
@@ -204,7 +204,8 @@
     operator_fixture fixture;
     for (const char* body : {"", "[]", "{}", R"({"yaml":1})", R"({"yaml":"","change_id":"a b"})",
                              R"({"yaml":"","dry_run":"yes"})", R"({"yaml":"","force":true})",
-                             R"({"yaml":"","expected_version":-1})"}) {
+                             R"({"yaml":"","expected_version":-1})", R"({"yaml":"","remove":"a"})",
+                             R"({"yaml":"","remove":[1]})"}) {
         fixture.post("/v1/apply", body, 400);
     }
     for (const char* query : {"?x=1", "?dry_run=1", "?change_id=a/b", "?expected_version=one",
--- a/tests/auto/tools/tst_commands.cpp
+++ b/tests/auto/tools/tst_commands.cpp
@@ -6,6 +6,8 @@
 #include "carobfall/operators/operator_server.h"
 #include "carobfall/submit_command.h"
 
+#include <filesystem>
+#include <fstream>
 #include <sstream>
 
 using namespace carobfall;
@@ -150,6 +152,27 @@
     CHECK(commands.set_data_centre("mapo", true) == exit_code::outcome_unknown);
 }
 
+// Guards against an error without the place of the mistake in files kept in version control.
+TEST_CASE("files are validated without an entry, and an error names the file and the line")
+{
+    const std::string name =
+        std::filesystem::temp_directory_path() / ("carobfall-" + random_id() + ".yaml");
+    const auto validate = [&](const std::string& text) {
+        std::ofstream(name) << text;
+        std::ostringstream out;
+        const exit_code code = validate_files({name, name}, out, out);
+        return std::pair(code, out.str());
+    };
+    const std::string declared = "kind: client_account\nname: dambi\n";
+    const auto [unknown, place] = validate(declared + "tokne: aaaaaaaaaaaaaaaaaaaa\n");
+    CHECK(unknown == exit_code::invalid_input);
+    CHECK(place.find(name + ":3") != std::string::npos);
+    const auto [twice, both] = validate(declared + "token: aaaaaaaaaaaaaaaaaaaa\n");
+    CHECK(twice == exit_code::invalid_input);
+    CHECK(both.find("account/dambi is declared in another file") != std::string::npos);
+    std::filesystem::remove(name);
+}
+
 TEST_CASE("the difference of two texts has the changed lines only")
 {
     CHECK(line_diff("a\nb\nc\n", "a\nx\nc\nd\n") == "- b\n+ x\n+ d\n");
--- a/tests/process/test_configuration.py
+++ b/tests/process/test_configuration.py
@@ -1,7 +1,10 @@
+import subprocess
 import time
 import unittest
 
-from support import DECLARATIONS, IN_FORCE_SECONDS, ProcessTest, body, wait_until
+from support import DECLARATIONS, IN_FORCE_SECONDS, ProcessTest, body, wait_until  # makes scripts/ importable
+
+from cluster import CLI, OPERATOR_TOKEN
 
 
 class Configuration(ProcessTest):
@@ -47,6 +50,39 @@
         self.assertEqual(second[0], 409, second)
         self.assertTrue(second[1]["error"]["remedy"])
 
+    def carobfall(self, *arguments, token=OPERATOR_TOKEN):
+        entry = self.deployment.entries[1].operator_address
+        return subprocess.run([CLI, "--entry", entry, *arguments], capture_output=True, text=True,
+                              env={"CAROBFALL_TOKEN": token}, check=False)
+
+    def test_apply_with_prune_removes_what_the_files_no_longer_declare(self):
+        """Guards against templates that stay after their document has gone, and a removal twice."""
+        file = self.directory / "dambi.yaml"
+        template = DECLARATIONS.split("---")[1]
+        file.write_text(f"{DECLARATIONS}---{template.replace('illustration', 'recheck')}")
+        self.assertEqual(self.carobfall("template", "validate", str(file), token="").returncode, 0)
+        self.assertEqual(self.carobfall("template", "apply", str(file)).returncode, 0)
+        file.write_text(DECLARATIONS)
+        kept = self.carobfall("template", "apply", str(file))
+        self.assertNotIn("recheck", kept.stdout)
+        planned = self.carobfall("template", "diff", "--prune", str(file))
+        self.assertIn("removed template/dambi/recheck", planned.stdout)
+        pruned = self.carobfall("template", "apply", "--prune", str(file))
+        self.assertEqual(pruned.returncode, 0, pruned)
+        self.assertIn("removed template/dambi/recheck", pruned.stdout)
+        listed = self.carobfall("template", "list", "dambi").stdout
+        self.assertIn("illustration", listed)
+        self.assertNotIn("recheck", listed)
+
+        change = {"yaml": "", "remove": ["template/dambi/illustration"], "change_id": "remove-1"}
+        versions = [self.deployment.operate("POST", "/v1/apply", change)[1]["version"]
+                    for _ in range(2)]
+        self.assertEqual(versions[0], versions[1])
+        self.assertEqual(self.submit("gone", body(1, 10))[0], 404)
+        refused = self.deployment.operate("POST", "/v1/apply",
+                                          {"yaml": "", "remove": ["data_centre/mapo"]})
+        self.assertEqual(refused[0], 400, refused)
+
     def test_accepted_configuration_survives_the_replacement_of_every_process(self):
         """Guards against a configuration that reverts when instances are replaced."""
         self.set_data_centre("mapo", "out")
