Config: Accept the digest of an account's token in its declaration

Cause: declarations are meant for version control, and an account could only be declared with its token in plain text. Ruled out: a second key beside token, since the canonical text writes every key; a bearer token can't contain a colon. Before: token: sha256:... was refused. Conclusion: a file without a secret can declare an account.

--- a/src/libs/carobfall/caller/caller_server.cpp
+++ b/src/libs/carobfall/caller/caller_server.cpp
@@ -1,5 +1,6 @@
 #include "carobfall/caller/caller_server.h"
 
+#include "carobfall/base/digest.h"
 #include "carobfall/base/http_json.h"
 #include "carobfall/base/ids.h"
 #include "carobfall/base/log_fields.h"
@@ -68,12 +69,14 @@
                        "send the request again, to any entry");
     }
     const client_account* account = declared->find_account(call.names[0]);
-    const std::string presented = bearer_token(call.request);
-    // The same comparison takes place for an unknown account, so that neither the answer nor its
-    // time tells which accounts exist.
+    const std::string token = bearer_token(call.request);
+    // The same digest and comparison are made for an unknown account, so that neither the answer
+    // nor its time tells which accounts exist.
     const std::string expected = account != nullptr ? account->token : std::string();
-    const bool equal = equal_constant_time(presented, expected);
-    if (!equal || presented.empty() || account == nullptr) {
+    const std::string digest = std::string(token_digest_prefix) + sha256_hex(token);
+    const bool by_digest = expected.starts_with(token_digest_prefix);
+    const bool equal = equal_constant_time(by_digest ? digest : token, expected);
+    if (!equal || token.empty() || account == nullptr) {
         return failure(error_kind::unauthenticated, "unknown client account or wrong token",
                        "send Authorization: Bearer with the token of the client account");
     }
--- a/src/libs/carobfall/config/configuration.h
+++ b/src/libs/carobfall/config/configuration.h
@@ -23,10 +23,14 @@
     double weight{1}; ///< share of the slots when all are busy, relative to the other accounts
 };
 
+/// Begins the token of an account whose declaration holds the digest only. A bearer token can't
+/// begin like this.
+inline constexpr std::string_view token_digest_prefix = "sha256:";
+
 /// A client account: who may submit, and how much.
 struct client_account {
     std::string name;
-    std::string token;
+    std::string token; ///< bearer token, or `token_digest_prefix` and its SHA-256 in hexadecimal
     account_limit_values limits;
 };
 
--- a/src/libs/carobfall/config/declarations.cpp
+++ b/src/libs/carobfall/config/declarations.cpp
@@ -1,5 +1,6 @@
 #include "carobfall/config/declarations.h"
 
+#include "carobfall/base/digest.h"
 #include "carobfall/base/strings.h"
 #include "carobfall/config/yaml_fields.h"
 
@@ -41,6 +42,21 @@
            });
 }
 
+bool is_token_digest(std::string_view text)
+{
+    return text.starts_with(token_digest_prefix) &&
+           text.size() == token_digest_prefix.size() + sha256_hex_length &&
+           std::all_of(text.begin() + token_digest_prefix.size(), text.end(), [](char character) {
+               return (character >= '0' && character <= '9') ||
+                      (character >= 'a' && character <= 'f');
+           });
+}
+
+bool is_token_or_digest(std::string_view text)
+{
+    return is_token(text) || is_token_digest(text);
+}
+
 bool is_request_path(std::string_view text)
 {
     return text.starts_with('/') && text.size() <= max_path_bytes &&
@@ -86,8 +102,9 @@
         required(name_field<account>(
             "name", [](account & a) -> auto& { return a.name; })),
         required(secret(text_field<account>(
-            "token", [](account & a) -> auto& { return a.token; }, is_token,
-            "a token of 16 to 256 letters, digits and -._~+/="))),
+            "token", [](account & a) -> auto& { return a.token; }, is_token_or_digest,
+            "a token of 16 to 256 letters, digits and -._~+/=, or sha256: and the 64 lower-case "
+            "hexadecimal digits of its digest"))),
         integer_field<account, std::uint32_t>(
             "limits.concurrent_tasks",
             [](account & a) -> auto& { return a.limits.concurrent_tasks; }, 0, max_count),
--- a/tests/auto/caller/tst_caller_server.cpp
+++ b/tests/auto/caller/tst_caller_server.cpp
@@ -1,6 +1,8 @@
 #include "../support/wait.h"
 #include "caller_fixture.h"
 
+#include "carobfall/base/digest.h"
+
 #include <absl/synchronization/notification.h>
 
 #include <thread>
@@ -101,6 +103,26 @@
     CHECK(client.Get(path)->status == 401);
 }
 
+// Guards against a digest, which is no secret, that is accepted in place of the token.
+TEST_CASE("an account declared with the digest of its token takes the token and nothing else")
+{
+    caller_fixture fixture;
+    const std::string digest = std::string(token_digest_prefix) + sha256_hex(token);
+    auto changed = std::make_shared<configuration>(example_configuration());
+    changed->accounts["dambi"].token = digest;
+    fixture.declared = changed;
+    ALLOW_CALL(fixture.service, status(_, _)).RETURN(example_answer(rpc::submission_running));
+    httplib::Client client("127.0.0.1", fixture.server.port());
+    const auto status_with = [&](const std::string& bearer) {
+        return client.Get(path, {{"Authorization", "Bearer " + bearer}})->status;
+    };
+    CHECK(status_with(token) == fixture.client().Get(path)->status);
+    CHECK(status_with(token) != 401);
+    CHECK(status_with(digest) == 401);
+    CHECK(status_with(sha256_hex(token)) == 401);
+    CHECK(status_with("") == 401);
+}
+
 TEST_CASE("before the first configuration every request is told to try again")
 {
     caller_fixture fixture;
--- a/tests/auto/config/tst_declarations.cpp
+++ b/tests/auto/config/tst_declarations.cpp
@@ -149,4 +149,12 @@
         parse_declarations("kind: client_account\nname: a\ntoken: secret\n", "f.yaml").error();
     CHECK(refusal.message.starts_with("f.yaml:3"));
     CHECK(refusal.message.find("secret") == std::string::npos);
+    const auto with_token = [](const std::string& token) {
+        return parse_declarations("kind: client_account\nname: a\ntoken: " + token, "f.yaml");
+    };
+    const auto digest = with_token("sha256:" + std::string(64, 'a'));
+    REQUIRE(digest);
+    CHECK(parse_declarations(to_yaml(digest.value()[0]), "f.yaml"));
+    CHECK_FALSE(with_token("sha256:" + std::string(63, 'a')));
+    CHECK_FALSE(with_token("sha256:" + std::string(64, 'A')));
 }
