Stateful: Cover the faults of the region test with 2 to 5 entries

Cause: tst_region_fuzz and the random test of the stateful harness cover the same rules; only the first one had 2 to 5 entries, lost requests and replies in a row between entries, agents that can't be reached, hosts that don't refuse connections, long waits, deadlines up to 299 s and the two checks of the claims that entries hold.

Change: commands for these faults and for one-way cuts; 2 to 5 entries for each sequence; claim_rules checks after each command what submission_model checks: a complete coordinator knows what has started, and no two entries of a view coordinate one submission. That all entries are usable, complete and in the same view after recovery was checked before.

--- a/tests/auto/stateful/agent_process.cpp
+++ b/tests/auto/stateful/agent_process.cpp
@@ -159,6 +159,7 @@
             continue;
         }
         region_.note_committed();
+        region_.claims().on_start(task);
         region_.facts().on_start(
             task.key, task.payload,
             {info_.incarnation(), info_.data_centre(), std::min(backend_left_at_, left_at_)}, now);
--- a/tests/auto/stateful/channels.cpp
+++ b/tests/auto/stateful/channels.cpp
@@ -142,7 +142,9 @@
         if (region_.mutation() == rule_removed::view_check) {
             sent.set_view_number(std::numeric_limits<std::uint64_t>::max());
         }
-        return call<rpc::start_reply>([&region = region_, sent](agent_process& agent) {
+        const std::uint64_t view_number = request.view_number();
+        return call<rpc::start_reply>([&region = region_, sent, view_number](agent_process& agent) {
+            region.claims().on_start_request(sent, view_number);
             return agent.ledger().start(sent, region.now());
         });
     }
--- a/tests/auto/stateful/commands.cpp
+++ b/tests/auto/stateful/commands.cpp
@@ -16,11 +16,11 @@
     std::function<void(world&, int, int)> run;
 };
 
-std::string node_name(int number)
+std::string node_name(const world& region, int number)
 {
-    const int index = number % (entry_count + agent_count);
-    return index < entry_count ? absl::StrCat("entry-", index)
-                               : absl::StrCat("agent-", index - entry_count);
+    const int index = number % (region.entries() + agent_count);
+    return index < region.entries() ? absl::StrCat("entry-", index)
+                                    : absl::StrCat("agent-", index - region.entries());
 }
 
 submission_key key_of(int id)
@@ -38,25 +38,33 @@
 
 void cut(world& region, int first, int second)
 {
-    const std::string left = node_name(first);
-    const std::string right = node_name(second);
+    const std::string left = node_name(region, first);
+    const std::string right = node_name(region, second);
     if (left != right) {
         region.network().cut_refuses = second % 2 == 0;
         region.network().cut(left, right);
     }
 }
 
+void cut_one_way(world& region, int first, int second)
+{
+    const std::string from = node_name(region, first);
+    const std::string to = node_name(region, second);
+    if (from != to) {
+        region.network().cut_one_way(from, to);
+    }
+}
+
 /// Cuts a data centre off from the others, with its entry and agents.
 void isolate(world& region, int first, int)
 {
     const int centre = first % 3;
-    const auto centre_of = [](int node) {
-        return node < entry_count ? node : (node - entry_count) % 3;
-    };
-    for (int left = 0; left < entry_count + agent_count; ++left) {
+    const int entries = region.entries();
+    const auto centre_of = [&](int node) { return (node < entries ? node : node - entries) % 3; };
+    for (int left = 0; left < entries + agent_count; ++left) {
         for (int right = 0; right < left; ++right) {
             if ((centre_of(left) == centre) != (centre_of(right) == centre)) {
-                region.network().cut(node_name(left), node_name(right));
+                region.network().cut(node_name(region, left), node_name(region, right));
             }
         }
     }
@@ -73,13 +81,13 @@
 void cancel_wave(world& region, int first, int)
 {
     for (int id = 0; id < ids; ++id) {
-        region.cancel(first % entry_count, key_of(id));
+        region.cancel(first % region.entries(), key_of(id));
     }
 }
 
 void change(world& region, int first, int second, bool out)
 {
-    region.change_data_centre(first % entry_count,
+    region.change_data_centre(first % region.entries(),
                               data_centres[static_cast<std::size_t>(second) % 3], out);
 }
 
@@ -87,7 +95,7 @@
 {
     static const std::vector<command_row> table{
         {"run", [](world& w, int, int second) { w.run(1 + second % 6); }},
-        {"step_entry", [](world& w, int first, int) { w.step_entry(first % entry_count); }},
+        {"step_entry", [](world& w, int first, int) { w.step_entry(first % w.entries()); }},
         {"step_agent", [](world& w, int first, int) { w.step_agent(first % agent_count); }},
         {"step_thread", step_thread},
         {"take_tasks",
@@ -100,38 +108,53 @@
          [](world& w, int first, int second) {
              auto request = w.request_for(second % ids, 0);
              request.set_wait(second / ids % 2 == 1);
-             w.submit(first % entry_count, request);
+             w.submit(first % w.entries(), request);
          }},
         {"submit_other_body",
          [](world& w, int first, int second) {
-             w.submit(first % entry_count, w.request_for(second % ids, 1));
+             w.submit(first % w.entries(), w.request_for(second % ids, 1));
          }},
         {"status",
          [](world& w, int first, int second) {
-             w.ask_status(first % entry_count, w.request_for(second % ids, 0));
+             w.ask_status(first % w.entries(), w.request_for(second % ids, 0));
          }},
         {"cancel", [](world& w, int first,
-                      int second) { w.cancel(first % entry_count, key_of(second % ids)); }},
+                      int second) { w.cancel(first % w.entries(), key_of(second % ids)); }},
         {"cancel_wave", cancel_wave},
         {"fault", plan_fault},
+        {"lose_entry_requests",
+         [](world& w, int, int second) {
+             w.network().plan_entry_faults(call_fault::lose_request, 1 + second % 5);
+         }},
+        {"lose_entry_answers",
+         [](world& w, int, int second) {
+             w.network().plan_entry_faults(call_fault::lose_answer, 1 + second % 5);
+         }},
         {"deliver_late", [](world& w, int first,
                             int) { w.network().deliver_late(static_cast<std::size_t>(first)); }},
         {"drop_late",
          [](world& w, int first, int) { w.network().drop_late(static_cast<std::size_t>(first)); }},
-        {"kill", [](world& w, int first, int) { w.kill_entry(first % entry_count); }},
+        {"kill", [](world& w, int first, int) { w.kill_entry(first % w.entries()); }},
         {"kill_all",
          [](world& w, int, int) {
-             for (int i = 0; i < entry_count; ++i) {
+             for (int i = 0; i < w.entries(); ++i) {
                  w.kill_entry(i);
              }
          }},
-        {"leave", [](world& w, int first, int) { w.leave_entry(first % entry_count); }},
-        {"restart", [](world& w, int first, int) { w.start_entry(first % entry_count); }},
-        {"pause", [](world& w, int first, int) { w.pause_entry(first % entry_count, true); }},
-        {"resume", [](world& w, int first, int) { w.pause_entry(first % entry_count, false); }},
+        {"leave", [](world& w, int first, int) { w.leave_entry(first % w.entries()); }},
+        {"restart", [](world& w, int first, int) { w.start_entry(first % w.entries()); }},
+        {"pause", [](world& w, int first, int) { w.pause_entry(first % w.entries(), true); }},
+        {"resume", [](world& w, int first, int) { w.pause_entry(first % w.entries(), false); }},
         {"cut", cut},
+        {"cut_one_way", cut_one_way},
         {"isolate", isolate},
         {"heal", [](world& w, int, int) { w.network().heal(); }},
+        {"toggle_refusals",
+         [](world& w, int, int) { w.network().hosts_refuse = !w.network().hosts_refuse; }},
+        {"toggle_hidden_agent",
+         [](world& w, int first, int) {
+             w.network().toggle_hidden(w.agent(first % agent_count)->info().name());
+         }},
         {"restart_agent", [](world& w, int first, int) { w.restart_agent(first % agent_count); }},
         {"leave_agent", [](world& w, int first, int) { w.agent(first % agent_count)->leave(); }},
         {"pause_agent", [](world& w, int first, int) { w.pause_agent(first % agent_count, true); }},
@@ -155,6 +178,7 @@
              change(w, first + 1, second, false);
          }},
         {"wait", [](world& w, int, int second) { w.advance(absl::Seconds(1 + second % 6)); }},
+        {"long_wait", [](world& w, int, int second) { w.advance(absl::Seconds(second * 4)); }},
     };
     return table;
 }
--- a/tests/auto/stateful/commands.h
+++ b/tests/auto/stateful/commands.h
@@ -20,6 +20,8 @@
     cancel,
     cancel_wave,
     fault,
+    lose_entry_requests,
+    lose_entry_answers,
     deliver_late,
     drop_late,
     kill,
@@ -29,8 +31,11 @@
     pause,
     resume,
     cut,
+    cut_one_way,
     isolate,
     heal,
+    toggle_refusals,
+    toggle_hidden_agent,
     restart_agent,
     leave_agent,
     pause_agent,
@@ -44,6 +49,7 @@
     data_centre_in,
     operators_race,
     wait,
+    long_wait,
 };
 
 /// One step of a sequence; the numbers choose processes, ids and amounts.
--- a/tests/auto/stateful/fake_network.cpp
+++ b/tests/auto/stateful/fake_network.cpp
@@ -6,6 +6,21 @@
 /// Most late messages kept; the oldest are dropped first.
 constexpr std::size_t max_late_messages = 200;
 
+call_fault take_first(std::deque<call_fault>& faults)
+{
+    if (faults.empty()) {
+        return call_fault::none;
+    }
+    const call_fault first = faults.front();
+    faults.pop_front();
+    return first;
+}
+
+bool is_entry(const std::string& name)
+{
+    return name.starts_with("entry-");
+}
+
 } // namespace
 
 void fake_network::plan_fault(call_fault fault, int skipped)
@@ -14,18 +29,38 @@
     faults_.push_back(fault);
 }
 
-call_fault fake_network::next_fault(const std::string& sender, const std::string& receiver)
+void fake_network::plan_entry_faults(call_fault fault, int count)
+{
+    entry_faults_.assign(static_cast<std::size_t>(count), fault);
+}
+
+void fake_network::clear_faults()
 {
-    const call_fault chosen = choose ? choose(sender, receiver) : call_fault::none;
-    if (chosen != call_fault::none) {
-        return chosen;
+    faults_.clear();
+    entry_faults_.clear();
+    hosts_refuse = true;
+}
+
+void fake_network::heal()
+{
+    cuts_.clear();
+    hidden_.clear();
+}
+
+void fake_network::toggle_hidden(const std::string& name)
+{
+    if (!hidden_.insert(name).second) {
+        hidden_.erase(name);
     }
-    if (faults_.empty()) {
-        return call_fault::none;
+}
+
+call_fault fake_network::next_fault(const std::string& sender, const std::string& receiver)
+{
+    call_fault chosen = choose ? choose(sender, receiver) : call_fault::none;
+    if (chosen == call_fault::none && is_entry(sender) && is_entry(receiver)) {
+        chosen = take_first(entry_faults_);
     }
-    const call_fault next = faults_.front();
-    faults_.pop_front();
-    return next;
+    return chosen == call_fault::none ? take_first(faults_) : chosen;
 }
 
 void fake_network::keep(const std::string& sender, const receiver& to,
--- a/tests/auto/stateful/fake_network.h
+++ b/tests/auto/stateful/fake_network.h
@@ -66,16 +66,24 @@
 
     void cut(const std::string& left, const std::string& right)
     {
-        cuts_.insert(std::minmax(left, right));
+        cut_one_way(left, right);
+        cut_one_way(right, left);
     }
-    void heal() { cuts_.clear(); }
-    [[nodiscard]] bool is_cut(const std::string& left, const std::string& right) const
+    /// Calls from the first to the second are lost; those in the other direction are answered.
+    void cut_one_way(const std::string& from, const std::string& to) { cuts_.insert({from, to}); }
+    /// Cuts the process off from all others, or ends that.
+    void toggle_hidden(const std::string& name);
+    /// Ends all cuts; hidden processes are reachable again.
+    void heal();
+    [[nodiscard]] bool is_cut(const std::string& from, const std::string& to) const
     {
-        return cuts_.contains(std::minmax(left, right));
+        return cuts_.contains({from, to}) || hidden_.contains(from) || hidden_.contains(to);
     }
     /// The next call gets this fault after `skipped` calls without one.
     void plan_fault(call_fault fault, int skipped);
-    void clear_faults() { faults_.clear(); }
+    /// The next `count` calls between entries get this fault.
+    void plan_entry_faults(call_fault fault, int count);
+    void clear_faults();
 
     /// Delivers one of the late messages; nothing happens if its receiver is paused or unreachable.
     void deliver_late(std::size_t number);
@@ -84,6 +92,8 @@
 
     /// Calls over a cut connection fail as `unavailable`, else their outcome is unknown.
     bool cut_refuses{false};
+    /// Addresses of dead entries refuse connections.
+    bool hosts_refuse{true};
     /// Consulted first for each call, with the names of sender and receiver; for directed tests.
     std::function<call_fault(const std::string& sender, const std::string& receiver)> choose;
 
@@ -106,8 +116,10 @@
     void keep(const std::string& sender, const receiver& to, std::function<void()> deliver);
 
     turn_scheduler& turns_;
-    std::set<std::pair<std::string, std::string>> cuts_;
+    std::set<std::pair<std::string, std::string>> cuts_; ///< sender and receiver
+    std::set<std::string> hidden_;
     std::deque<call_fault> faults_;
+    std::deque<call_fault> entry_faults_;
     std::deque<late_message> late_;
 };
 
--- a/tests/auto/stateful/tst_random_faults.cpp
+++ b/tests/auto/stateful/tst_random_faults.cpp
@@ -31,12 +31,14 @@
                                                         {8, action::step_agent},
                                                         {40, action::step_thread},
                                                         {6, action::take_tasks},
-                                                        {30, action::submit},
+                                                        {36, action::submit},
                                                         {3, action::submit_other_body},
                                                         {6, action::status},
                                                         {3, action::cancel},
                                                         {1, action::cancel_wave},
                                                         {24, action::fault},
+                                                        {4, action::lose_entry_requests},
+                                                        {4, action::lose_entry_answers},
                                                         {14, action::deliver_late},
                                                         {2, action::drop_late},
                                                         {5, action::kill},
@@ -46,8 +48,11 @@
                                                         {4, action::pause},
                                                         {7, action::resume},
                                                         {5, action::cut},
+                                                        {4, action::cut_one_way},
                                                         {1, action::isolate},
-                                                        {5, action::heal},
+                                                        {9, action::heal},
+                                                        {2, action::toggle_refusals},
+                                                        {3, action::toggle_hidden_agent},
                                                         {2, action::restart_agent},
                                                         {2, action::leave_agent},
                                                         {3, action::pause_agent},
@@ -60,7 +65,8 @@
                                                         {3, action::data_centre_out},
                                                         {4, action::data_centre_in},
                                                         {2, action::operators_race},
-                                                        {2, action::wait}});
+                                                        {2, action::wait},
+                                                        {1, action::long_wait}});
     // Without a fixed size, short test numbers would choose among the first processes and ids only.
     const auto number = rc::gen::resize(rc::kNominalSize, rc::gen::inRange(0, 60));
     return rc::gen::build<command>(rc::gen::set(&command::what, what),
@@ -77,10 +83,10 @@
 };
 
 /// Runs one sequence in a new region, up to the first broken rule.
-std::string run_sequence(rule_removed mutation, const std::vector<command>& commands,
+std::string run_sequence(rule_removed mutation, int entries, const std::vector<command>& commands,
                          campaign& outcome)
 {
-    world region(mutation);
+    world region(mutation, entries);
     std::string problem = region.begin() ? "" : "the region did not begin to work";
     for (std::size_t i = 0; i < commands.size() && problem.empty(); ++i) {
         apply(region, commands[i]);
@@ -98,7 +104,7 @@
 }
 
 /// Leaves out every command without which the rule is broken as well.
-std::vector<command> shrink(rule_removed mutation, std::vector<command> commands)
+std::vector<command> shrink(rule_removed mutation, int entries, std::vector<command> commands)
 {
     campaign ignored;
     for (std::size_t length = commands.size() / 2; length > 0; length /= 2) {
@@ -106,7 +112,7 @@
             std::vector<command> shorter = commands;
             const auto first = shorter.begin() + static_cast<std::ptrdiff_t>(at);
             shorter.erase(first, first + static_cast<std::ptrdiff_t>(length));
-            if (run_sequence(mutation, shorter, ignored).empty()) {
+            if (run_sequence(mutation, entries, shorter, ignored).empty()) {
                 at += length;
             } else {
                 commands = std::move(shorter);
@@ -136,15 +142,16 @@
     campaign outcome;
     int sequence = 0;
     rc::check("region", [&] {
+        const int entries = *rc::gen::inRange(2, 6);
         const auto commands = *rc::gen::container<std::vector<command>>(
             static_cast<std::size_t>(size), any_command());
-        const std::string problem = run_sequence(mutation, commands, outcome);
+        const std::string problem = run_sequence(mutation, entries, commands, outcome);
         ++sequence;
         if (!problem.empty()) {
             const bool wanted = std::getenv("CAROBFALL_FUZZ_SHRINK") != nullptr;
             outcome.violation =
-                absl::StrCat("sequence ", sequence, ": ", problem, "\n",
-                             describe(wanted ? shrink(mutation, commands) : commands));
+                absl::StrCat("sequence ", sequence, " of ", entries, " entries: ", problem, "\n",
+                             describe(wanted ? shrink(mutation, entries, commands) : commands));
         }
         RC_ASSERT(problem == "");
     });
--- a/tests/auto/stateful/world.cpp
+++ b/tests/auto/stateful/world.cpp
@@ -43,17 +43,17 @@
 
 } // namespace
 
-world::world(rule_removed mutation)
+world::world(rule_removed mutation, int entries)
     : mutation_(mutation), now_us_(absl::ToUnixMicros(absl::FromUnixSeconds(1'000'000)))
 {
-    for (int i = 0; i < entry_count; ++i) {
+    for (int i = 0; i < entries; ++i) {
         entry_names_.push_back(absl::StrCat("entry-", i));
     }
-    generations_.resize(entry_count);
-    entries_.resize(entry_count);
+    generations_.resize(entry_names_.size());
+    entries_.resize(entry_names_.size());
     agents_.resize(agent_count);
     declare();
-    for (int i = 0; i < entry_count; ++i) {
+    for (int i = 0; i < this->entries(); ++i) {
         start_entry(i);
     }
     for (int i = 0; i < agent_count; ++i) {
@@ -63,7 +63,7 @@
 
 world::~world()
 {
-    for (int i = 0; i < entry_count; ++i) {
+    for (int i = 0; i < entries(); ++i) {
         kill_entry(i);
     }
     turns_.join();
@@ -121,7 +121,7 @@
 
 bool world::refuses(const std::string& address) const
 {
-    return entry(address) == nullptr;
+    return network_.hosts_refuse && entry(address) == nullptr;
 }
 
 void world::start_entry(int index)
@@ -176,7 +176,7 @@
 
 void world::end_superseded()
 {
-    for (int i = 0; i < entry_count; ++i) {
+    for (int i = 0; i < entries(); ++i) {
         if (entry(i) != nullptr && entry(i)->has_left) {
             facts_.on_graceful_end(entry(i)->self.name(), entry(i)->open_calls);
         }
@@ -221,7 +221,7 @@
         const bool beats =
             absl::ToUnixMillis(before) / absl::ToInt64Milliseconds(heartbeat_interval) !=
             absl::ToUnixMillis(now()) / absl::ToInt64Milliseconds(heartbeat_interval);
-        for (int i = 0; i < entry_count && beats; ++i) {
+        for (int i = 0; i < entries() && beats; ++i) {
             step_entry(i);
         }
         for (int i = 0; i < agent_count; ++i) {
@@ -255,10 +255,10 @@
 
 rpc::submission_request world::request_for(int id, int body)
 {
-    constexpr absl::Duration deadlines[] = {absl::Seconds(2), absl::Seconds(5), absl::Seconds(20)};
+    constexpr int deadlines_s[] = {2, 5, 20, 30, 120, 299};
     const auto [fixed, inserted] = deadlines_.try_emplace(id, 0);
     if (inserted) {
-        fixed->second = to_unix_ms(now() + deadlines[id % 3]);
+        fixed->second = to_unix_ms(now() + absl::Seconds(deadlines_s[id % 6]));
     }
     rpc::submission_request request;
     request.mutable_key()->set_client_account("dambi");
@@ -360,14 +360,14 @@
 bool world::is_healthy() const
 {
     std::uint64_t number = 0;
-    for (int i = 0; i < entry_count; ++i) {
+    for (int i = 0; i < entries(); ++i) {
         if (entry(i) == nullptr || entry(i)->draining) {
             return false;
         }
         const ownership_snapshot snapshot = entry(i)->members->snapshot();
         number = number == 0 ? snapshot.view.number() : number;
         if (!snapshot.usable() || !snapshot.complete || snapshot.view.number() != number ||
-            snapshot.view.members_size() != entry_count ||
+            snapshot.view.members_size() != entries() ||
             entry(i)->registry->agents().size() != agent_count ||
             entry(i)->keeper->current()->version < facts_.accepted_version()) {
             return false;
@@ -397,7 +397,7 @@
     constexpr int most_rounds = 900;
     constexpr int short_rounds = 60;
     for (int round = 0; round < most_rounds && (round < 10 || !is_healthy()); ++round) {
-        for (int i = 0; i < entry_count; ++i) {
+        for (int i = 0; i < entries(); ++i) {
             start_entry(i);
             pause_entry(i, false);
         }
@@ -413,7 +413,8 @@
 std::string world::violation()
 {
     note_committed();
-    return facts_.violation();
+    const std::string found = facts_.violation();
+    return found.empty() ? claims_.violation(entries_, now()) : found;
 }
 
 void silence_logs()
--- a/tests/auto/stateful/world.h
+++ b/tests/auto/stateful/world.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "agent_process.h"
+#include "claim_rules.h"
 #include "entry_process.h"
 #include "fake_network.h"
 #include "mutations.h"
@@ -17,16 +18,17 @@
 
 namespace carobfall::stateful {
 
+/// Entries, unless a test says otherwise.
 inline constexpr int entry_count = 3;
 inline constexpr int agent_count = 4;
 
 inline constexpr absl::Duration heartbeat_interval = absl::Milliseconds(500);
 
-/// Three entries and four agents in three data centres, the table service, clients and operators.
+/// Some entries and four agents in three data centres, the table service, clients and operators.
 /// Time moves only by `run`. All calls come from the controlling thread.
 class world {
 public:
-    explicit world(rule_removed mutation = rule_removed::none);
+    explicit world(rule_removed mutation = rule_removed::none, int entries = entry_count);
     ~world();
     world(const world&) = delete;
     world& operator=(const world&) = delete;
@@ -39,6 +41,8 @@
     fake_network& network() { return network_; }
     testing::fake_table_service& table() { return table_; }
     oracle& facts() { return facts_; }
+    claim_rules& claims() { return claims_; }
+    [[nodiscard]] int entries() const { return static_cast<int>(entries_.size()); }
 
     /// Null while the process is dead.
     [[nodiscard]] std::shared_ptr<entry_process> entry(const std::string& name) const;
@@ -99,6 +103,7 @@
     std::atomic<std::int64_t> dead_looks_{0};
     testing::fake_table_service table_;
     oracle facts_;
+    claim_rules claims_;
     std::vector<std::string> entry_names_;
     std::vector<int> generations_;
     std::map<int, std::int64_t> deadlines_; ///< of each id, fixed by its first request
