--- a/tests/auto/entry/region_simulation.cpp
+++ b/tests/auto/entry/region_simulation.cpp
@@ -5,7 +5,6 @@
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
-#include <glog/logging.h>
 
 namespace carobfall::test {
 namespace {
@@ -16,13 +15,6 @@
         : region_(region), from_(from), to_(std::move(to))
     {}
 
-    result<rpc::claim_reply> claim_submission(const rpc::claim_request& request,
-                                              absl::Duration) override
-    {
-        return call([&](simulated_entry& entry) {
-            return accept_claim(request, entry.members->state(), entry.claims);
-        });
-    }
     result<rpc::fetch_claims_reply> fetch_claims(const rpc::fetch_claims_request& request,
                                                  absl::Duration) override
     {
@@ -63,19 +55,10 @@
     auto call(const Action& action, simulated_entry* entry)
         -> result<decltype(action(std::declval<simulated_entry&>()))>
     {
-        if (region_.lost_requests > 0) {
-            --region_.lost_requests;
-            return unreachable();
-        }
         if (entry == nullptr) {
             return unreachable();
         }
-        auto reply = action(*entry);
-        if (region_.lost_replies > 0) {
-            --region_.lost_replies;
-            return failure(error_kind::outcome_unknown, "answer lost", "ask");
-        }
-        return reply;
+        return action(*entry);
     }
 
     region_simulation& region_;
@@ -284,9 +267,4 @@
     return entry != nullptr && entry->self.incarnation() == member.incarnation() ? entry : nullptr;
 }
 
-void silence_logs()
-{
-    google::SetStderrLogging(google::GLOG_FATAL);
-}
-
 } // namespace carobfall::test
--- a/tests/auto/entry/region_simulation.h
+++ b/tests/auto/entry/region_simulation.h
@@ -53,8 +53,6 @@
     std::set<std::pair<int, int>> cuts;         ///< pairs of entries, lower index first
     std::set<std::pair<int, int>> one_way_cuts; ///< calls from the first to the second are lost
     bool hosts_refuse{true};                    ///< addresses of dead entries refuse connections
-    int lost_requests{0};                       ///< this many calls between entries don't arrive
-    int lost_replies{0}; ///< this many calls between entries take effect without an answer
 
     void start(int index);
     void kill(int index) { entries[static_cast<std::size_t>(index)].reset(); }
@@ -79,7 +77,4 @@
     int agent_generation_{0};
 };
 
-/// Keeps the log lines of many simulated failures out of the test's output.
-void silence_logs();
-
 } // namespace carobfall::test
