Tests: Wait and finish records in one place

Cause: tst_entry_session had its own copy of becomes_true, and the fake agent of the dispatch tests filled in a finished record in two places.

No case and no check has changed. Ruled out: a fixture for "one agent holds one job open" in tst_job_runner; it would be as long as the nine repeated lines.

--- a/tests/auto/agent/tst_entry_session.cpp
+++ b/tests/auto/agent/tst_entry_session.cpp
@@ -9,6 +9,7 @@
 #include <map>
 
 using namespace carobfall;
+using carobfall::testing::becomes_true;
 using trompeloeil::_;
 
 namespace {
@@ -99,7 +100,7 @@
     session.post(expired);
     session.post(report_to("a", 1));
     REQUIRE(is_set(delivered));
-    CHECK(testing::becomes_true([&] { return session.pending_reports() == 0; }));
+    CHECK(becomes_true([&] { return session.pending_reports() == 0; }));
 }
 
 // Guards against an agent that an entry has forgotten and that never gets a lease again.
@@ -174,15 +175,6 @@
     return text;
 }
 
-bool wait_until(const std::function<bool()>& condition)
-{
-    const absl::Time limit = absl::Now() + time_limit;
-    while (!condition() && absl::Now() < limit) {
-        absl::SleepFor(absl::Milliseconds(1));
-    }
-    return condition();
-}
-
 std::string addresses_of(const entry_session_set& sessions)
 {
     std::string text;
@@ -219,7 +211,7 @@
     CHECK(sessions.adopt_view(view_of(3, {"b", "c"})));
     CHECK(addresses_of(sessions) == "b c seed ");
     sessions.post(report_to("d", 1));
-    CHECK(testing::becomes_true([&] {
+    CHECK(becomes_true([&] {
         sessions.collect(monotonic_now() + absl::Minutes(1));
         return addresses_of(sessions) == "b c seed ";
     }));
@@ -241,20 +233,20 @@
     sessions.start();
     sessions.adopt_view(view_of(1, {"a", "b", "c"}));
     // Members without names have the same score, so that the address decides.
-    REQUIRE(wait_until([&] { return lease_entries_of(sessions) == "a"; }));
+    REQUIRE(becomes_true([&] { return lease_entries_of(sessions) == "a"; }, time_limit));
     const int renewed = entries.at("a").beats;
     const int standby = entries.at("c").beats;
-    REQUIRE(wait_until([&] { return entries.at("a").beats > renewed + 5; }));
+    REQUIRE(becomes_true([&] { return entries.at("a").beats > renewed + 5; }, time_limit));
     CHECK(entries.at("c").beats <= standby + 1);
     entries.at("a").answers = false;
-    REQUIRE(wait_until([&] { return lease_entries_of(sessions) == "b"; }));
+    REQUIRE(becomes_true([&] { return lease_entries_of(sessions) == "b"; }, time_limit));
     const int taken_over = entries.at("b").beats;
-    CHECK(wait_until([&] { return entries.at("b").beats > taken_over + 5; }));
+    CHECK(becomes_true([&] { return entries.at("b").beats > taken_over + 5; }, time_limit));
     entries.at("b").answers = false;
     entries.at("c").answers = false;
-    REQUIRE(wait_until([&] { return lease_entries_of(sessions) == "abc"; }));
+    REQUIRE(becomes_true([&] { return lease_entries_of(sessions) == "abc"; }, time_limit));
     entries.at("c").answers = true;
-    REQUIRE(wait_until([&] { return lease_entries_of(sessions) == "c"; }));
+    REQUIRE(becomes_true([&] { return lease_entries_of(sessions) == "c"; }, time_limit));
     entries.at("a").answers = true;
-    CHECK(wait_until([&] { return lease_entries_of(sessions) == "a"; }));
+    CHECK(becomes_true([&] { return lease_entries_of(sessions) == "a"; }, time_limit));
 }
--- a/tests/auto/dispatch/fakes.cpp
+++ b/tests/auto/dispatch/fakes.cpp
@@ -18,6 +18,15 @@
     return failure(error_kind::unavailable, "no connection", "wait");
 }
 
+void finish_record(rpc::task_status& record, bool succeeds)
+{
+    record.set_state(rpc::task_state_finished);
+    record.mutable_result()->set_success(succeeds);
+    record.mutable_result()->set_backend_status(succeeds ? 200 : 500);
+    record.mutable_result()->set_run_ms(50);
+    record.mutable_result()->set_body(absl::StrCat("r", record.index()));
+}
+
 } // namespace
 
 result<rpc::start_reply> fake_agent::start(const rpc::start_request& request,
@@ -88,11 +97,7 @@
     record.set_state(rpc::task_state_started);
     answer = record;
     if (mode_ == agent_mode::run) {
-        record.set_state(rpc::task_state_finished);
-        record.mutable_result()->set_success(task_succeeds);
-        record.mutable_result()->set_backend_status(task_succeeds ? 200 : 500);
-        record.mutable_result()->set_run_ms(50);
-        record.mutable_result()->set_body(absl::StrCat("r", task.index()));
+        finish_record(record, task_succeeds);
     }
     return answer;
 }
@@ -143,11 +148,7 @@
         rpc::task_status& record = ledger_[{key, index}];
         record.set_index(index);
         record.set_attempt(std::max(1U, record.attempt()));
-        record.set_state(rpc::task_state_finished);
-        record.mutable_result()->set_success(succeeds);
-        record.mutable_result()->set_run_ms(50);
-        record.mutable_result()->set_backend_status(succeeds ? 200 : 500);
-        record.mutable_result()->set_body(absl::StrCat("r", index));
+        finish_record(record, succeeds);
         status = record;
     }
     if (tell) {
