Stateful: Keep name, weight and effect of a command in one row

Cause: each of the 41 commands stood in an enumeration, in a table of names and effects and in a list of weights; three channels had the same look-up of the receiver around each call.

Change: the table has the weights, and a command is a row of it; fake_network::call_process finds the receiver. Order and weights of the commands are the same.

--- a/tests/auto/stateful/agent_process.h
+++ b/tests/auto/stateful/agent_process.h
@@ -30,8 +30,9 @@
     agent_process(world& region, const std::string& name, std::string incarnation,
                   std::string data_centre);
 
+    process_gate gate;
+
     [[nodiscard]] const rpc::agent_info& info() const { return info_; }
-    process_gate& gate() { return gate_; }
     task_ledger& ledger() { return *ledger_; }
     start_lease& lease() { return lease_; }
 
@@ -71,7 +72,6 @@
     [[nodiscard]] rpc::beat_request make_beat(absl::Time now) const;
 
     world& region_;
-    process_gate gate_;
     rpc::agent_info info_;
     start_lease lease_;
     std::unique_ptr<task_ledger> ledger_;
--- a/tests/auto/stateful/channels.cpp
+++ b/tests/auto/stateful/channels.cpp
@@ -101,15 +101,8 @@
                                (any_incarnation || entry->self.incarnation() == to.incarnation());
             return meant ? entry : nullptr;
         };
-        const fake_network::receiver receiver{to_.name(), [find]() -> process_gate* {
-                                                  const auto entry = find();
-                                                  return entry == nullptr ? nullptr : &entry->gate;
-                                              }};
-        return region_.network().call<Reply>(
-            from_.gate, from_.self.name(), receiver, [find, action]() -> std::optional<Reply> {
-                const auto entry = find();
-                return entry == nullptr ? std::nullopt : std::optional(action(*entry));
-            });
+        return region_.network().call_process<Reply>(from_.gate, from_.self.name(), to_.name(),
+                                                     find, action);
     }
 
     /// The receiver's error reaches the caller as an error of the call.
@@ -193,16 +186,8 @@
     result<Reply> call(const std::function<Reply(agent_process&)>& action)
     {
         const auto find = [&region = region_, to = to_] { return region.agent(to); };
-        const fake_network::receiver receiver{to_, [find]() -> process_gate* {
-                                                  const auto agent = find();
-                                                  return agent == nullptr ? nullptr
-                                                                          : &agent->gate();
-                                              }};
-        return region_.network().call<Reply>(
-            from_.gate, from_.self.name(), receiver, [find, action]() -> std::optional<Reply> {
-                const auto agent = find();
-                return agent == nullptr ? std::nullopt : std::optional(action(*agent));
-            });
+        return region_.network().call_process<Reply>(from_.gate, from_.self.name(), to_, find,
+                                                     action);
     }
 
     world& region_;
--- a/tests/auto/stateful/commands.cpp
+++ b/tests/auto/stateful/commands.cpp
@@ -12,6 +12,7 @@
 constexpr std::array<const char*, 3> data_centres{"mapo", "guro", "gangnam"};
 
 struct command_row {
+    std::size_t weight;
     const char* name;
     std::function<void(world&, int, int)> run;
 };
@@ -94,106 +95,120 @@
 const std::vector<command_row>& rows()
 {
     static const std::vector<command_row> table{
-        {"run", [](world& w, int, int second) { w.run(1 + second % 6); }},
-        {"step_entry", [](world& w, int first, int) { w.step_entry(first % w.entries()); }},
-        {"step_agent", [](world& w, int first, int) { w.step_agent(first % agent_count); }},
-        {"step_thread", step_thread},
-        {"take_tasks",
+        {40, "run", [](world& w, int, int second) { w.run(1 + second % 6); }},
+        {8, "step_entry", [](world& w, int first, int) { w.step_entry(first % w.entries()); }},
+        {8, "step_agent", [](world& w, int first, int) { w.step_agent(first % agent_count); }},
+        {40, "step_thread", step_thread},
+        {6, "take_tasks",
          [](world& w, int first, int) {
-             if (!w.agent(first % agent_count)->gate().paused) {
+             if (!w.agent(first % agent_count)->gate.paused) {
                  w.agent(first % agent_count)->take_tasks();
              }
          }},
-        {"submit",
+        {36, "submit",
          [](world& w, int first, int second) {
              auto request = w.request_for(second % ids, 0);
              request.set_wait(second / ids % 2 == 1);
              w.submit(first % w.entries(), request);
          }},
-        {"submit_other_body",
+        {3, "submit_other_body",
          [](world& w, int first, int second) {
              w.submit(first % w.entries(), w.request_for(second % ids, 1));
          }},
-        {"status",
+        {6, "status",
          [](world& w, int first, int second) {
              w.ask_status(first % w.entries(), w.request_for(second % ids, 0));
          }},
-        {"cancel", [](world& w, int first,
-                      int second) { w.cancel(first % w.entries(), key_of(second % ids)); }},
-        {"cancel_wave", cancel_wave},
-        {"fault", plan_fault},
-        {"lose_entry_requests",
+        {3, "cancel",
+         [](world& w, int first, int second) {
+             w.cancel(first % w.entries(), key_of(second % ids));
+         }},
+        {1, "cancel_wave", cancel_wave},
+        {24, "fault", plan_fault},
+        {4, "lose_entry_requests",
          [](world& w, int, int second) {
              w.network().plan_entry_faults(call_fault::lose_request, 1 + second % 5);
          }},
-        {"lose_entry_answers",
+        {4, "lose_entry_answers",
          [](world& w, int, int second) {
              w.network().plan_entry_faults(call_fault::lose_answer, 1 + second % 5);
          }},
-        {"deliver_late", [](world& w, int first,
-                            int) { w.network().deliver_late(static_cast<std::size_t>(first)); }},
-        {"drop_late",
+        {14, "deliver_late",
+         [](world& w, int first, int) {
+             w.network().deliver_late(static_cast<std::size_t>(first));
+         }},
+        {2, "drop_late",
          [](world& w, int first, int) { w.network().drop_late(static_cast<std::size_t>(first)); }},
-        {"kill", [](world& w, int first, int) { w.kill_entry(first % w.entries()); }},
-        {"kill_all",
+        {5, "kill", [](world& w, int first, int) { w.kill_entry(first % w.entries()); }},
+        {1, "kill_all",
          [](world& w, int, int) {
              for (int i = 0; i < w.entries(); ++i) {
                  w.kill_entry(i);
              }
          }},
-        {"leave", [](world& w, int first, int) { w.leave_entry(first % w.entries()); }},
-        {"restart", [](world& w, int first, int) { w.start_entry(first % w.entries()); }},
-        {"pause", [](world& w, int first, int) { w.pause_entry(first % w.entries(), true); }},
-        {"resume", [](world& w, int first, int) { w.pause_entry(first % w.entries(), false); }},
-        {"cut", cut},
-        {"cut_one_way", cut_one_way},
-        {"isolate", isolate},
-        {"heal", [](world& w, int, int) { w.network().heal(); }},
-        {"toggle_refusals",
+        {3, "leave", [](world& w, int first, int) { w.leave_entry(first % w.entries()); }},
+        {9, "restart", [](world& w, int first, int) { w.start_entry(first % w.entries()); }},
+        {4, "pause", [](world& w, int first, int) { w.pause_entry(first % w.entries(), true); }},
+        {7, "resume", [](world& w, int first, int) { w.pause_entry(first % w.entries(), false); }},
+        {5, "cut", cut},
+        {4, "cut_one_way", cut_one_way},
+        {1, "isolate", isolate},
+        {9, "heal", [](world& w, int, int) { w.network().heal(); }},
+        {2, "toggle_refusals",
          [](world& w, int, int) { w.network().hosts_refuse = !w.network().hosts_refuse; }},
-        {"toggle_hidden_agent",
+        {3, "toggle_hidden_agent",
          [](world& w, int first, int) {
              w.network().toggle_hidden(w.agent(first % agent_count)->info().name());
          }},
-        {"restart_agent", [](world& w, int first, int) { w.restart_agent(first % agent_count); }},
-        {"leave_agent", [](world& w, int first, int) { w.agent(first % agent_count)->leave(); }},
-        {"pause_agent", [](world& w, int first, int) { w.pause_agent(first % agent_count, true); }},
-        {"resume_agent",
+        {2, "restart_agent",
+         [](world& w, int first, int) { w.restart_agent(first % agent_count); }},
+        {2, "leave_agent", [](world& w, int first, int) { w.agent(first % agent_count)->leave(); }},
+        {3, "pause_agent",
+         [](world& w, int first, int) { w.pause_agent(first % agent_count, true); }},
+        {5, "resume_agent",
          [](world& w, int first, int) { w.pause_agent(first % agent_count, false); }},
-        {"backend",
+        {4, "backend",
          [](world& w, int first, int second) {
              w.agent(first % agent_count)->set_backend(static_cast<backend_state>(second % 4));
          }},
-        {"outage", [](world& w, int first, int) { w.table().set_outage(first % 2 == 0); }},
-        {"lose_store_answer", [](world& w, int, int) { w.table().lose_answers(1); }},
-        {"delay_store", [](world& w, int, int) { w.table().delay_commits(1); }},
-        {"release_store", [](world& w, int, int) { w.table().release_commits(); }},
-        {"data_centre_out",
+        {3, "outage", [](world& w, int first, int) { w.table().set_outage(first % 2 == 0); }},
+        {3, "lose_store_answer", [](world& w, int, int) { w.table().lose_answers(1); }},
+        {2, "delay_store", [](world& w, int, int) { w.table().delay_commits(1); }},
+        {2, "release_store", [](world& w, int, int) { w.table().release_commits(); }},
+        {3, "data_centre_out",
          [](world& w, int first, int second) { change(w, first, second, true); }},
-        {"data_centre_in",
+        {4, "data_centre_in",
          [](world& w, int first, int second) { change(w, first, second, false); }},
-        {"operators_race",
+        {2, "operators_race",
          [](world& w, int first, int second) {
              change(w, first, second, true);
              change(w, first + 1, second, false);
          }},
-        {"wait", [](world& w, int, int second) { w.advance(absl::Seconds(1 + second % 6)); }},
-        {"long_wait", [](world& w, int, int second) { w.advance(absl::Seconds(second * 4)); }},
+        {2, "wait", [](world& w, int, int second) { w.advance(absl::Seconds(1 + second % 6)); }},
+        {1, "long_wait", [](world& w, int, int second) { w.advance(absl::Seconds(second * 4)); }},
     };
     return table;
 }
 
 } // namespace
 
+std::vector<std::size_t> command_weights()
+{
+    std::vector<std::size_t> weights;
+    for (const command_row& row : rows()) {
+        weights.push_back(row.weight);
+    }
+    return weights;
+}
+
 std::ostream& operator<<(std::ostream& stream, const command& step)
 {
-    return stream << rows()[static_cast<std::size_t>(step.what)].name << "(" << step.first << ","
-                  << step.second << ")";
+    return stream << rows()[step.what].name << "(" << step.first << "," << step.second << ")";
 }
 
 void apply(world& region, const command& step)
 {
-    rows()[static_cast<std::size_t>(step.what)].run(region, step.first, step.second);
+    rows()[step.what].run(region, step.first, step.second);
     region.turns().settle();
     region.end_superseded();
 }
--- a/tests/auto/stateful/commands.h
+++ b/tests/auto/stateful/commands.h
@@ -8,57 +8,16 @@
 
 namespace carobfall::stateful {
 
-enum class action {
-    run,
-    step_entry,
-    step_agent,
-    step_thread,
-    take_tasks,
-    submit,
-    submit_other_body,
-    status,
-    cancel,
-    cancel_wave,
-    fault,
-    lose_entry_requests,
-    lose_entry_answers,
-    deliver_late,
-    drop_late,
-    kill,
-    kill_all,
-    leave,
-    restart,
-    pause,
-    resume,
-    cut,
-    cut_one_way,
-    isolate,
-    heal,
-    toggle_refusals,
-    toggle_hidden_agent,
-    restart_agent,
-    leave_agent,
-    pause_agent,
-    resume_agent,
-    backend,
-    outage,
-    lose_store_answer,
-    delay_store,
-    release_store,
-    data_centre_out,
-    data_centre_in,
-    operators_race,
-    wait,
-    long_wait,
-};
-
 /// One step of a sequence; the numbers choose processes, ids and amounts.
 struct command {
-    action what{action::run};
+    std::size_t what{0}; ///< row of the table of commands
     int first{0};
     int second{0};
 };
 
+/// How often each command is chosen, in the order of the table.
+[[nodiscard]] std::vector<std::size_t> command_weights();
+
 std::ostream& operator<<(std::ostream& stream, const command& step);
 
 /// Applies the command, and hands superseded entries on to their end.
--- a/tests/auto/stateful/fake_network.h
+++ b/tests/auto/stateful/fake_network.h
@@ -64,6 +64,21 @@
         return *std::move(reply);
     }
 
+    /// Calls the process that `find` gives, a shared pointer; null if nothing listens there.
+    template <typename Reply, typename Find, typename Action>
+    result<Reply> call_process(process_gate& from, const std::string& sender,
+                               const std::string& name, const Find& find, const Action& action)
+    {
+        const receiver to{name, [find]() -> process_gate* {
+                              const auto process = find();
+                              return process == nullptr ? nullptr : &process->gate;
+                          }};
+        return call<Reply>(from, sender, to, [find, action]() -> std::optional<Reply> {
+            const auto process = find();
+            return process == nullptr ? std::nullopt : std::optional<Reply>(action(*process));
+        });
+    }
+
     void cut(const std::string& left, const std::string& right)
     {
         cut_one_way(left, right);
--- a/tests/auto/stateful/tst_random_faults.cpp
+++ b/tests/auto/stateful/tst_random_faults.cpp
@@ -6,6 +6,7 @@
 #include <rapidcheck.h>
 
 #include <cstdlib>
+#include <numeric>
 #include <sstream>
 
 using namespace carobfall;
@@ -26,47 +27,11 @@
 
 rc::Gen<command> any_command()
 {
-    const auto what = rc::gen::weightedElement<action>({{40, action::run},
-                                                        {8, action::step_entry},
-                                                        {8, action::step_agent},
-                                                        {40, action::step_thread},
-                                                        {6, action::take_tasks},
-                                                        {36, action::submit},
-                                                        {3, action::submit_other_body},
-                                                        {6, action::status},
-                                                        {3, action::cancel},
-                                                        {1, action::cancel_wave},
-                                                        {24, action::fault},
-                                                        {4, action::lose_entry_requests},
-                                                        {4, action::lose_entry_answers},
-                                                        {14, action::deliver_late},
-                                                        {2, action::drop_late},
-                                                        {5, action::kill},
-                                                        {1, action::kill_all},
-                                                        {3, action::leave},
-                                                        {9, action::restart},
-                                                        {4, action::pause},
-                                                        {7, action::resume},
-                                                        {5, action::cut},
-                                                        {4, action::cut_one_way},
-                                                        {1, action::isolate},
-                                                        {9, action::heal},
-                                                        {2, action::toggle_refusals},
-                                                        {3, action::toggle_hidden_agent},
-                                                        {2, action::restart_agent},
-                                                        {2, action::leave_agent},
-                                                        {3, action::pause_agent},
-                                                        {5, action::resume_agent},
-                                                        {4, action::backend},
-                                                        {3, action::outage},
-                                                        {3, action::lose_store_answer},
-                                                        {2, action::delay_store},
-                                                        {2, action::release_store},
-                                                        {3, action::data_centre_out},
-                                                        {4, action::data_centre_in},
-                                                        {2, action::operators_race},
-                                                        {2, action::wait},
-                                                        {1, action::long_wait}});
+    std::vector<std::size_t> weights = command_weights();
+    std::vector<std::size_t> rows(weights.size());
+    std::iota(rows.begin(), rows.end(), 0);
+    const rc::Gen<std::size_t> what =
+        rc::gen::detail::WeightedElementGen<std::size_t>(std::move(weights), std::move(rows));
     // Without a fixed size, short test numbers would choose among the first processes and ids only.
     const auto number = rc::gen::resize(rc::kNominalSize, rc::gen::inRange(0, 60));
     return rc::gen::build<command>(rc::gen::set(&command::what, what),
--- a/tests/auto/stateful/world.cpp
+++ b/tests/auto/stateful/world.cpp
@@ -160,7 +160,7 @@
 {
     const auto slot = static_cast<std::size_t>(index);
     if (agents_[slot] != nullptr) {
-        agents_[slot]->gate().dead = true;
+        agents_[slot]->gate.dead = true;
         facts_.on_agent_end(agents_[slot]->info().incarnation());
         dead_agents_.push_back(agents_[slot]);
     }
@@ -171,7 +171,7 @@
 
 void world::pause_agent(int index, bool paused)
 {
-    agent(index)->gate().paused = paused;
+    agent(index)->gate.paused = paused;
 }
 
 void world::end_superseded()
@@ -199,7 +199,7 @@
 void world::step_agent(int index)
 {
     const std::shared_ptr<agent_process> stepped = agent(index);
-    if (!stepped->gate().paused) {
+    if (!stepped->gate.paused) {
         stepped->step();
         if (stepped->has_left()) {
             facts_.on_graceful_end(stepped->info().name(), stepped->unfinished());
@@ -426,15 +426,8 @@
 result<Reply> world::call_entry(agent_process& from, const std::string& name,
                                 const std::function<Reply(entry_process&)>& action)
 {
-    const fake_network::receiver receiver{name, [this, name]() -> process_gate* {
-                                              const auto found = entry(name);
-                                              return found == nullptr ? nullptr : &found->gate;
-                                          }};
-    return network_.call<Reply>(
-        from.gate(), from.info().name(), receiver, [this, name, action]() -> std::optional<Reply> {
-            const auto found = entry(name);
-            return found == nullptr ? std::nullopt : std::optional(action(*found));
-        });
+    return network_.call_process<Reply>(
+        from.gate, from.info().name(), name, [this, name] { return entry(name); }, action);
 }
 
 result<rpc::register_reply> world::register_agent(agent_process& from, const std::string& name,
