--- a/tests/auto/stateful/channels.cpp
+++ b/tests/auto/stateful/channels.cpp
@@ -101,15 +101,8 @@
                                (any_incarnation || entry->self.incarnation() == to.incarnation());
             return meant ? entry : nullptr;
         };
-        const fake_network::receiver receiver{to_.name(), [find]() -> process_gate* {
-                                                  const auto entry = find();
-                                                  return entry == nullptr ? nullptr : &entry->gate;
-                                              }};
-        return region_.network().call<Reply>(
-            from_.gate, from_.self.name(), receiver, [find, action]() -> std::optional<Reply> {
-                const auto entry = find();
-                return entry == nullptr ? std::nullopt : std::optional(action(*entry));
-            });
+        return region_.network().call_process<Reply>(from_.gate, from_.self.name(), to_.name(),
+                                                     find, action);
     }
 
     /// The receiver's error reaches the caller as an error of the call.
@@ -142,7 +135,9 @@
         if (region_.mutation() == rule_removed::view_check) {
             sent.set_view_number(std::numeric_limits<std::uint64_t>::max());
         }
-        return call<rpc::start_reply>([&region = region_, sent](agent_process& agent) {
+        const std::uint64_t view_number = request.view_number();
+        return call<rpc::start_reply>([&region = region_, sent, view_number](agent_process& agent) {
+            region.claims().on_start_request(sent, view_number);
             return agent.ledger().start(sent, region.now());
         });
     }
@@ -191,16 +186,8 @@
     result<Reply> call(const std::function<Reply(agent_process&)>& action)
     {
         const auto find = [&region = region_, to = to_] { return region.agent(to); };
-        const fake_network::receiver receiver{to_, [find]() -> process_gate* {
-                                                  const auto agent = find();
-                                                  return agent == nullptr ? nullptr
-                                                                          : &agent->gate();
-                                              }};
-        return region_.network().call<Reply>(
-            from_.gate, from_.self.name(), receiver, [find, action]() -> std::optional<Reply> {
-                const auto agent = find();
-                return agent == nullptr ? std::nullopt : std::optional(action(*agent));
-            });
+        return region_.network().call_process<Reply>(from_.gate, from_.self.name(), to_, find,
+                                                     action);
     }
 
     world& region_;
