Dispatch: Bound the refusals after a loss by the deadlines of the account

Cause: an entry without the records of earlier views took an unknown submission for new only if its deadline exceeded the time of the view by the longest deadline of the system (300 s), because nothing durable said under which shorter deadlines the lost entries had accepted submissions.

A row of the configuration per client account now holds the longest max_deadline of its templates. It rises in the transaction of the change. Earlier, longer values are held with an end per region, which is committed once a majority of the region's entries holds the change that lowered them: value and retention after that. The bound is used only if the configuration was confirmed after the view took effect.

Ruled out: an end counted from the commit of the change, since entries go on with the earlier configuration throughout an outage of the store; one end for all regions, since the majority of one says nothing about the others; a bound per template, since the id belongs to the account; and a bound from a configuration confirmed only before the view took effect, since one raised just before would be missed.

Conclusion: the refusals follow the templates of the account; the test of the coordinator shows it for 60 s. Accounts of an earlier version keep the longest deadline of the system until their templates have changed and the value has ended.

--- a/src/libs/carobfall/config/configuration.cpp
+++ b/src/libs/carobfall/config/configuration.cpp
@@ -1,5 +1,7 @@
 #include "carobfall/config/configuration.h"
 
+#include <algorithm>
+
 namespace carobfall {
 
 const client_account* configuration::find_account(std::string_view name) const
@@ -20,4 +22,12 @@
     return data_centres_out.find(data_centre) != data_centres_out.end();
 }
 
+absl::Duration configuration::longest_ahead(std::string_view account, std::string_view region,
+                                            absl::Time now) const
+{
+    const auto found = deadline_bounds.find(account);
+    return found == deadline_bounds.end() ? max_deadline
+                                          : std::min(found->second.at(region, now), max_deadline);
+}
+
 } // namespace carobfall
--- a/src/libs/carobfall/config/configuration.h
+++ b/src/libs/carobfall/config/configuration.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "carobfall/base/error.h"
+#include "carobfall/config/deadline_bound.h"
 
 #include <absl/time/time.h>
 
@@ -61,11 +62,17 @@
     std::map<std::string, client_account, std::less<>> accounts;
     std::map<std::pair<std::string, std::string>, dispatch_template> templates; ///< account, name
     std::set<std::string, std::less<>> data_centres_out;
+    std::map<std::string, deadline_bound, std::less<>> deadline_bounds; ///< by client account
 
     [[nodiscard]] const client_account* find_account(std::string_view name) const;
     [[nodiscard]] const dispatch_template* find_template(const std::string& account,
                                                          const std::string& name) const;
     [[nodiscard]] bool is_out(std::string_view data_centre) const;
+    /// How far ahead the deadline of a submission can have been that entries of the region accepted
+    /// for the account and whose deadline is after `now`. The longest deadline of the system for an
+    /// account without a bound, which was written by a version without bounds.
+    [[nodiscard]] absl::Duration longest_ahead(std::string_view account, std::string_view region,
+                                               absl::Time now) const;
 };
 
 using configuration_ptr = std::shared_ptr<const configuration>;
--- a/src/libs/carobfall/config/configuration_builder.cpp
+++ b/src/libs/carobfall/config/configuration_builder.cpp
@@ -7,11 +7,10 @@
 namespace {
 
 constexpr std::string_view account_prefix = "account/";
-constexpr std::string_view template_prefix = "template/";
 constexpr std::string_view data_centre_prefix = "data_centre/";
 
 struct row_key {
-    enum class row_type { account, dispatch_template, data_centre };
+    enum class row_type { account, dispatch_template, data_centre, deadline_bound };
     row_type type{row_type::account};
     std::string name;
     std::string account; ///< of a template
@@ -36,6 +35,8 @@
         parsed.name = slash == std::string::npos ? "" : rest.substr(slash + 1);
     } else if (key.starts_with(data_centre_prefix)) {
         parsed.type = row_key::row_type::data_centre;
+    } else if (key.starts_with(deadline_bound_prefix)) {
+        parsed.type = row_key::row_type::deadline_bound;
     } else if (!key.starts_with(account_prefix)) {
         return invalid_row(key, "unknown type of row");
     }
@@ -71,12 +72,26 @@
     return success();
 }
 
+result<void> apply_bound(configuration& target, const rpc::configuration_change& change,
+                         const std::string& account)
+{
+    if (change.deleted()) {
+        target.deadline_bounds.erase(account);
+        return success();
+    }
+    BOOST_OUTCOME_TRY(target.deadline_bounds[account], decode_bound(change.value()));
+    return success();
+}
+
 result<void> apply_to(configuration& target, const rpc::configuration_change& change)
 {
     BOOST_OUTCOME_TRY(const row_key key, parse_key(change.key()));
     if (key.type == row_key::row_type::data_centre) {
         return apply_data_centre(target, change, key.name);
     }
+    if (key.type == row_key::row_type::deadline_bound) {
+        return apply_bound(target, change, key.name);
+    }
     if (change.deleted()) {
         if (key.type == row_key::row_type::account) {
             target.accounts.erase(key.name);
@@ -96,6 +111,14 @@
 
 } // namespace
 
+rpc::configuration_change bound_change(std::string_view account, const deadline_bound& bound)
+{
+    rpc::configuration_change change;
+    change.set_key(deadline_bound_key(account));
+    change.set_value(encode_bound(bound));
+    return change;
+}
+
 rpc::configuration_change data_centre_change(const std::string& name, bool out)
 {
     rpc::configuration_change change;
@@ -111,6 +134,8 @@
     rpc::configuration_change canonical = change;
     if (change.deleted()) {
         canonical.clear_value();
+    } else if (change.key().starts_with(deadline_bound_prefix)) {
+        canonical.set_value(encode_bound(scratch.deadline_bounds.begin()->second));
     } else if (!change.key().starts_with(data_centre_prefix)) {
         BOOST_OUTCOME_TRY(const declaration value, parse_value(change));
         canonical.set_value(to_yaml(value));
--- a/src/libs/carobfall/config/configuration_builder.h
+++ b/src/libs/carobfall/config/configuration_builder.h
@@ -7,10 +7,17 @@
 
 namespace carobfall {
 
+/// Begin of the keys "template/<client account>/<name>".
+inline constexpr std::string_view template_prefix = "template/";
+
 /// Values of a row "data_centre/<name>". A deleted row means the same as `data_centre_in`.
 inline constexpr std::string_view data_centre_out = "out";
 inline constexpr std::string_view data_centre_in = "in";
 
+/// Change that stores the bound of a client account, without version and change id.
+[[nodiscard]] rpc::configuration_change bound_change(std::string_view account,
+                                                     const deadline_bound& bound);
+
 /// Change that takes a data centre out or brings it back, without version and change id.
 [[nodiscard]] rpc::configuration_change data_centre_change(const std::string& name, bool out);
 
--- /dev/null
+++ b/src/libs/carobfall/config/deadline_bound.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "carobfall/base/error.h"
+
+#include <absl/time/time.h>
+
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace carobfall {
+
+/// Time that claims, answers and task records are kept after the deadline. It covers differences
+/// between the clocks of the instances.
+inline constexpr absl::Duration record_retention = absl::Seconds(60);
+
+/// Longest time that the deadline of a submission may be ahead when it is accepted.
+inline constexpr absl::Duration max_deadline = absl::Seconds(300);
+
+/// How far ahead the deadlines of a client account's accepted submissions can be. It belongs to the
+/// account, because the same submission id may have been used with any of its templates.
+struct deadline_bound {
+    using times_by_region = std::map<std::string, absl::Time, std::less<>>;
+
+    /// Longest `max_deadline` of the account's templates.
+    absl::Duration longest{absl::ZeroDuration()};
+    /// Earlier, longer values, each with the time until which it counts in a region. It counts
+    /// without end in a region without a time: entries there may not hold the change yet.
+    std::map<absl::Duration, times_by_region> held;
+
+    /// The bound that counts in the region.
+    [[nodiscard]] absl::Duration at(std::string_view region, absl::Time now) const;
+    /// True if an earlier value has no time in the region yet.
+    [[nodiscard]] bool is_unconfirmed(std::string_view region) const;
+};
+
+/// The bound after a change of the account's templates. `longest_before` and `longest_after` are
+/// the longest `max_deadline` of the templates; zero without templates.
+[[nodiscard]] deadline_bound changed_bound(deadline_bound stored, absl::Duration longest_before,
+                                           absl::Duration longest_after);
+
+/// The bound once no entry of the region accepts submissions under an earlier value any more, but
+/// for differences of time that the retention covers.
+[[nodiscard]] deadline_bound confirmed_bound(deadline_bound stored, const std::string& region,
+                                             absl::Time now);
+
+inline constexpr std::string_view deadline_bound_prefix = "deadline_bound/";
+
+/// Key of the account's row in the configuration.
+[[nodiscard]] std::string deadline_bound_key(std::string_view account);
+[[nodiscard]] std::string encode_bound(const deadline_bound& bound);
+/// Errors: `invalid_request`.
+[[nodiscard]] result<deadline_bound> decode_bound(const std::string& text);
+
+} // namespace carobfall
--- a/src/libs/carobfall/config/declarations.cpp
+++ b/src/libs/carobfall/config/declarations.cpp
@@ -1,6 +1,7 @@
 #include "carobfall/config/declarations.h"
 
 #include "carobfall/base/strings.h"
+#include "carobfall/config/deadline_bound.h"
 #include "carobfall/config/yaml_fields.h"
 
 #include <absl/strings/str_cat.h>
@@ -25,7 +26,6 @@
 constexpr std::uint64_t max_count = 1'000'000;
 constexpr std::uint64_t max_processors = 4096;
 constexpr std::uint64_t max_memory_mib = 64ULL << 20U;
-constexpr absl::Duration longest_deadline = absl::Seconds(300);
 
 constexpr std::string_view account_kind = "client_account";
 constexpr std::string_view template_kind = "template";
@@ -138,10 +138,10 @@
             max_message_bytes),
         duration_field<tmpl>(
             "expected_run", [](tmpl & t) -> auto& { return t.expected_run; }, absl::Milliseconds(1),
-            longest_deadline),
+            max_deadline),
         duration_field<tmpl>(
             "max_deadline", [](tmpl & t) -> auto& { return t.max_deadline; }, absl::Milliseconds(1),
-            longest_deadline),
+            max_deadline),
         texts_field<tmpl>(
             "data_centres", [](tmpl & t) -> auto& { return t.data_centres; }, is_valid_name,
             "a list of different data-centre names; an empty one means all"),
--- a/src/libs/carobfall/daemon/configuration_service.cpp
+++ b/src/libs/carobfall/daemon/configuration_service.cpp
@@ -28,10 +28,11 @@
     return rows;
 }
 
-// A data centre that is in has no row in the sense of operators.
+// A data centre that is in has no row in the sense of operators. Deadline bounds aren't declared.
 bool exists(const rpc::configuration_change& change)
 {
-    return !change.deleted() && change.value() != data_centre_in;
+    return !change.deleted() && change.value() != data_centre_in &&
+           !change.key().starts_with(deadline_bound_prefix);
 }
 
 row_change compare(const change_map& stored, const rpc::configuration_change& wanted)
--- /dev/null
+++ b/src/libs/carobfall/daemon/deadline_bound_upkeep.cpp
@@ -0,0 +1,38 @@
+#include "carobfall/daemon/deadline_bound_upkeep.h"
+
+#include "carobfall/base/ids.h"
+#include "carobfall/config/configuration_builder.h"
+#include "carobfall/entry/rendezvous.h"
+
+namespace carobfall {
+
+result<void> confirm_deadline_bounds(const ownership& owner, configuration_keeper& keeper,
+                                     configuration_store& store, const std::string& region,
+                                     const clock_function& clock)
+{
+    const ownership_snapshot snapshot = owner.snapshot();
+    const configuration_ptr held = keeper.current();
+    if (!snapshot.usable() || !same_incarnation(snapshot.view.members(0), owner.self())) {
+        return success();
+    }
+    configuration_change_set request{{}, random_id(), held->version};
+    std::vector<std::pair<std::string, deadline_bound>> unconfirmed;
+    for (const auto& [account, bound] : held->deadline_bounds) {
+        if (bound.is_unconfirmed(region) && unconfirmed.size() < max_changes_at_once) {
+            unconfirmed.emplace_back(account, bound);
+        }
+    }
+    if (unconfirmed.empty()) {
+        return success();
+    }
+    // Without a limit: a majority holds the version now, or the next call looks again.
+    BOOST_OUTCOME_TRY(keeper.publish(held->version, absl::ZeroDuration()));
+    const absl::Time now = clock();
+    for (const auto& [account, bound] : unconfirmed) {
+        request.changes.push_back(bound_change(account, confirmed_bound(bound, region, now)));
+    }
+    BOOST_OUTCOME_TRYV(store.apply(request));
+    return success();
+}
+
+} // namespace carobfall
--- a/src/libs/carobfall/daemon/entry_daemon.cpp
+++ b/src/libs/carobfall/daemon/entry_daemon.cpp
@@ -5,6 +5,7 @@
 #include "carobfall/config/configuration_builder.h"
 #include "carobfall/config/ip_endpoint.h"
 #include "carobfall/daemon/configuration_service.h"
+#include "carobfall/daemon/deadline_bound_upkeep.h"
 #include "carobfall/daemon/entry_state_dump.h"
 #include "carobfall/dispatch/coordinator_builder.h"
 #include "carobfall/dispatch/grpc_agent_channel.h"
@@ -25,6 +26,7 @@
 
 constexpr absl::Duration table_call_limit = absl::Seconds(2);
 constexpr absl::Duration upkeep_interval = absl::Milliseconds(200);
+constexpr absl::Duration bound_interval = absl::Seconds(5);
 constexpr absl::Duration drain_check_interval = absl::Milliseconds(20);
 constexpr absl::Duration server_stop_limit = absl::Seconds(5);
 // Leaves a quarter of the callers' threads to status requests and cancels.
@@ -70,6 +72,7 @@
 dispatch_settings dispatch_settings_of(const entry_settings& settings)
 {
     dispatch_settings made;
+    made.region = settings.region;
     made.recorded_answer_bytes = settings.limits.held_answer_bytes;
     return made;
 }
@@ -98,6 +101,7 @@
     parts(const entry_settings& settings, const clock_function& clock,
           const std::function<void()>& on_superseded, const coordinator_hook& adjust_coordinator)
         : self(member_of(settings)),
+          region(settings.region),
           table(parse_ip_endpoint(settings.platform_address).value_or(ip_endpoint{}),
                 table_call_limit),
           store(table),
@@ -123,7 +127,7 @@
               operations, dump, metrics, [this, clock] { return obstacles(clock()); },
               operator_settings_of(settings))
     {
-        add_entry_sections(dump, members, claims, keeper, registry, *submissions, clock);
+        add_entry_sections(dump, members, claims, keeper, registry, *submissions, region, clock);
     }
 
     std::unique_ptr<coordinator> make_coordinator(const entry_settings& settings,
@@ -206,7 +210,18 @@
         submissions->expire(now);
     }
 
+    void confirm_bounds(const clock_function& clock)
+    {
+        const result<void> confirmed =
+            confirm_deadline_bounds(members, keeper, store, region, clock);
+        if (!confirmed) {
+            LOG_EVERY_N(WARNING, 12) << log_fields("deadline_bound_unconfirmed")
+                                            .add("error", to_string(confirmed.error()));
+        }
+    }
+
     const rpc::entry_member self;
+    const std::string region;
     std::atomic<bool> draining{false};
     std::uint64_t adopted_view{0}; ///< used by the upkeep thread only
     metrics_registry metrics;
@@ -229,6 +244,7 @@
     operator_server operators;
     std::unique_ptr<entry_threads> threads;
     std::unique_ptr<periodic_task> upkeep_thread;
+    std::unique_ptr<periodic_task> bound_thread;
 };
 
 entry_daemon::entry_daemon(entry_settings settings, clock_function clock,
@@ -251,6 +267,8 @@
         entry_thread_intervals{settings_.intervals.heartbeat, settings_.intervals.poll});
     parts_->upkeep_thread = std::make_unique<periodic_task>(
         upkeep_interval, clock_, [this](absl::Time now) { parts_->upkeep(now); });
+    parts_->bound_thread = std::make_unique<periodic_task>(
+        bound_interval, clock_, [this](absl::Time /*now*/) { parts_->confirm_bounds(clock_); });
     LOG(INFO) << log_fields("started")
                      .add("name", settings_.name)
                      .add("incarnation", parts_->self.incarnation())
@@ -277,6 +295,7 @@
         LOG(WARNING) << log_fields("leave_failed").add("error", to_string(left.error()));
     }
     parts_->callers.stop();
+    parts_->bound_thread.reset();
     parts_->upkeep_thread.reset();
     parts_->threads.reset();
     parts_->operators.stop();
--- a/src/libs/carobfall/daemon/entry_state_dump.cpp
+++ b/src/libs/carobfall/daemon/entry_state_dump.cpp
@@ -42,10 +42,16 @@
     return list;
 }
 
-nlohmann::json configuration_section(const configuration_keeper& keeper, absl::Time now)
+nlohmann::json configuration_section(const configuration_keeper& keeper, const std::string& region,
+                                     absl::Time now)
 {
     const configuration_ptr configuration = keeper.current();
+    nlohmann::json bounds = nlohmann::json::object();
+    for (const auto& [account, bound] : configuration->deadline_bounds) {
+        bounds[account] = absl::FormatDuration(configuration->longest_ahead(account, region, now));
+    }
     return {{"version", configuration->version},
+            {"deadline_bounds", bounds},
             {"fresh_for_ms", absl::ToInt64Milliseconds(keeper.fresh_for(now))},
             {"client_accounts", configuration->accounts.size()},
             {"templates", configuration->templates.size()},
@@ -75,11 +81,13 @@
 
 void add_entry_sections(state_dump& dump, const membership& members, const claim_store& claims,
                         const configuration_keeper& keeper, const agent_registry& agents,
-                        const coordinator& submissions, const clock_function& clock)
+                        const coordinator& submissions, const std::string& region,
+                        const clock_function& clock)
 {
     dump.add("view", [&members] { return view_section(members); });
     dump.add("claims", [&claims] { return claims_section(claims); });
-    dump.add("configuration", [&keeper, clock] { return configuration_section(keeper, clock()); });
+    dump.add("configuration",
+             [&keeper, region, clock] { return configuration_section(keeper, region, clock()); });
     dump.add("agents", [&agents, clock] { return agents_section(agents, clock()); });
     dump.add("submissions", [&submissions] {
         return nlohmann::json{{"running", submissions.running_jobs()}};
--- a/src/libs/carobfall/dispatch/coordinator.cpp
+++ b/src/libs/carobfall/dispatch/coordinator.cpp
@@ -5,6 +5,7 @@
 #include "carobfall/dispatch/attempt_accounting.h"
 #include "carobfall/dispatch/job_runner.h"
 #include "carobfall/dispatch/takeover.h"
+#include "carobfall/entry/configuration_keeper.h"
 #include "carobfall/entry/rendezvous.h"
 
 #include <absl/strings/str_cat.h>
@@ -34,12 +35,6 @@
         "id with a later deadline if the tasks may run again");
 }
 
-// No earlier view can have accepted a request whose deadline was too far ahead then.
-bool is_new_in_view(const ownership_snapshot& snapshot, absl::Time deadline)
-{
-    return deadline - max_deadline > snapshot.effective_since + clock_tolerance;
-}
-
 absl::Duration time_to(absl::Time deadline, absl::Time now)
 {
     return std::max(deadline - now, min_forward_limit);
@@ -162,7 +157,7 @@
 {
     const submission_key key = from_message(request.key());
     const absl::Time deadline = from_unix_ms(request.deadline_unix_ms());
-    const ownership_snapshot snapshot = await_completeness(deadline, now);
+    const ownership_snapshot snapshot = await_completeness(request, now);
     now = context_.now();
     if (const auto claim = context_.outside.claims->find(key)) {
         return submit_claimed(*claim, request, now);
@@ -170,7 +165,7 @@
     if (deadline <= now) {
         return late();
     }
-    if (!snapshot.complete && !is_new_in_view(snapshot, deadline)) {
+    if (!snapshot.complete && !is_new_in_view(snapshot, request, now)) {
         return recovering("the records of the last view are still being collected");
     }
     return start_new(request, now);
@@ -178,13 +173,15 @@
 
 // The claims of the last view usually arrive within a few round trips, so that a submission that
 // meets a change of the view waits for them in place of being refused.
-ownership_snapshot coordinator::await_completeness(absl::Time deadline, absl::Time now) const
+ownership_snapshot coordinator::await_completeness(const rpc::submission_request& request,
+                                                   absl::Time now) const
 {
+    const absl::Time deadline = from_unix_ms(request.deadline_unix_ms());
     const absl::Time last_time = std::min(deadline - context_.settings.answer_reserve,
                                           now + context_.settings.completeness_wait);
     ownership_snapshot snapshot = context_.outside.owner->snapshot();
     const std::uint64_t view = snapshot.view.number();
-    while (!snapshot.complete && !is_new_in_view(snapshot, deadline) &&
+    while (!snapshot.complete && !is_new_in_view(snapshot, request, context_.now()) &&
            snapshot.view.number() == view && context_.now() < last_time) {
         context_.outside.owner->wait_for_change(view, context_.settings.call_retry_pause);
         snapshot = context_.outside.owner->snapshot();
@@ -192,6 +189,25 @@
     return snapshot;
 }
 
+// No earlier view can have accepted a request whose deadline was too far ahead then. The bound of
+// the account is only used if the configuration was confirmed after the view took effect: it then
+// holds every template under which an earlier view has accepted submissions.
+bool coordinator::is_new_in_view(const ownership_snapshot& snapshot,
+                                 const rpc::submission_request& request, absl::Time now) const
+{
+    const configuration_source& source = *context_.outside.configuration;
+    // Read first: the configuration read afterwards is at least as new as the confirmed one.
+    const absl::Duration fresh = source.fresh_for(now);
+    const bool confirmed = fresh > absl::ZeroDuration() &&
+                           now + fresh - configuration_freshness >= snapshot.effective_since;
+    const absl::Duration bound =
+        confirmed ? source.current()->longest_ahead(request.key().client_account(),
+                                                    context_.settings.region, now)
+                  : max_deadline;
+    return from_unix_ms(request.deadline_unix_ms()) - bound >
+           snapshot.effective_since + clock_tolerance;
+}
+
 // The submission was accepted earlier, here or by another coordinator.
 coordinator::answer_result coordinator::submit_claimed(const rpc::claim& claim,
                                                        const rpc::submission_request& request,
--- a/src/libs/carobfall/dispatch/coordinator.h
+++ b/src/libs/carobfall/dispatch/coordinator.h
@@ -61,7 +61,10 @@
     answer_result forward(const rpc::entry_member& target, const rpc::submission_request& request,
                           std::uint64_t view, bool& again);
     answer_result submit_here(const rpc::submission_request& request, absl::Time now);
-    [[nodiscard]] ownership_snapshot await_completeness(absl::Time deadline, absl::Time now) const;
+    [[nodiscard]] ownership_snapshot await_completeness(const rpc::submission_request& request,
+                                                        absl::Time now) const;
+    [[nodiscard]] bool is_new_in_view(const ownership_snapshot& snapshot,
+                                      const rpc::submission_request& request, absl::Time now) const;
     answer_result submit_claimed(const rpc::claim& claim, const rpc::submission_request& request,
                                  absl::Time now);
     result<job_plan> admit(const std::shared_ptr<job>& opened,
--- a/src/libs/carobfall/dispatch/dispatch_settings.h
+++ b/src/libs/carobfall/dispatch/dispatch_settings.h
@@ -7,11 +7,14 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <string>
 
 namespace carobfall {
 
 /// Settings of the dispatching part of an entry.
 struct dispatch_settings {
+    std::string region; ///< of the entry
+
     /// An agent whose last heartbeat is older gets no new tasks. Most entries get a heartbeat every
     /// 2 s and, if that call times out (0.5 s), the next one 1 s after it.
     absl::Duration heartbeat_timeout{absl::Milliseconds(3500)};
--- a/src/libs/carobfall/entry/claim_store.h
+++ b/src/libs/carobfall/entry/claim_store.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "carobfall/base/ids.h"
+#include "carobfall/config/deadline_bound.h"
 
 #include <absl/base/thread_annotations.h>
 #include <absl/container/flat_hash_map.h>
@@ -13,13 +14,6 @@
 
 namespace carobfall {
 
-/// Time that claims, answers and task records are kept after the deadline. It covers differences
-/// between the clocks of the instances.
-inline constexpr absl::Duration record_retention = absl::Seconds(60);
-
-/// Longest time that the deadline of a submission may be ahead when it is accepted.
-inline constexpr absl::Duration max_deadline = absl::Seconds(300);
-
 /// The claim is made from the records of agents: the entries that held the real one are gone.
 [[nodiscard]] bool is_from_records(const rpc::claim& claim);
 
--- a/src/libs/carobfall/platform/configuration_transaction.cpp
+++ b/src/libs/carobfall/platform/configuration_transaction.cpp
@@ -1,11 +1,14 @@
 #include "carobfall/platform/configuration_transaction.h"
 
 #include "carobfall/base/ids.h"
+#include "carobfall/config/configuration_builder.h"
+#include "carobfall/config/declarations.h"
 
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
 
 #include <algorithm>
+#include <map>
 
 namespace carobfall::internal {
 namespace {
@@ -28,6 +31,43 @@
                                 ", then repeat your change on top of it with a new change id"));
 }
 
+/// Zero if the change doesn't declare a template.
+result<absl::Duration> max_deadline_of(const rpc::configuration_change& change)
+{
+    if (change.deleted()) {
+        return absl::ZeroDuration();
+    }
+    BOOST_OUTCOME_TRY(const std::vector<declaration> values,
+                      parse_declarations(change.value(), change.key()));
+    const auto* declared =
+        values.size() == 1 ? std::get_if<dispatch_template>(&values.front()) : nullptr;
+    return declared == nullptr ? absl::ZeroDuration() : declared->max_deadline;
+}
+
+absl::Duration longest_of(const std::map<std::string, absl::Duration>& deadlines)
+{
+    absl::Duration longest = absl::ZeroDuration();
+    for (const auto& [key, deadline] : deadlines) {
+        longest = std::max(longest, deadline);
+    }
+    return longest;
+}
+
+/// The prefix of the keys of the account's templates, for each account with a changed template.
+std::map<std::string, std::string>
+changed_accounts(const std::vector<rpc::configuration_change>& changes)
+{
+    std::map<std::string, std::string> accounts;
+    for (const rpc::configuration_change& change : changes) {
+        if (change.key().starts_with(template_prefix)) {
+            const std::size_t end = change.key().find('/', template_prefix.size());
+            accounts[change.key().substr(template_prefix.size(), end - template_prefix.size())] =
+                change.key().substr(0, end + 1);
+        }
+    }
+    return accounts;
+}
+
 } // namespace
 
 configuration_transaction::configuration_transaction(table_service& table,
@@ -88,6 +128,7 @@
     if (changes.empty()) {
         return success();
     }
+    BOOST_OUTCOME_TRY(add_bounds(changes));
     return commit(std::move(changes));
 }
 
@@ -150,6 +191,48 @@
     return differing;
 }
 
+result<void> configuration_transaction::add_bounds(std::vector<rpc::configuration_change>& changes)
+{
+    for (const auto& [account, prefix] : changed_accounts(changes)) {
+        std::map<std::string, absl::Duration> deadlines;
+        BOOST_OUTCOME_TRY(const std::vector<table_row> rows,
+                          table_.scan(configuration_row_key(prefix)));
+        for (const table_row& row : rows) {
+            BOOST_OUTCOME_TRY(const rpc::configuration_change stored, decode_change(row));
+            BOOST_OUTCOME_TRY(deadlines[stored.key()], max_deadline_of(stored));
+        }
+        const absl::Duration before = longest_of(deadlines);
+        for (const rpc::configuration_change& change : changes) {
+            if (change.key().starts_with(prefix)) {
+                BOOST_OUTCOME_TRY(deadlines[change.key()], max_deadline_of(change));
+            }
+        }
+        BOOST_OUTCOME_TRY(const deadline_bound stored, stored_bound(account, !rows.empty()));
+        const deadline_bound next = changed_bound(stored, before, longest_of(deadlines));
+        if (encode_bound(next) != encode_bound(stored)) {
+            changes.push_back(bound_change(account, next));
+        }
+    }
+    return success();
+}
+
+// An account without a bound has had templates of unknown deadlines, unless every change that was
+// ever made is still in the table and none concerns a template of the account.
+result<deadline_bound> configuration_transaction::stored_bound(const std::string& account,
+                                                               bool has_templates)
+{
+    BOOST_OUTCOME_TRY(const std::optional<table_row> row,
+                      table_.read(configuration_row_key(deadline_bound_key(account))));
+    deadline_bound bound;
+    if (!row) {
+        const bool is_new = !has_templates && head_.version <= kept_versions;
+        bound.longest = is_new ? absl::ZeroDuration() : max_deadline;
+        return bound;
+    }
+    BOOST_OUTCOME_TRY(const rpc::configuration_change stored, decode_change(*row));
+    return decode_bound(stored.value());
+}
+
 result<void> configuration_transaction::commit(std::vector<rpc::configuration_change> changes)
 {
     table_transaction transaction;
--- a/src/libs/carobfall/platform/configuration_transaction.h
+++ b/src/libs/carobfall/platform/configuration_transaction.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "carobfall/config/deadline_bound.h"
 #include "carobfall/platform/configuration_store.h"
 
 namespace carobfall::internal {
@@ -28,6 +29,9 @@
     /// Collects the changes that differ from the stored rows; checks that nobody else changed them.
     result<std::vector<rpc::configuration_change>> differing_changes();
     result<void> check_base();
+    /// Adds the changes of deadline bounds that the changes of templates entail.
+    result<void> add_bounds(std::vector<rpc::configuration_change>& changes);
+    result<deadline_bound> stored_bound(const std::string& account, bool has_templates);
     result<void> commit(std::vector<rpc::configuration_change> changes);
     /// Adds the deletion of the log row, its change id, and the row if it holds only a deletion.
     result<void> add_trimming(std::uint64_t version, table_transaction& transaction);
--- a/tests/auto/config/tst_configuration_builder.cpp
+++ b/tests/auto/config/tst_configuration_builder.cpp
@@ -75,17 +75,20 @@
                 .apply(update({at(1, to_change(client_account{"dambi", "0123456789abcdef", {}})),
                                at(2, to_change(check)), at(3, data_centre_change("mapo", true)),
                                at(4, to_change(client_account{"x", "0123456789abcdef", {}})),
-                               at(5, deleted("account/x")), at(6, deleted("data_centre/mapo"))}))
+                               at(5, deleted("account/x")), at(6, deleted("data_centre/mapo")),
+                               at(7, bound_change("dambi", {check.max_deadline, {}}))}))
                 .has_value());
     configuration_builder copy;
     REQUIRE(copy.apply(builder.snapshot()).has_value());
     const configuration_ptr built = copy.build();
-    CHECK(built->version == 6);
+    CHECK(built->version == 7);
     CHECK(built->accounts.size() == 1);
     REQUIRE(built->find_template("dambi", "check") != nullptr);
     CHECK(built->find_account("dambi")->token == "0123456789abcdef");
     CHECK(built->data_centres_out.empty());
-    CHECK(copy.snapshot().changes_size() == 2);
+    CHECK(copy.snapshot().changes_size() == 3);
+    CHECK(built->longest_ahead("dambi", "seoul", absl::UnixEpoch()) == check.max_deadline);
+    CHECK(built->longest_ahead("x", "seoul", absl::UnixEpoch()) == max_deadline);
 }
 
 // Guards against an unreadable row that leaves a half-applied configuration.
@@ -108,6 +111,37 @@
     CHECK_FALSE(canonical_change(sideways).has_value());
 }
 
+// Guards against a bound that ends while submissions accepted under it can be sent again.
+TEST_CASE("an earlier bound counts in a region until its value and the retention have passed")
+{
+    const absl::Time now = absl::FromUnixSeconds(1000);
+    const absl::Duration minute = absl::Seconds(60);
+    const auto lowered = changed_bound({minute, {}}, minute, absl::Seconds(5));
+    CHECK(lowered.at("seoul", absl::InfiniteFuture()) == minute);
+    const auto confirmed = decode_bound(encode_bound(confirmed_bound(lowered, "seoul", now)));
+    const absl::Time end = now + minute + record_retention;
+    CHECK(confirmed.value().at("seoul", end - absl::Milliseconds(1)) == minute);
+    CHECK(confirmed.value().at("seoul", end) == absl::Seconds(5));
+    CHECK(confirmed.value().is_unconfirmed("khomas"));
+    CHECK(confirmed.value().at("khomas", end) == minute);
+
+    // A second lowering leaves the first end; one from the earlier value counts anew.
+    const auto again = changed_bound(confirmed.value(), absl::Seconds(5), absl::Seconds(1));
+    CHECK(again.at("seoul", end) == absl::Seconds(5));
+    CHECK(confirmed_bound(again, "seoul", now + minute).at("seoul", end) == absl::Seconds(5));
+    const auto raised = changed_bound(confirmed.value(), absl::Seconds(5), minute);
+    CHECK(changed_bound(raised, minute, absl::Seconds(1)).is_unconfirmed("seoul"));
+
+    deadline_bound many{absl::Seconds(100), {}};
+    for (int seconds = 99; seconds > 0; --seconds) {
+        many = confirmed_bound(changed_bound(many, many.longest, absl::Seconds(seconds)), "seoul",
+                               now - absl::Hours(1));
+        CHECK(many.held.size() <= 16);
+    }
+    CHECK(many.held.contains(absl::Seconds(100)));
+    CHECK_FALSE(decode_bound("{}").has_value());
+}
+
 // Guards against two texts of one declaration being taken for a change.
 TEST_CASE("a change is brought to canonical form")
 {
--- a/tests/auto/dispatch/tst_coordinator.cpp
+++ b/tests/auto/dispatch/tst_coordinator.cpp
@@ -1,5 +1,7 @@
 #include "fakes.h"
 
+#include "carobfall/entry/configuration_keeper.h"
+
 #include <doctest/doctest.h>
 
 #include <thread>
@@ -124,6 +126,39 @@
     CHECK(answer.value().state() == rpc::submission_complete);
 }
 
+// Guards against refusals for as long as the longest deadline of the system when the account's
+// templates are shorter, and against a bound that an earlier view need not have obeyed.
+TEST_CASE("the bound of the account shows which deadlines are new")
+{
+    dispatch_fixture fixture;
+    fixture.add_agent("a1");
+    fixture.settings.region = "seoul";
+    const auto set = [&](const char* account, absl::Duration bound, absl::Duration since_view) {
+        fixture.source.change([&](configuration& next) {
+            next.deadline_bounds = {{account, {bound, {}}}};
+        });
+        fixture.owner.change([&](ownership_snapshot& snapshot) {
+            snapshot.complete = false;
+            snapshot.effective_since = monotonic_now() - since_view;
+        });
+        return fixture.request(1, absl::Seconds(2),
+                               absl::StrCat(account, absl::FormatDuration(since_view)));
+    };
+    const absl::Duration minute = absl::Seconds(60);
+    CHECK(error_of(fixture.submit(set("ombili", minute, minute))) == error_kind::recovering);
+    CHECK(error_of(fixture.submit(set("dambi", minute, minute - absl::Seconds(2)))) ==
+          error_kind::recovering);
+    CHECK(fixture.submit(set("dambi", minute, minute)).value().state() == rpc::submission_complete);
+
+    // The configuration was confirmed before the view took effect, so that others may have
+    // accepted submissions under a longer bound.
+    fixture.source.set_fresh_for(absl::Seconds(1));
+    const auto request = set("dambi", absl::Milliseconds(1), absl::Milliseconds(500));
+    CHECK(error_of(fixture.submit(request)) == error_kind::recovering);
+    fixture.source.set_fresh_for(configuration_freshness);
+    CHECK(fixture.submit(request).value().state() == rpc::submission_complete);
+}
+
 // Guards against refusals of good requests during the short transfer of claims after a view change.
 TEST_CASE("an unknown submission runs once the records are complete")
 {
--- a/tests/auto/platform/tst_configuration_store.cpp
+++ b/tests/auto/platform/tst_configuration_store.cpp
@@ -182,6 +182,61 @@
     CHECK(snapshot.changes_size() == 2);
 }
 
+// Guards against a bound that is shorter than a deadline that entries accept or have accepted.
+TEST_CASE("the deadline bound of an account rises with its templates and is never lowered at once")
+{
+    stored s;
+    const auto apply = [&](const char* account, const char* name, int seconds, const char* id) {
+        dispatch_template declared;
+        declared.client_account = account;
+        declared.name = name;
+        declared.max_deadline = absl::Seconds(seconds);
+        rpc::configuration_change change = to_change(declared);
+        change.set_deleted(seconds == 0);
+        return s.store.apply({{change}, id, std::nullopt});
+    };
+    const auto bound = [&](const char* account, absl::Time now = absl::InfiniteFuture()) {
+        configuration_builder builder;
+        REQUIRE(builder.apply(s.store.load().value()).has_value());
+        return builder.build()->longest_ahead(account, "seoul", now) / absl::Seconds(1);
+    };
+    CHECK(apply("a", "short", 5, "c1").value() == 2);
+    CHECK(bound("a") == 5);
+    CHECK(apply("a", "other", 4, "c2").value() == 3); // no change of the bound
+    s.table.lose_answers(1);
+    CHECK(apply("a", "short", 60, "c3").value() == 5);
+    CHECK(apply("a", "short", 60, "c3").value() == 5);
+    CHECK(bound("a") == 60);
+    CHECK(apply("a", "short", 0, "c4").value() == 7);
+    CHECK(bound("a") == 60);
+    CHECK(apply("a", "other", 0, "c5").has_value());
+    CHECK(bound("a") == 60);
+    CHECK(apply("a", "short", 5, "c6").has_value()); // declared again
+    CHECK(bound("a") == 60);
+
+    // Another operator raises the bound between this one's reads and its commit.
+    bool raced = false;
+    s.table.set_hook([&](table_operation operation, std::string_view) {
+        if (operation == table_operation::commit && !std::exchange(raced, true)) {
+            REQUIRE(apply("a", "long", 90, "c7").has_value());
+        }
+    });
+    CHECK(apply("a", "other", 4, "c8").has_value());
+    s.table.set_hook(nullptr);
+    CHECK(bound("a") == 90);
+
+    // An earlier version wrote no bound; it may have lowered a deadline just before.
+    REQUIRE(apply("b", "short", 5, "d1").has_value());
+    REQUIRE(s.table.commit({{}, {{configuration_row_key(deadline_bound_key("b")), std::nullopt}}})
+                .has_value());
+    CHECK(bound("b") == 300);
+    REQUIRE(apply("b", "short", 4, "d2").has_value());
+    CHECK(bound("b") == 300);
+    s.table.put(std::string(configuration_head_key), std::to_string(kept_versions + 1));
+    REQUIRE(apply("new", "short", 5, "d3").has_value());
+    CHECK(bound("new") == 300);
+}
+
 // Guards against a log that grows for ever and against a reader that can't catch up with it.
 TEST_CASE("old log rows and deletions are trimmed and a reader far behind loads a snapshot")
 {
--- a/tests/auto/stateful/entry_process.cpp
+++ b/tests/auto/stateful/entry_process.cpp
@@ -4,6 +4,7 @@
 #include "mutations.h"
 #include "world.h"
 
+#include "carobfall/daemon/deadline_bound_upkeep.h"
 #include "carobfall/dispatch/coordinator_builder.h"
 
 #include <algorithm>
@@ -19,6 +20,7 @@
 dispatch_settings fast_settings()
 {
     dispatch_settings settings;
+    settings.region = "r";
     settings.call_retry_pause = real_pause;
     settings.grant_retry_pause = real_pause;
     settings.event_wait_limit = real_pause;
@@ -102,10 +104,17 @@
     configuration_keeper_hooks source;
     source.read_changes = [this](std::uint64_t version) { return polled.changes_since(version); };
     source.apply =
-        [this](const configuration_ptr&,
-               const rpc::push_configuration_request& changes) -> result<configuration_ptr> {
+        [this,
+         &region](const configuration_ptr&,
+                  const rpc::push_configuration_request& changes) -> result<configuration_ptr> {
         BOOST_OUTCOME_TRY(builder.apply(changes));
-        return builder.build();
+        auto built = std::make_shared<configuration>(*builder.build());
+        for (auto& [account, bound] : built->deadline_bounds) {
+            if (region.mutation() == rule_removed::bound) {
+                bound.held.clear();
+            }
+        }
+        return configuration_ptr(built);
     };
     source.channels = hooks.channels;
     source.run_parallel = run_in_order;
@@ -166,6 +175,7 @@
     }
     submissions->deliver_notes(now);
     submissions->expire(now);
+    (void)confirm_deadline_bounds(*members, *keeper, polled, "r", [now] { return now; });
 }
 
 } // namespace carobfall::stateful
--- a/tests/auto/stateful/mutations.h
+++ b/tests/auto/stateful/mutations.h
@@ -20,6 +20,7 @@
     rerun,        ///< the template that forbids a second run permits it
     leaving,      ///< agents take no notice of their own leave and their backend server's
     drain,        ///< a graceful shutdown doesn't wait for work in flight
+    bound,        ///< an account's deadline bound follows its templates at once
     versions,     ///< a configuration counts as in force before the entries hold it
 };
 
--- a/tests/auto/stateful/schedules.cpp
+++ b/tests/auto/stateful/schedules.cpp
@@ -19,7 +19,7 @@
 constexpr int silent_agent_rounds = 40;
 /// An id with one task.
 constexpr int single_task_id = 0;
-constexpr absl::Duration long_deadline = absl::Seconds(60);
+constexpr absl::Duration short_deadline = absl::Seconds(10);
 
 /// A healthy region and one submission with one task, with the roles of the entries for it.
 struct scene {
@@ -224,6 +224,38 @@
     return at.end(ran);
 }
 
+schedule_outcome lowered_deadline(rule_removed mutation)
+{
+    scene at(mutation);
+    at.region.submit(at.coordinator, at.request);
+    const bool ran = at.run_until([&] { return at.region.facts().starts(at.key, 0) > 0; });
+    at.region.declare(short_deadline);
+    const bool confirmed = at.run_until([&] {
+        const configuration_ptr held = at.region.entry(at.other)->keeper->current();
+        const absl::Duration declared = held->find_template("dambi", "check")->max_deadline;
+        return declared == short_deadline && !held->deadline_bounds.at("dambi").is_unconfirmed("r");
+    });
+    for (int i = 0; i < entry_count; ++i) {
+        at.region.kill_entry(i);
+    }
+    at.isolate_holder();
+    for (int i = 0; i < entry_count; ++i) {
+        at.region.start_entry(i);
+    }
+    at.run_until([&] {
+        return to_unix_ms(at.region.now() + short_deadline) > at.request.deadline_unix_ms();
+    });
+    const bool incomplete = at.region.entry(at.other)->members->snapshot().usable() &&
+                            !at.region.entry(at.other)->members->snapshot().complete;
+    for (int round = 0; round < rounds_of(short_deadline); ++round) {
+        at.region.run(1);
+        for (int i = 0; i < entry_count; ++i) {
+            at.region.submit(i, at.request);
+        }
+    }
+    return at.end(ran && confirmed && incomplete);
+}
+
 schedule_outcome dead_coordinator(rule_removed mutation)
 {
     scene at(mutation);
--- a/tests/auto/stateful/tst_schedules.cpp
+++ b/tests/auto/stateful/tst_schedules.cpp
@@ -60,6 +60,15 @@
     check_noticed(restarted_entries(rule_removed::completeness));
 }
 
+// Guards against a bound that follows an operator who lowers the deadlines, while a submission
+// accepted under the earlier ones can still be sent again.
+TEST_CASE("lowered deadlines don't make a submission new after the loss of all entries")
+{
+    silence_logs();
+    check_holds(lowered_deadline(rule_removed::none), 1);
+    check_noticed(lowered_deadline(rule_removed::bound));
+}
+
 // Guards against a successor that doesn't know the claim of a dead coordinator.
 TEST_CASE("the successor of a dead coordinator doesn't start its submissions again")
 {
--- a/tests/auto/stateful/world.cpp
+++ b/tests/auto/stateful/world.cpp
@@ -52,7 +52,7 @@
     generations_.resize(entry_count);
     entries_.resize(entry_count);
     agents_.resize(agent_count);
-    declare();
+    declare(long_deadline);
     for (int i = 0; i < entry_count; ++i) {
         start_entry(i);
     }
@@ -69,17 +69,20 @@
     turns_.join();
 }
 
-void world::declare()
+void world::declare(absl::Duration max_deadline)
 {
     configuration_store store(table_);
     configuration_change_set request;
-    request.change_id = "declare";
+    request.change_id = absl::StrCat("declare-", absl::FormatDuration(max_deadline));
     std::string text = declarations_text;
     if (mutation_ == rule_removed::rerun) {
         text.insert(text.find("expected_run"), "idempotent: true\nrerun_lost: true\n");
     }
-    const auto parsed = parse_declarations(text, "test");
-    for (const declaration& value : parsed.value()) {
+    auto parsed = parse_declarations(text, "test");
+    for (declaration& value : parsed.value()) {
+        if (auto* declared = std::get_if<dispatch_template>(&value)) {
+            declared->max_deadline = max_deadline;
+        }
         request.changes.push_back(to_change(value));
     }
     (void)store.apply(request).value();
--- a/tests/auto/stateful/world.h
+++ b/tests/auto/stateful/world.h
@@ -20,6 +20,8 @@
 inline constexpr int entry_count = 3;
 inline constexpr int agent_count = 4;
 
+/// `max_deadline` of the templates at the beginning.
+inline constexpr absl::Duration long_deadline = absl::Seconds(60);
 inline constexpr absl::Duration heartbeat_interval = absl::Milliseconds(500);
 
 /// Three entries and four agents in three data centres, the table service, clients and operators.
@@ -70,6 +72,8 @@
     void cancel(int entry, const submission_key& key);
     /// An operator takes a data centre out or brings it back.
     void change_data_centre(int entry, const std::string& name, bool out);
+    /// An operator declares the account with this `max_deadline` in all templates, past all faults.
+    void declare(absl::Duration max_deadline);
     [[nodiscard]] rpc::submission_request request_for(int id, int body);
 
     /// Tells the oracle the committed changes, read past all faults.
@@ -92,7 +96,6 @@
     template <typename Reply>
     result<Reply> call_entry(agent_process& from, const std::string& entry,
                              const std::function<Reply(entry_process&)>& action);
-    void declare();
 
     const rule_removed mutation_;
     std::atomic<std::int64_t> now_us_;
