Tests: Lower the deadlines during an outage of the store

It started once, and twice with the rule removed. The process test of racing operators also checks that the bound is not listed as a declaration.

--- a/tests/auto/stateful/schedules.cpp
+++ b/tests/auto/stateful/schedules.cpp
@@ -63,6 +63,18 @@
         });
     }
 
+    /// True once the entries hold the change and an end of the earlier bound.
+    bool lower_deadlines()
+    {
+        region.declare(short_deadline);
+        return run_until([&] {
+            const configuration_ptr held = region.entry(other)->keeper->current();
+            const absl::Duration declared = held->find_template("dambi", "check")->max_deadline;
+            return declared == short_deadline &&
+                   !held->deadline_bounds.at("dambi").is_unconfirmed("r");
+        });
+    }
+
     /// The agent that holds a record of the task, or -1.
     [[nodiscard]] int holder() const
     {
@@ -224,20 +236,23 @@
     return at.end(ran);
 }
 
-schedule_outcome lowered_deadline(rule_removed mutation)
+schedule_outcome lowered_deadline(rule_removed mutation, bool in_outage)
 {
     scene at(mutation);
+    if (in_outage) {
+        // The change is committed; the entries go on without it for longer than its value counts.
+        at.region.declare(short_deadline);
+        at.region.table().set_outage(true);
+        at.region.run(rounds_of(long_deadline + 2 * record_retention), heartbeat_interval);
+        at.request.set_deadline_unix_ms(to_unix_ms(at.region.now() + long_deadline));
+    }
     at.region.submit(at.coordinator, at.request);
     const bool ran = at.run_until([&] { return at.region.facts().starts(at.key, 0) > 0; });
-    at.region.declare(short_deadline);
-    const bool confirmed = at.run_until([&] {
-        const configuration_ptr held = at.region.entry(at.other)->keeper->current();
-        const absl::Duration declared = held->find_template("dambi", "check")->max_deadline;
-        return declared == short_deadline && !held->deadline_bounds.at("dambi").is_unconfirmed("r");
-    });
+    const bool confirmed = in_outage || at.lower_deadlines();
     for (int i = 0; i < entry_count; ++i) {
         at.region.kill_entry(i);
     }
+    at.region.table().set_outage(false);
     at.isolate_holder();
     for (int i = 0; i < entry_count; ++i) {
         at.region.start_entry(i);
--- a/tests/auto/stateful/schedules.h
+++ b/tests/auto/stateful/schedules.h
@@ -24,9 +24,10 @@
 schedule_outcome start_after_revoke(rule_removed mutation);
 /// Coordinator and witness are restarted after the task has run, and get the submission again.
 schedule_outcome restarted_entries(rule_removed mutation);
-/// An operator lowers the deadlines after the task has run; then all entries are restarted without
-/// its agent, and get the submission again shortly before its deadline.
-schedule_outcome lowered_deadline(rule_removed mutation);
+/// An operator lowers the deadlines after the task has run, or, before an outage of the store, so
+/// that the entries don't hold the change when they accept the submission. Then all entries are
+/// restarted without its agent, and get the submission again shortly before its deadline.
+schedule_outcome lowered_deadline(rule_removed mutation, bool in_outage);
 /// The coordinator dies after the task has started, and its witness gets the submission.
 schedule_outcome dead_coordinator(rule_removed mutation);
 /// All entries die after the task has run. One starts alone and learns the agents' records; then
--- a/tests/auto/stateful/tst_schedules.cpp
+++ b/tests/auto/stateful/tst_schedules.cpp
@@ -65,8 +65,10 @@
 TEST_CASE("lowered deadlines don't make a submission new after the loss of all entries")
 {
     silence_logs();
-    check_holds(lowered_deadline(rule_removed::none), 1);
-    check_noticed(lowered_deadline(rule_removed::bound));
+    for (const bool in_outage : {false, true}) {
+        check_holds(lowered_deadline(rule_removed::none, in_outage), 1);
+        check_noticed(lowered_deadline(rule_removed::bound, in_outage));
+    }
 }
 
 // Guards against a successor that doesn't know the claim of a dead coordinator.
--- a/tests/process/test_configuration.py
+++ b/tests/process/test_configuration.py
@@ -36,7 +36,11 @@
 
     def test_of_racing_operators_one_wins_and_the_other_gets_a_conflict(self):
         """Guards against a change that silently overwrites one the operator has not seen."""
-        version = self.deployment.operate("GET", "/v1/configuration")[1]["version"]
+        listed = self.deployment.operate("GET", "/v1/configuration")[1]
+        version = listed["version"]
+        # The deadline bound of the account is a row of the configuration, but no declaration.
+        self.assertEqual([row["key"] for row in listed["rows"]],
+                         ["account/dambi", "template/dambi/illustration"])
         changed = DECLARATIONS.replace("100ms", "150ms")
         first = self.deployment.operate("POST", "/v1/apply",
                                         {"yaml": changed, "expected_version": version})
