Dispatch: Leave nothing behind when the ownership moves before the claim is held

Cause: a coordinator that lost the key while it registered the claim recorded its refusal (stale_view, not_run for each task) as the answer of the id and gave it again, although the new owner may run the id. Claims of two owners that met kept the older body. The look whether the view is confirmed did not ask whether the key still belongs to the entry. Ruled out: discarding the job alone, because claims that name the entry then lead to answer_expired; erasing a withdrawn claim with the records of agents added to it, because after the loss of both holders of a later claim these records are all that shows that it ran; a flag without the incarnation, because a new process at the address would answer it for its predecessor, which may have held the claim. Conclusion: closed for jobs without a held claim. Status and cancel through a former witness still ask the entry that the withdrawn claim names.

--- a/src/libs/carobfall/dispatch/answer_builder.cpp
+++ b/src/libs/carobfall/dispatch/answer_builder.cpp
@@ -1,5 +1,7 @@
 #include "carobfall/dispatch/answer_builder.h"
 
+#include "carobfall/entry/rendezvous.h"
+
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
@@ -79,10 +81,11 @@
     return answer;
 }
 
-bool is_confirmed(const ownership& owner, absl::Time now)
+bool is_confirmed(const ownership& owner, const submission_key& key, absl::Time now)
 {
     const ownership_snapshot snapshot = owner.snapshot();
-    return snapshot.usable() && now < snapshot.confirmed_until;
+    return snapshot.usable() && now < snapshot.confirmed_until &&
+           same_incarnation(*coordinator_of(snapshot.view, key), owner.self());
 }
 
 error recovering(std::string message)
--- a/src/libs/carobfall/dispatch/answer_builder.h
+++ b/src/libs/carobfall/dispatch/answer_builder.h
@@ -30,9 +30,10 @@
     std::optional<error> reason_;
 };
 
-/// True while no other entry can have started a submission that this one coordinates. Without it
-/// an entry that has been paused or cut off must not say `not_run`.
-[[nodiscard]] bool is_confirmed(const ownership& owner, absl::Time now);
+/// True while this entry coordinates the key and no other one can have started its submission.
+/// Without it an entry that has been paused or cut off, or that has lost the key to another in a
+/// later view, must not say `not_run`.
+[[nodiscard]] bool is_confirmed(const ownership& owner, const submission_key& key, absl::Time now);
 
 /// Given in place of `not_run` while the view isn't confirmed; says nothing about the tasks.
 [[nodiscard]] error unconfirmed_view();
--- a/src/libs/carobfall/dispatch/claim_registration.cpp
+++ b/src/libs/carobfall/dispatch/claim_registration.cpp
@@ -42,7 +42,11 @@
         return view;
     }
     view_held_ = 0;
-    context_.outside.claims->put(claim_);
+    claim_.set_view_number(view);
+    if (!context_.outside.claims->put(claim_)) {
+        return failure(error_kind::unavailable, "another claim of the submission is held",
+                       "submit again in a moment");
+    }
     BOOST_OUTCOME_TRYV(ask_witness(snapshot, limit));
     // The claim counts only if it was stored before this entry gave its claims to a later view.
     const ownership_snapshot after = context_.outside.owner->snapshot();
@@ -72,6 +76,18 @@
                                                   context_.settings.claim_call_limit));
 }
 
+void claim_registration::withdraw()
+{
+    context_.outside.claims->withdraw(claim_);
+}
+
+bool claim_registration::owns_key() const
+{
+    const rpc::entry_view view = context_.outside.owner->snapshot().view;
+    const rpc::entry_member* owner = coordinator_of(view, from_message(claim_.submission()));
+    return owner != nullptr && same_incarnation(*owner, claim_.coordinator());
+}
+
 bool claim_registration::plan(const std::vector<rpc::agent_ref>& planned)
 {
     bool extended = false;
--- a/src/libs/carobfall/dispatch/claim_registration.h
+++ b/src/libs/carobfall/dispatch/claim_registration.h
@@ -26,6 +26,10 @@
     /// answer depends on what could be learnt until now, so that the call waits for the witness,
     /// for at most half of the time to the deadline.
     void set_answered(const rpc::submission_answer& answer);
+    /// Removes this entry's own copy of a claim that was never held.
+    void withdraw();
+    /// This entry is the coordinator by rendezvous order in the present view.
+    [[nodiscard]] bool owns_key() const;
     /// The claim has been held, so that only this entry may start the submission.
     [[nodiscard]] bool held_once() const { return held_once_; }
 
--- a/src/libs/carobfall/dispatch/coordinator.cpp
+++ b/src/libs/carobfall/dispatch/coordinator.cpp
@@ -1,5 +1,6 @@
 #include "carobfall/dispatch/coordinator.h"
 
+#include "carobfall/base/log_fields.h"
 #include "carobfall/dispatch/admission.h"
 #include "carobfall/dispatch/answer_builder.h"
 #include "carobfall/dispatch/attempt_accounting.h"
@@ -9,6 +10,7 @@
 
 #include <absl/strings/str_cat.h>
 #include <absl/time/clock.h>
+#include <glog/logging.h>
 
 #include <algorithm>
 #include <utility>
@@ -45,6 +47,28 @@
     return std::max(deadline - now, min_forward_limit);
 }
 
+// What the entry answered to a forward. `again` is set if the call had no effect.
+result<rpc::submission_answer> read_reply(const rpc::entry_member& target,
+                                          result<rpc::forward_reply> reply, bool& again)
+{
+    if (!reply && reply.error().kind == error_kind::unavailable) {
+        again = true;
+        return failure(error_kind::unavailable,
+                       absl::StrCat("entry ", target.name(), " can't be reached"),
+                       "submit again in a moment with the same id");
+    }
+    if (!reply) {
+        return failure(error_kind::outcome_unknown,
+                       absl::StrCat("the answer of entry ", target.name(), " was lost"),
+                       "submit again with the same id; nothing runs twice");
+    }
+    if (reply.value().wrong_view()) {
+        again = true;
+        return recovering(absl::StrCat("entry ", target.name(), " is in another view"));
+    }
+    return decode_error(std::move(*reply.value().mutable_answer()));
+}
+
 } // namespace
 
 coordinator::coordinator(dispatch_collaborators outside, const dispatch_settings& settings)
@@ -110,23 +134,26 @@
     message.set_view_number(view);
     *message.mutable_submission() = request;
     const absl::Duration limit = time_to(from_unix_ms(request.deadline_unix_ms()), context_.now());
+    return read_reply(target, context_.outside.entries(target)->forward(message, limit), again);
+}
+
+// Asks the coordinator that the claim names. Nothing if that incarnation never held the claim.
+std::optional<coordinator::answer_result>
+coordinator::ask_claimant(const rpc::claim& claim, const rpc::submission_request& request,
+                          const rpc::entry_view& view)
+{
+    rpc::forward_request message;
+    message.set_view_number(claim_directed);
+    message.set_coordinator_incarnation(claim.coordinator().incarnation());
+    *message.mutable_submission() = request;
+    const rpc::entry_member& target = *find_member(view, claim.coordinator());
+    const absl::Duration limit = time_to(from_unix_ms(request.deadline_unix_ms()), context_.now());
     auto reply = context_.outside.entries(target)->forward(message, limit);
-    if (!reply && reply.error().kind == error_kind::unavailable) {
-        again = true;
-        return failure(error_kind::unavailable,
-                       absl::StrCat("entry ", target.name(), " can't be reached"),
-                       "submit again in a moment with the same id");
+    if (reply && reply.value().never_held()) {
+        return std::nullopt;
     }
-    if (!reply) {
-        return failure(error_kind::outcome_unknown,
-                       absl::StrCat("the answer of entry ", target.name(), " was lost"),
-                       "submit again with the same id; nothing runs twice");
-    }
-    if (reply.value().wrong_view()) {
-        again = true;
-        return recovering(absl::StrCat("entry ", target.name(), " is in another view"));
-    }
-    return decode_error(std::move(*reply.value().mutable_answer()));
+    bool again = false;
+    return read_reply(target, std::move(reply), again);
 }
 
 rpc::forward_reply coordinator::submit_forwarded(const rpc::forward_request& request,
@@ -146,7 +173,15 @@
         return give(answer_known(*known, submission));
     }
     if (request.view_number() == claim_directed) {
-        return give(expired_answer_error());
+        // The table keeps every job whose claim was held until the retention has passed. That says
+        // nothing of an earlier incarnation at this address.
+        const bool is_meant =
+            request.coordinator_incarnation() == context_.outside.owner->self().incarnation();
+        if (!is_meant || from_unix_ms(submission.deadline_unix_ms()) + record_retention < now) {
+            return give(expired_answer_error());
+        }
+        reply.set_never_held(true);
+        return reply;
     }
     const rpc::entry_member* owner = coordinator_of(snapshot.view, key);
     if (!snapshot.usable() || request.view_number() != snapshot.view.number() ||
@@ -165,7 +200,13 @@
     const ownership_snapshot snapshot = await_completeness(deadline, now);
     now = context_.now();
     if (const auto claim = context_.outside.claims->find(key)) {
-        return submit_claimed(*claim, request, now);
+        if (auto answer = submit_claimed(*claim, request, now)) {
+            return *answer;
+        }
+        LOG(INFO) << log_fields("claim_withdrawn").add("submission", to_string(key));
+        context_.outside.claims->withdraw(*claim);
+        // The question took time, in which the view or the claim may have changed.
+        return route(request, context_.now());
     }
     if (deadline <= now) {
         return late();
@@ -192,10 +233,11 @@
     return snapshot;
 }
 
-// The submission was accepted earlier, here or by another coordinator.
-coordinator::answer_result coordinator::submit_claimed(const rpc::claim& claim,
-                                                       const rpc::submission_request& request,
-                                                       absl::Time now)
+// The submission was accepted earlier, here or by another coordinator. Nothing if the coordinator
+// never held the claim and has lost the ownership since: no task has been started under it.
+std::optional<coordinator::answer_result>
+coordinator::submit_claimed(const rpc::claim& claim, const rpc::submission_request& request,
+                            absl::Time now)
 {
     const submission_key key = from_message(request.key());
     if (is_from_records(claim)) {
@@ -207,9 +249,8 @@
     }
     const ownership_snapshot snapshot = context_.outside.owner->snapshot();
     if (!same_incarnation(claim.coordinator(), context_.outside.owner->self())) {
-        if (const auto* member = find_member(snapshot.view, claim.coordinator())) {
-            bool again = false;
-            return forward(*member, request, claim_directed, again);
+        if (find_member(snapshot.view, claim.coordinator()) != nullptr) {
+            return ask_claimant(claim, request, snapshot.view);
         }
         if (!takeover_->adopt(claim)) {
             return recovering("too many submissions are being taken over");
@@ -219,6 +260,10 @@
     if (known) {
         return answer_known(*known, request);
     }
+    const bool is_own = same_incarnation(claim.coordinator(), context_.outside.owner->self());
+    if (is_own && claim.view_number() < snapshot.view.number()) {
+        return std::nullopt;
+    }
     return from_unix_ms(claim.deadline_unix_ms()) <= now
                ? late()
                : recovering("the submission is being recorded");
@@ -255,7 +300,7 @@
     }
     const auto refuse = [&](const error& reason) {
         answer_result answer = unconfirmed_view();
-        if (is_confirmed(*context_.outside.owner, context_.now())) {
+        if (is_confirmed(*context_.outside.owner, opened->key(), context_.now())) {
             answer = answer_not_run(opened->key(), opened->task_count(), reason);
         }
         context_.table.discard(opened, answer);
@@ -270,11 +315,10 @@
         return refuse(plan.error());
     }
     if (request.wait()) {
-        job_runner(context_, std::move(plan.value())).run();
+        run_job(plan.value());
         return wait_for(*opened, request);
     }
-    const bool posted =
-        runs_->post([this, plan = plan.value()] { job_runner(context_, plan).run(); });
+    const bool posted = runs_->post([this, plan = plan.value()] { run_job(plan); });
     if (!posted) {
         context_.limits.leave(opened->key().client_account, opened->task_count());
         return refuse({error_kind::overloaded, "too many submissions are running",
@@ -283,6 +327,22 @@
     return answer_running(*opened);
 }
 
+// Callers that joined the job may wait for its end even if the first one doesn't.
+void coordinator::run_job(const job_plan& plan)
+{
+    if (job_runner(context_, plan).run()) {
+        return;
+    }
+    // A new owner doesn't know of the cancellation.
+    if (plan.running->cancel_requested()) {
+        return context_.table.finish_removed(plan.running, unconfirmed_view());
+    }
+    rpc::submission_request moved = plan.request;
+    moved.set_wait(true);
+    LOG(INFO) << log_fields("submission_moved").add("submission", to_string(plan.running->key()));
+    context_.table.finish_removed(plan.running, route(moved, context_.now()));
+}
+
 coordinator::answer_result coordinator::answer_known(const submission_table::entry& known,
                                                      const rpc::submission_request& request)
 {
--- a/src/libs/carobfall/dispatch/coordinator.h
+++ b/src/libs/carobfall/dispatch/coordinator.h
@@ -7,6 +7,7 @@
 
 #include <atomic>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace carobfall {
@@ -60,13 +61,17 @@
     answer_result route(const rpc::submission_request& request, absl::Time now);
     answer_result forward(const rpc::entry_member& target, const rpc::submission_request& request,
                           std::uint64_t view, bool& again);
+    std::optional<answer_result> ask_claimant(const rpc::claim& claim,
+                                              const rpc::submission_request& request,
+                                              const rpc::entry_view& view);
     answer_result submit_here(const rpc::submission_request& request, absl::Time now);
     [[nodiscard]] ownership_snapshot await_completeness(absl::Time deadline, absl::Time now) const;
-    answer_result submit_claimed(const rpc::claim& claim, const rpc::submission_request& request,
-                                 absl::Time now);
+    std::optional<answer_result>
+    submit_claimed(const rpc::claim& claim, const rpc::submission_request& request, absl::Time now);
     result<job_plan> admit(const std::shared_ptr<job>& opened,
                            const rpc::submission_request& request, absl::Time now);
     answer_result start_new(const rpc::submission_request& request, absl::Time now);
+    void run_job(const job_plan& plan);
     answer_result answer_known(const submission_table::entry& known,
                                const rpc::submission_request& request);
     answer_result wait_for(job& running, const rpc::submission_request& request);
--- a/src/libs/carobfall/dispatch/job_runner.cpp
+++ b/src/libs/carobfall/dispatch/job_runner.cpp
@@ -49,7 +49,7 @@
     job_.limit_results(plan_.declaration.max_result_bytes);
 }
 
-void job_runner::run()
+bool job_runner::run()
 {
     while (!must_stop()) {
         const std::uint64_t seen = job_.events();
@@ -60,7 +60,7 @@
     }
     context_.waiting.leave(job_);
     wind_down();
-    record_answer();
+    return record_answer();
 }
 
 bool job_runner::must_stop() const
@@ -332,7 +332,14 @@
     }
 }
 
-void job_runner::record_answer()
+// The new owner may run the submission, so that a refusal recorded here could become untrue.
+void job_runner::forget()
+{
+    claim_.withdraw();
+    context_.table.remove(plan_.running);
+}
+
+bool job_runner::record_answer()
 {
     attempt_accounting accounting(context_);
     std::uint32_t index = 0;
@@ -341,9 +348,14 @@
         ++index;
     }
     context_.limits.leave(job_.key().client_account, job_.progress().waiting);
-    if (!claim_.held_once() && !is_confirmed(*context_.outside.owner, context_.now())) {
+    const bool confirmed = is_confirmed(*context_.outside.owner, job_.key(), context_.now());
+    if (!claim_.held_once() && (ownership_moved_ || !claim_.owns_key())) {
+        forget();
+        return false;
+    }
+    if (!claim_.held_once() && !confirmed) {
         context_.table.discard(plan_.running, unconfirmed_view());
-        return;
+        return true;
     }
     rpc::submission_answer answer = answer_for(job_, failure_reason());
     claim_.set_answered(answer);
@@ -355,6 +367,7 @@
                      .add("finished", answer.tasks_finished())
                      .add("tasks", answer.task_count());
     context_.table.record(plan_.running, std::move(answer));
+    return true;
 }
 
 bool job_runner::may_rerun() const
--- a/src/libs/carobfall/dispatch/job_runner.h
+++ b/src/libs/carobfall/dispatch/job_runner.h
@@ -17,8 +17,10 @@
 public:
     job_runner(dispatch_context& context, job_plan plan);
 
-    /// Returns once the answer has been recorded, at the latest at the deadline.
-    void run();
+    /// Returns once the answer has been recorded, at the latest at the deadline. False if there is
+    /// none because the ownership moved before the claim was held: nothing was started, the
+    /// submission is no longer known here, and it has to be sent to its new owner.
+    bool run();
 
 private:
     [[nodiscard]] bool must_stop() const;
@@ -26,7 +28,8 @@
     void revoke_uncertain();
     void place_waiting();
     void wind_down();
-    void record_answer();
+    bool record_answer();
+    void forget();
 
     [[nodiscard]] bool may_start_now(absl::Time now);
     [[nodiscard]] std::vector<placement_candidate> candidates(absl::Time now) const;
--- a/src/libs/carobfall/dispatch/submission_table.cpp
+++ b/src/libs/carobfall/dispatch/submission_table.cpp
@@ -92,6 +92,27 @@
     refused->finish(answer);
 }
 
+void submission_table::remove(const std::shared_ptr<job>& moved)
+{
+    const std::lock_guard lock(mutex_);
+    const auto held = entries_.find(moved->key());
+    const auto* running =
+        held == entries_.end() ? nullptr : std::get_if<std::shared_ptr<job>>(&held->second.state);
+    if (running != nullptr && *running == moved) {
+        entries_.erase(held);
+    }
+}
+
+void submission_table::finish_removed(const std::shared_ptr<job>& moved,
+                                      const result<rpc::submission_answer>& answer)
+{
+    {
+        const std::lock_guard lock(mutex_);
+        --running_;
+    }
+    moved->finish(answer);
+}
+
 void submission_table::expire(absl::Time now)
 {
     const std::lock_guard lock(mutex_);
--- a/src/libs/carobfall/dispatch/submission_table.h
+++ b/src/libs/carobfall/dispatch/submission_table.h
@@ -48,6 +48,12 @@
     void record_expired(const std::shared_ptr<job>& answered);
     /// Forgets a job that was refused before anything was claimed for it.
     void discard(const std::shared_ptr<job>& refused, const result<rpc::submission_answer>& answer);
+    /// Forgets a job whose ownership moved before its claim was held. It counts as running until
+    /// `finish_removed`, so that a shutdown waits for the answer of the new owner.
+    void remove(const std::shared_ptr<job>& moved);
+    /// Hands the answer of the new owner to those who wait for the removed job.
+    void finish_removed(const std::shared_ptr<job>& moved,
+                        const result<rpc::submission_answer>& answer);
 
     /// Drops entries whose deadline and retention have passed.
     void expire(absl::Time now);
--- a/src/libs/carobfall/dispatch/takeover.cpp
+++ b/src/libs/carobfall/dispatch/takeover.cpp
@@ -239,6 +239,14 @@
             }
         }
     }
+    // An agent that the claim doesn't name has the task: the claim that named it was lost.
+    for (const rpc::record_summary& record : claim_.records()) {
+        const bool may_run =
+            record.state() != rpc::task_state_refused && record.state() != rpc::task_state_revoked;
+        if (may_run && record.index() < count) {
+            tombstones[record.index()] = 0;
+        }
+    }
     for (std::uint32_t index = 0; index < count; ++index) {
         if (finished[index] == 0 && tombstones[index] < agents_.size()) {
             builder.outcome(index, rpc::outcome_may_have_run);
--- a/src/libs/carobfall/entry/claim_acceptance.cpp
+++ b/src/libs/carobfall/entry/claim_acceptance.cpp
@@ -24,8 +24,8 @@
     if (!request.has_claim()) {
         reply.set_accepted(true);
     } else if (is_acceptable(request, views)) {
-        claims.put(request.claim());
-        reply.set_accepted(is_acceptable(request, views));
+        const bool stored = claims.put(request.claim());
+        reply.set_accepted(stored && is_acceptable(request, views));
     }
     reply.set_view_number(views.acknowledged());
     return reply;
--- a/src/libs/carobfall/entry/claim_store.cpp
+++ b/src/libs/carobfall/entry/claim_store.cpp
@@ -4,6 +4,7 @@
 #include "carobfall/entry/rendezvous.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace carobfall {
 namespace {
@@ -37,17 +38,44 @@
     held.set_answered(true);
 }
 
+// Keeps the records of agents, which already include those of the new claim.
+void replace(rpc::claim& held, const rpc::claim& claim)
+{
+    rpc::claim next = claim;
+    *next.mutable_records() = held.records();
+    held = std::move(next);
+}
+
+// Both claims name the same body.
+void unite(rpc::claim& held, const rpc::claim& claim, const rpc::entry_view* view)
+{
+    for (const rpc::agent_ref& agent : claim.planned_agents()) {
+        if (!contains_agent(held, agent)) {
+            *held.add_planned_agents() = agent;
+        }
+    }
+    const bool is_same_view = held.view_number() == claim.view_number();
+    const bool may_succeed = view == nullptr || find_member(*view, held.coordinator()) == nullptr;
+    if (held.view_number() < claim.view_number() || (is_same_view && may_succeed)) {
+        *held.mutable_coordinator() = claim.coordinator();
+        held.set_view_number(claim.view_number());
+    }
+    if (claim.answered()) {
+        set_answered(held, claim.answered_complete());
+    }
+}
+
 } // namespace
 
 bool is_from_records(const rpc::claim& claim)
 {
-    return !claim.records().empty();
+    return !claim.has_coordinator();
 }
 
-void claim_store::put(const rpc::claim& claim)
+bool claim_store::put(const rpc::claim& claim)
 {
     const absl::MutexLock lock(&mutex_);
-    put_locked(claim, nullptr);
+    return put_locked(claim, nullptr);
 }
 
 void claim_store::merge(const rpc::claim& copy, const rpc::entry_view& view)
@@ -56,35 +84,50 @@
     put_locked(copy, &view);
 }
 
-void claim_store::put_locked(const rpc::claim& claim, const rpc::entry_view* view)
+bool claim_store::put_locked(const rpc::claim& claim, const rpc::entry_view* view)
 {
-    const auto [held, inserted] = claims_.try_emplace(from_message(claim.submission()), claim);
+    const auto [entry, inserted] = claims_.try_emplace(from_message(claim.submission()), claim);
     if (inserted) {
-        return;
+        return true;
+    }
+    rpc::claim& held = entry->second;
+    for (const rpc::record_summary& record : claim.records()) {
+        add_record(held, record);
     }
     if (is_from_records(claim)) {
-        if (is_from_records(held->second)) {
-            for (const rpc::record_summary& record : claim.records()) {
-                add_record(held->second, record);
-            }
-        }
-        return;
+        return is_from_records(held);
     }
-    if (is_from_records(held->second)) {
-        held->second = claim;
-        return;
+    if (is_from_records(held) ||
+        (held.body_hash() != claim.body_hash() && held.view_number() < claim.view_number())) {
+        replace(held, claim);
+        return true;
     }
-    for (const rpc::agent_ref& agent : claim.planned_agents()) {
-        if (!contains_agent(held->second, agent)) {
-            *held->second.add_planned_agents() = agent;
-        }
+    if (held.body_hash() != claim.body_hash()) {
+        return false;
     }
-    if (view == nullptr || find_member(*view, held->second.coordinator()) == nullptr) {
-        *held->second.mutable_coordinator() = claim.coordinator();
+    unite(held, claim, view);
+    return true;
+}
+
+bool claim_store::withdraw(const rpc::claim& claim)
+{
+    const absl::MutexLock lock(&mutex_);
+    const auto held = claims_.find(from_message(claim.submission()));
+    if (held == claims_.end() || held->second.view_number() != claim.view_number() ||
+        held->second.body_hash() != claim.body_hash() ||
+        !same_incarnation(held->second.coordinator(), claim.coordinator())) {
+        return false;
     }
-    if (claim.answered()) {
-        set_answered(held->second, claim.answered_complete());
+    if (held->second.records().empty()) {
+        claims_.erase(held);
+        return true;
     }
+    rpc::claim records;
+    *records.mutable_submission() = held->second.submission();
+    records.set_deadline_unix_ms(held->second.deadline_unix_ms());
+    *records.mutable_records() = held->second.records();
+    held->second = std::move(records);
+    return true;
 }
 
 void claim_store::note_answered(const rpc::answered_note& note)
@@ -104,9 +147,7 @@
         *held->second.mutable_submission() = record.submission();
         held->second.set_deadline_unix_ms(record.deadline_unix_ms());
     }
-    if (inserted || is_from_records(held->second)) {
-        add_record(held->second, record);
-    }
+    add_record(held->second, record);
 }
 
 std::optional<rpc::claim> claim_store::find(const submission_key& key) const
--- a/src/libs/carobfall/entry/claim_store.h
+++ b/src/libs/carobfall/entry/claim_store.h
@@ -26,15 +26,21 @@
 /// Claims that this entry holds as coordinator or as witness. Thread-safe.
 class claim_store {
 public:
-    /// Adds the claim, or extends the one held: planned agents are united, `answered` stays set,
-    /// and `answered_complete` if no copy says otherwise. The body hash never changes.
-    void put(const rpc::claim& claim);
-    /// Adds a copy that another entry delivered for `view`, or unites it with the one held. The
-    /// coordinator named by the held claim stays if it is a member of the view; otherwise the
-    /// claim has been taken over and the copy may name the successor.
+    /// Adds the claim, or unites it with the one held. Of two claims with different bodies only the
+    /// one with the higher view number counts: the other was never held by its coordinator. With
+    /// the same body, planned agents are united, the higher view number decides the coordinator,
+    /// `answered` stays set, and `answered_complete` if no copy says otherwise. False if the claim
+    /// held names another body and stays.
+    bool put(const rpc::claim& claim);
+    /// As `put`, for a copy that another entry delivered for `view`. With equal view numbers the
+    /// coordinator named by the held claim stays if it is a member of the view.
     void merge(const rpc::claim& copy, const rpc::entry_view& view);
-    /// Makes a submission known of which no claim is held, from the record of an agent. The claim
-    /// made for it has only key, deadline and records; a real claim replaces it.
+    /// Removes a claim that its coordinator never held, if the one held still has its coordinator,
+    /// body and view number. Records of agents that belong to the key stay: they may come from the
+    /// claim of a later owner that was lost with all its holders.
+    bool withdraw(const rpc::claim& claim);
+    /// Adds the record of an agent. If no claim is held, one is made that has only key, deadline
+    /// and records.
     void learn(const rpc::record_summary& record);
     /// Marks the claim as answered if it is held.
     void note_answered(const rpc::answered_note& note);
@@ -45,7 +51,7 @@
     void expire(absl::Time now);
 
 private:
-    void put_locked(const rpc::claim& claim, const rpc::entry_view* view)
+    bool put_locked(const rpc::claim& claim, const rpc::entry_view* view)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
 
     mutable absl::Mutex mutex_;
--- a/tests/auto/entry/tst_claim_transfer.cpp
+++ b/tests/auto/entry/tst_claim_transfer.cpp
@@ -200,3 +200,36 @@
     claims.merge(claim_of(region, 1), region.view_at(0).view);
     CHECK(same_incarnation(claims.find(key)->coordinator(), region.at(1).self));
 }
+
+// Guards against a stale copy of a withdrawn claim that wins against the claim of a later owner,
+// and against records of that later claim that are lost with the stale copy.
+TEST_CASE("of claims with different bodies the one of the higher view counts")
+{
+    region_simulation region(2, 0);
+    region.run(8);
+    rpc::claim stale = claim_of(region, 0);
+    stale.set_body_hash("h1");
+    stale.set_view_number(3);
+    *stale.add_planned_agents() = {};
+    rpc::claim later = claim_of(region, 1);
+    later.set_body_hash("h2");
+    later.set_view_number(4);
+    claim_store claims;
+    CHECK(claims.put(stale));
+    CHECK(claims.put(later));
+    CHECK_FALSE(claims.put(stale));
+    claims.merge(stale, region.view_at(0).view);
+    CHECK_FALSE(claims.withdraw(stale));
+    CHECK(claims.find(key)->body_hash() == "h2");
+    CHECK(claims.find(key)->planned_agents().empty());
+    stale.set_body_hash("h2");
+    CHECK(claims.put(stale));
+    CHECK(same_incarnation(claims.find(key)->coordinator(), region.at(1).self));
+    CHECK(claims.find(key)->planned_agents_size() == 1);
+    rpc::record_summary record;
+    *record.mutable_submission() = to_message(key);
+    record.set_state(rpc::task_state_started);
+    claims.learn(record);
+    CHECK(claims.withdraw(later));
+    CHECK(is_from_records(*claims.find(key)));
+}
