Tests: Add schedules for a moved ownership, out_list and rerun

Cause: no directed schedule covered an ownership that moves before the claim is held, and the removal of out_list and rerun was not noticed. The delayed start of out_list was refused because of the tombstone of its revoke: the coordinator takes the delayed call for lost and revokes the attempt. The schedule now cuts the coordinator off from the agent until the delivery. Ruled out: for rerun, a run that hangs; with the agent replaced after the start the run ends. The cause of the hang of the random run was not looked for. Conclusion: directed schedules notice both rules now.

--- a/tests/auto/stateful/schedules.cpp
+++ b/tests/auto/stateful/schedules.cpp
@@ -339,4 +339,72 @@
     return at.end(ran && alone && joined && moved);
 }
 
+schedule_outcome moved_ownership(bool stored)
+{
+    scene at(rule_removed::none);
+    at.region.kill_entry(at.coordinator);
+    const int second = at.witness;
+    const auto members = [&](int count) {
+        const ownership_snapshot snapshot = at.region.entry(second)->members->snapshot();
+        return snapshot.usable() && snapshot.complete && snapshot.view.members_size() == count;
+    };
+    const bool alone = at.run_until([&] { return members(entry_count - 1); });
+    at.region.run(rounds_of(absl::Seconds(5)), heartbeat_interval);
+    at.region.submit(second, at.request);
+    const bool begun = at.step_until([&] {
+        return stored ? at.region.entry(at.other)->claims.find(at.key).has_value()
+                      : at.region.entry(second)->submissions->running_jobs() == 1;
+    });
+    at.region.start_entry(at.coordinator);
+    // Only the entries' own steps run, so that the job stands still.
+    for (int round = 0; round < view_change_rounds && !members(entry_count); ++round) {
+        at.region.advance(heartbeat_interval);
+        for (int i = 0; i < entry_count; ++i) {
+            at.region.step_entry(i);
+        }
+        for (int i = 0; i < agent_count; ++i) {
+            at.region.step_agent(i);
+        }
+    }
+    const bool moved = members(entry_count);
+    at.region.submit(at.coordinator, at.request);
+    at.region.run(rounds_of(absl::Seconds(5)), heartbeat_interval);
+    at.region.submit(second, at.request);
+    at.region.submit(at.coordinator, at.request);
+    at.region.run(10);
+    return at.end(alone && begun && moved);
+}
+
+schedule_outcome start_in_data_centre_out(rule_removed mutation)
+{
+    scene at(mutation);
+    at.plan_for_agents(call_fault::delay);
+    at.region.submit(at.coordinator, at.request);
+    const bool sent = at.step_until([&] { return at.region.network().late() == 1; });
+    const auto agent = at.region.agent(at.delayed_at);
+    if (!sent || agent == nullptr) {
+        return at.end(false);
+    }
+    // A revoke would leave a tombstone, which refuses the start as well.
+    at.region.network().cut(at.delayed_at, at.region.entry(at.coordinator)->self.name());
+    at.region.change_data_centre(at.other, agent->info().data_centre(), true);
+    const bool accepted = at.run_until([&] { return at.region.facts().accepted_version() > 0; });
+    at.region.run(rounds_of(out_grace) + 2, heartbeat_interval);
+    at.region.network().heal();
+    at.region.network().deliver_late(0);
+    agent->take_tasks();
+    agent->confirm_tasks();
+    return at.end(accepted);
+}
+
+schedule_outcome replaced_agent(rule_removed mutation)
+{
+    scene at(mutation);
+    at.region.submit(at.coordinator, at.request);
+    const bool ran = at.run_until([&] { return at.region.facts().starts(at.key, 0) > 0; });
+    at.region.restart_agent(at.holder());
+    at.region.run(silent_agent_rounds);
+    return at.end(ran);
+}
+
 } // namespace carobfall::stateful
--- a/tests/auto/stateful/schedules.h
+++ b/tests/auto/stateful/schedules.h
@@ -37,5 +37,14 @@
 schedule_outcome other_body(rule_removed mutation);
 /// An entry that only reaches the store takes a data centre out; then the store is down as well.
 schedule_outcome change_at_isolated_entry(rule_removed mutation);
+/// A job waits for its claim while an entry joins that the key belongs to. That entry gets the
+/// submission as well, and then both get it again. With `stored` its witness holds the claim.
+schedule_outcome moved_ownership(bool stored);
+/// A start is delayed, and its revokes are lost, until the agent's data centre has been out for
+/// long.
+schedule_outcome start_in_data_centre_out(rule_removed mutation);
+/// The agent that has run the task of a template without `rerun_lost` is replaced before its
+/// report.
+schedule_outcome replaced_agent(rule_removed mutation);
 
 } // namespace carobfall::stateful
--- a/tests/auto/stateful/tst_schedules.cpp
+++ b/tests/auto/stateful/tst_schedules.cpp
@@ -108,6 +108,31 @@
     check_noticed(change_at_isolated_entry(rule_removed::versions));
 }
 
+// Guards against a refusal with not_run that an entry recorded before the new owner of the key ran
+// the submission, and against a claim that leads the new owner to an answer that doesn't exist.
+TEST_CASE("a submission whose owner changed before its claim was held runs once at the new owner")
+{
+    silence_logs();
+    check_holds(moved_ownership(false), 1);
+    check_holds(moved_ownership(true), 1);
+}
+
+// Guards against a start that was on its way while the data centre was taken out.
+TEST_CASE("a delayed start is refused in a data centre that is out")
+{
+    silence_logs();
+    check_holds(start_in_data_centre_out(rule_removed::none), 1);
+    check_noticed(start_in_data_centre_out(rule_removed::out_list));
+}
+
+// Guards against a second run of a task that may have run, by a template that forbids it.
+TEST_CASE("a task whose agent was replaced doesn't run again")
+{
+    silence_logs();
+    check_holds(replaced_agent(rule_removed::none), 1);
+    check_noticed(replaced_agent(rule_removed::rerun));
+}
+
 // Guards against an entry that has been paused, doesn't know of its removal from the view yet, and
 // refuses with not_run what another entry has run.
 TEST_CASE("a superseded entry doesn't report not_run for a task that ran")
