--- a/tests/measure/call_counter.cpp
+++ b/tests/measure/call_counter.cpp
@@ -55,6 +55,9 @@
 {
     for (const rpc::task_status& task : static_cast<const Reply*>(message)->tasks()) {
         counters().add(method + "." + rpc::task_state_Name(task.state()));
+        if (task.state() == rpc::task_state_refused) {
+            counters().add(method + "." + rpc::refusal_reason_Name(task.reason()));
+        }
     }
 }
 
