Agent: Fetch the configuration when a start shows that it is out of date

Cause: all starts refused in the 5 s after the return of a data centre say that the data centre is out. The entries hold the change within 13 ms, but the agents there learn of it with their next heartbeat, up to 2 s later. Meanwhile they look empty, so that every waiting job of every entry tries them again each 50 ms.

Ruled out: a lack of room.

An agent that refuses a start because its data centre is out, while the start names a later configuration than the agent holds, sends its heartbeats at once.

--- a/src/libs/carobfall/agent/agent_daemon.cpp
+++ b/src/libs/carobfall/agent/agent_daemon.cpp
@@ -89,7 +89,9 @@
                                                         limits_.max_task_result_bytes, clock_);
           },
           [this](pending_report report) { post(std::move(report)); }, metrics_, clock_),
-      server_(ledger_, {.tasks_queued = [this](std::size_t tasks) { executor_.notify(tasks); }},
+      server_(ledger_,
+              {.tasks_queued = [this](std::size_t tasks) { executor_.notify(tasks); },
+               .refused_as_out = [this](std::uint64_t version) { catch_up(version); }},
               metrics_, clock_),
       operator_server_("operator_request", operator_http(settings_.operator_address))
 {
@@ -226,6 +228,15 @@
     }
 }
 
+/// Without it, the entries send starts to a data centre that is back in service until the next
+/// heartbeat, and each is refused.
+void agent_daemon::catch_up(std::uint64_t configuration_version)
+{
+    if (configuration_version > lease_.configuration_version()) {
+        sessions_.beat_now();
+    }
+}
+
 void agent_daemon::post(pending_report report)
 {
     metrics_.add("reports_total");
--- a/src/libs/carobfall/agent/agent_daemon.h
+++ b/src/libs/carobfall/agent/agent_daemon.h
@@ -65,6 +65,7 @@
     void take_beat_reply(const rpc::beat_reply& reply, absl::Time send_time);
     void take_view(const rpc::entry_view& view);
     void take_announcement(const announcement& backend, absl::Time valid_until);
+    void catch_up(std::uint64_t configuration_version);
     void post(pending_report report);
     void maintain();
     void sweep();
--- a/src/libs/carobfall/agent/agent_server.cpp
+++ b/src/libs/carobfall/agent/agent_server.cpp
@@ -3,6 +3,7 @@
 #include <absl/strings/str_cat.h>
 #include <grpcpp/grpcpp.h>
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -37,6 +38,12 @@
     return true;
 }
 
+bool has_refusal(const rpc::start_reply& reply, rpc::refusal_reason reason)
+{
+    return std::any_of(reply.tasks().begin(), reply.tasks().end(),
+                       [&](const rpc::task_status& task) { return task.reason() == reason; });
+}
+
 grpc::Status invalid_request()
 {
     return {grpc::StatusCode::INVALID_ARGUMENT,
@@ -94,6 +101,9 @@
     }
     *reply = ledger_.start(*request, clock_());
     count(*reply);
+    if (has_refusal(*reply, rpc::refusal_data_centre_out)) {
+        events_.refused_as_out(request->configuration_version());
+    }
     return grpc::Status::OK;
 }
 
--- a/src/libs/carobfall/agent/agent_server.h
+++ b/src/libs/carobfall/agent/agent_server.h
@@ -21,6 +21,9 @@
 /// Reactions of the agent to what its gRPC service has decided. Called without a lock.
 struct agent_server_events {
     std::function<void(std::size_t tasks)> tasks_queued;
+    /// Starts were refused because the data centre is out, though the entry, which holds this
+    /// version of the configuration, considers it in service.
+    std::function<void(std::uint64_t configuration_version)> refused_as_out;
 };
 
 /// Serves `agent_service` to the entries from the ledger.
--- a/tests/auto/agent/fake_entry.h
+++ b/tests/auto/agent/fake_entry.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <vector>
 
 namespace carobfall {
 
@@ -42,7 +43,10 @@
         last_beat = *request;
         reply->set_send_time_us(request->send_time_us());
         reply->set_lease_ms(lease_ms);
-        reply->set_configuration_version(1);
+        reply->set_configuration_version(configuration_version);
+        for (const std::string& data_centre : data_centres_out) {
+            reply->add_data_centres_out(data_centre);
+        }
         reply->set_registered(true);
         return grpc::Status::OK;
     }
@@ -69,6 +73,8 @@
     std::mutex mutex;
     std::string address;
     std::uint32_t lease_ms{2000};
+    std::uint64_t configuration_version{1};
+    std::vector<std::string> data_centres_out;
     rpc::agent_info agent;
     rpc::beat_request last_beat;
     std::map<std::uint32_t, rpc::task_status> reports;
--- a/tests/auto/agent/tst_agent_daemon.cpp
+++ b/tests/auto/agent/tst_agent_daemon.cpp
@@ -20,8 +20,11 @@
 
 /// One agent with its backend server and one entry, over the network.
 struct agent_environment {
-    explicit agent_environment(std::uint32_t run_ms)
+    explicit agent_environment(std::uint32_t run_ms,
+                               absl::Duration heartbeat = absl::Milliseconds(50),
+                               const std::vector<std::string>& data_centres_out = {})
     {
+        entry.data_centres_out = data_centres_out;
         const agent_settings settings{.name = "worker-1",
                                       .region = "khomas",
                                       .data_centre = "windhoek",
@@ -30,7 +33,7 @@
                                       .announce_address = "127.0.0.1:0",
                                       .operator_address = "127.0.0.1:0",
                                       .entry_addresses = {entry.address},
-                                      .heartbeat = absl::Milliseconds(50),
+                                      .heartbeat = heartbeat,
                                       .ledger = {}};
         daemon.emplace(
             settings, agent_limits{},
@@ -65,6 +68,7 @@
         request.set_request_path("/v1/run");
         request.mutable_coordinator()->set_address(entry.address);
         request.set_agent_incarnation(entry.agent.incarnation());
+        request.set_configuration_version(entry.configuration_version);
         for (std::uint32_t i = 0; i < tasks; ++i) {
             rpc::start_task* task = request.add_tasks();
             task->set_index(i);
@@ -115,6 +119,23 @@
     CHECK(client.Get("/metrics")->body.find("tasks_accepted_total 6") != std::string::npos);
 }
 
+// Guards against starts that are refused until the next heartbeat after a data centre has returned.
+TEST_CASE("an agent that refuses a start by an older configuration fetches the later one at once")
+{
+    agent_environment e(20, absl::Seconds(30), {"windhoek"});
+    CHECK(e.start(1).tasks(0).reason() == rpc::refusal_data_centre_out);
+    {
+        const std::lock_guard lock(e.entry.mutex);
+        e.entry.configuration_version = 2;
+        e.entry.data_centres_out.clear();
+    }
+    std::uint32_t tasks = 1;
+    CHECK(becomes_true([&] {
+        ++tasks;
+        return e.start(tasks).tasks(static_cast<int>(tasks) - 1).state() == rpc::task_state_queued;
+    }));
+}
+
 // Guards against a shutdown that loses running work or keeps queued work from running elsewhere.
 TEST_CASE("a shutdown finishes running tasks, hands back the queue and tells the entry")
 {
