Dispatch: Add the starts in flight to the load of an agent

Cause: an entry took the larger of an agent's reported load and its own attempts. Tasks of other entries in the load hid the starts that the agent had not answered yet, so that an agent that was slow to answer got more tasks than its queue takes (24 with 8 slots) and refused them. `load_with` added the own attempts, which the reported load has already.

Now starts count on top of the load until their call returns; after a lost answer they count until the next report. Placement, room and admission use the same number.

The fake agent of the tests now gives its load with each answer, as agents do.

--- a/src/libs/carobfall/dispatch/agent_calls.cpp
+++ b/src/libs/carobfall/dispatch/agent_calls.cpp
@@ -1,5 +1,7 @@
 #include "carobfall/dispatch/agent_calls.h"
 
+#include <optional>
+
 namespace carobfall {
 
 bool agent_calls::start(const start_batch& batch, std::uint64_t view, absl::Duration limit)
@@ -7,6 +9,13 @@
     job& running = *plan_.running;
     const auto reply =
         context_.outside.agents(*batch.agent)->start(request_for(batch, view), limit);
+    std::optional<rpc::agent_load> load;
+    if (reply && reply.value().has_load()) {
+        // Without it, the starts of the other entries are unknown here until a heartbeat.
+        load = reply.value().load();
+    }
+    context_.outside.registry->end_start(ref_of(*batch.agent),
+                                         static_cast<std::uint32_t>(batch.tasks.size()), load);
     if (!reply && reply.error().kind == error_kind::unavailable) {
         attempt_accounting accounting(context_);
         for (const rpc::task_attempt& task : batch.tasks) {
@@ -17,10 +26,6 @@
     }
     bool all_taken = static_cast<bool>(reply);
     if (reply) {
-        if (reply.value().has_load()) {
-            // Without it, the starts of the other entries are unknown here until a heartbeat.
-            context_.outside.registry->update_load(ref_of(*batch.agent), reply.value().load());
-        }
         for (const rpc::task_status& status : reply.value().tasks()) {
             all_taken = all_taken && status.state() != rpc::task_state_refused;
             apply(status);
--- a/src/libs/carobfall/dispatch/agent_registry.cpp
+++ b/src/libs/carobfall/dispatch/agent_registry.cpp
@@ -24,9 +24,8 @@
 {
     const std::uint32_t slots = agent.info->backend_server().slots();
     const auto taken = [&] {
-        return agent.leaving || !agent.backend_available
-                   ? std::numeric_limits<std::uint32_t>::max()
-                   : std::max(agent.load.running() + agent.load.queued(), agent.outstanding);
+        return agent.leaving || !agent.backend_available ? std::numeric_limits<std::uint32_t>::max()
+                                                         : agent.tasks();
     };
     const std::uint32_t before = taken();
     change();
@@ -35,6 +34,13 @@
 
 } // namespace
 
+std::uint32_t agent_state::tasks() const
+{
+    // Tasks of other entries in the load hide the starts in flight unless they are added: an agent
+    // that is slow to answer then got more tasks than its queue takes.
+    return std::max(load.running() + load.queued() + in_flight, outstanding);
+}
+
 rpc::agent_ref ref_of(const rpc::agent_info& info)
 {
     rpc::agent_ref ref;
@@ -216,9 +222,28 @@
     const std::lock_guard lock(mutex_);
     if (agent_state* state = find_locked(agent)) {
         state->outstanding += tasks;
+        state->in_flight += tasks;
     }
 }
 
+void agent_registry::end_start(const rpc::agent_ref& agent, std::uint32_t tasks,
+                               const std::optional<rpc::agent_load>& load)
+{
+    std::uint32_t gained = 0;
+    {
+        const std::lock_guard lock(mutex_);
+        if (agent_state* state = find_locked(agent)) {
+            gained = room_gained(*state, [&] {
+                state->in_flight -= std::min(tasks, state->in_flight);
+                // The starts may have arrived: they count until the next report says more.
+                state->load.set_queued(state->load.queued() + tasks);
+                state->load = load.value_or(state->load);
+            });
+        }
+    }
+    notify_room(gained);
+}
+
 std::uint32_t agent_registry::remove_outstanding(const rpc::agent_ref& agent, std::uint32_t tasks)
 {
     const std::lock_guard lock(mutex_);
--- a/src/libs/carobfall/dispatch/agent_registry.h
+++ b/src/libs/carobfall/dispatch/agent_registry.h
@@ -26,6 +26,10 @@
     bool leaving{false};
     bool backend_available{true};
     std::uint32_t outstanding{0}; ///< attempts of this entry that are neither finished nor undone
+    std::uint32_t in_flight{0};   ///< those whose start call has not returned
+
+    /// Running and queued tasks of all entries, as far as this one knows.
+    [[nodiscard]] std::uint32_t tasks() const;
 };
 
 /// Registered agents of an entry. Thread-safe.
@@ -57,9 +61,12 @@
     /// True once a later incarnation of the agent has registered here.
     [[nodiscard]] bool is_lost(const rpc::agent_ref& agent) const;
 
-    /// Load from the answer to a start, which is newer than that of the last heartbeat.
     void update_load(const rpc::agent_ref& agent, const rpc::agent_load& load);
+    /// Counts starts that are about to be sent; `end_start` has to follow.
     void add_outstanding(const rpc::agent_ref& agent, std::uint32_t tasks);
+    /// The call with these starts has returned, with the load if the agent gave it.
+    void end_start(const rpc::agent_ref& agent, std::uint32_t tasks,
+                   const std::optional<rpc::agent_load>& load);
     /// Returns the number of slots that may have become free by it.
     std::uint32_t remove_outstanding(const rpc::agent_ref& agent, std::uint32_t tasks);
 
--- a/src/libs/carobfall/dispatch/agent_selection.cpp
+++ b/src/libs/carobfall/dispatch/agent_selection.cpp
@@ -33,8 +33,7 @@
     const std::uint32_t slots = agent.info->backend_server().slots();
     const auto limit =
         slots + static_cast<std::uint32_t>(std::ceil(settings.queue_per_slot * slots));
-    const std::uint32_t reported = agent.load.running() + agent.load.queued();
-    return limit - std::min(limit, std::max(reported, agent.outstanding));
+    return limit - std::min(limit, agent.tasks());
 }
 
 std::vector<placement_candidate>
@@ -55,7 +54,7 @@
         placement_candidate candidate;
         candidate.info = agent.info;
         candidate.slots = agent.info->backend_server().slots();
-        candidate.reported = agent.load.running() + agent.load.queued();
+        candidate.tasks = agent.tasks();
         candidate.outstanding = agent.outstanding;
         candidate.room = permission == backend_permission::probe ? 1 : room;
         candidates.push_back(std::move(candidate));
--- a/src/libs/carobfall/dispatch/placement.cpp
+++ b/src/libs/carobfall/dispatch/placement.cpp
@@ -103,15 +103,12 @@
 
 double placement_candidate::load_with(std::uint32_t added) const
 {
-    const double tasks = static_cast<double>(reported) + outstanding + added;
-    return tasks / std::max<std::uint32_t>(1, slots);
+    return (static_cast<double>(tasks) + added) / std::max<std::uint32_t>(1, slots);
 }
 
 std::uint32_t placement_candidate::free_slots() const
 {
-    // The attempts of this entry are usually part of the reported load, so they aren't added.
-    const std::uint32_t used = std::max(reported, outstanding);
-    return used >= slots ? 0 : slots - used;
+    return slots - std::min(slots, tasks);
 }
 
 std::vector<std::size_t> internal::with_room(const candidates_type& candidates,
--- a/src/libs/carobfall/dispatch/placement.h
+++ b/src/libs/carobfall/dispatch/placement.h
@@ -19,7 +19,7 @@
 struct placement_candidate {
     std::shared_ptr<const rpc::agent_info> info;
     std::uint32_t slots{0};
-    std::uint32_t reported{0};    ///< running and queued tasks in the last report of the agent
+    std::uint32_t tasks{0};       ///< running and queued tasks of all entries
     std::uint32_t outstanding{0}; ///< attempts of this entry at the agent
     std::uint32_t room{0};        ///< most tasks that may be added now
 
--- a/tests/auto/dispatch/fakes.cpp
+++ b/tests/auto/dispatch/fakes.cpp
@@ -51,9 +51,7 @@
     if (mode == agent_mode::lose_reply) {
         return lost<rpc::start_reply>();
     }
-    if (queued_in_reply) {
-        reply.mutable_load()->set_queued(*queued_in_reply);
-    }
+    reply.mutable_load()->set_queued(queued_in_reply);
     return reply;
 }
 
--- a/tests/auto/dispatch/fakes.h
+++ b/tests/auto/dispatch/fakes.h
@@ -231,7 +231,7 @@
 
     const rpc::agent_info& registered() const { return info; }
     rpc::refusal_reason reason{rpc::refusal_queue_full};
-    std::optional<std::uint32_t> queued_in_reply; ///< load in the answers to starts
+    std::uint32_t queued_in_reply{0}; ///< load in the answers to starts
     bool task_succeeds{true};
     bool refuse_revokes{false}; ///< the answers to revokes are lost
 
--- a/tests/auto/dispatch/tst_agent_registry.cpp
+++ b/tests/auto/dispatch/tst_agent_registry.cpp
@@ -113,6 +113,21 @@
     CHECK(allowed(now));
     CHECK(!allowed(now + absl::Seconds(4)));
     CHECK(room_at(state, fixture.settings) == 12);
+    // Guards against starts that are hidden by tasks of other entries until the agent answers.
+    const rpc::agent_ref agent = ref_of(*state.info);
+    rpc::agent_load load;
+    load.set_running(4);
+    fixture.registry.update_load(agent, load);
+    fixture.registry.add_outstanding(agent, 3);
+    CHECK(room_at(fixture.registry.agents().front(), fixture.settings) == 5);
+    fixture.registry.update_load(agent, load);
+    CHECK(room_at(fixture.registry.agents().front(), fixture.settings) == 5);
+    load.set_running(7);
+    fixture.registry.end_start(agent, 3, load);
+    CHECK(room_at(fixture.registry.agents().front(), fixture.settings) == 5);
+    fixture.registry.add_outstanding(agent, 2);
+    fixture.registry.end_start(agent, 2, std::nullopt);
+    CHECK(room_at(fixture.registry.agents().front(), fixture.settings) == 3);
     state.load.set_running(8);
     state.load.set_queued(9);
     CHECK(room_at(state, fixture.settings) == 0);
