Dispatch: Estimate the wait with the measured run times of a template

Cause: admission multiplied the queue by the declared run time. With a declaration ten times too long it refused submissions that could be met, and a template whose declaration exceeds the deadlines was refused on idle agents.

The declaration counts as one run, since the first run may be a straggler. A changed declaration, or 60 s without a run, ends an average: a template whose tasks are all refused by it would never be measured again. For the same reason a declaration that fewer than 10 runs have confirmed refuses nothing while there are free slots for all tasks.

Runs that end after the deadline are not measured, and the tasks ahead count as if they were of the same template.

--- a/src/libs/carobfall/dispatch/admission.cpp
+++ b/src/libs/carobfall/dispatch/admission.cpp
@@ -129,8 +129,14 @@
                        "submit again in a moment; operators check the list of backend servers");
     }
     const auto tasks = static_cast<std::uint32_t>(request.tasks_size());
-    const absl::Duration needed =
-        estimate_completion(ahead, tasks, slots, declaration.expected_run);
+    const run_estimate run = context_.runs.expected(declaration.client_account, declaration.name,
+                                                    declaration.expected_run, now);
+    // Without a wait, a declaration alone refuses nothing: if it is too long, it would refuse all
+    // submissions and never be corrected.
+    if (!run.measured && ahead + tasks <= slots) {
+        return success();
+    }
+    const absl::Duration needed = estimate_completion(ahead, tasks, slots, run.run);
     if (now + needed > from_unix_ms(request.deadline_unix_ms())) {
         return failure(error_kind::overloaded,
                        absl::StrCat("the tasks are expected to take ", absl::FormatDuration(needed),
--- a/src/libs/carobfall/dispatch/dispatch_context.h
+++ b/src/libs/carobfall/dispatch/dispatch_context.h
@@ -10,6 +10,7 @@
 #include "carobfall/dispatch/dispatch_settings.h"
 #include "carobfall/dispatch/placement.h"
 #include "carobfall/dispatch/retry_budget.h"
+#include "carobfall/dispatch/run_times.h"
 #include "carobfall/dispatch/slot_waiters.h"
 #include "carobfall/dispatch/submission_table.h"
 #include "carobfall/dispatch/work_pool.h"
@@ -44,6 +45,7 @@
           health(outside.backoff, outside.random),
           notes(*outside.owner, outside.entries, set.claim_call_limit),
           retries(set.retry_share, set.retries_per_second),
+          runs(set.measured_templates),
           calls(set.call_threads, set.run_queue)
     {}
 
@@ -56,6 +58,7 @@
     backend_health health;
     answered_notes notes;
     retry_budget retries;
+    run_times runs;
     slot_waiters waiting;
     work_pool calls; ///< helps with calls to several agents at once
 };
--- a/src/libs/carobfall/dispatch/job_runner.cpp
+++ b/src/libs/carobfall/dispatch/job_runner.cpp
@@ -332,12 +332,23 @@
     }
 }
 
+void job_runner::record_run_time(const task_entry& task)
+{
+    if (!task.result || !task.result->success()) {
+        return;
+    }
+    const dispatch_template& declaration = plan_.declaration;
+    context_.runs.record(declaration.client_account, declaration.name, declaration.expected_run,
+                         absl::Milliseconds(task.result->run_ms()), context_.now());
+}
+
 void job_runner::record_answer()
 {
     attempt_accounting accounting(context_);
     std::uint32_t index = 0;
     for (const task_entry& task : job_.tasks()) {
         accounting.closed(job_.key(), job_.mark_lost(index, task.attempt, false), context_.now());
+        record_run_time(task);
         ++index;
     }
     context_.limits.leave(job_.key().client_account, job_.progress().waiting);
--- a/src/libs/carobfall/dispatch/job_runner.h
+++ b/src/libs/carobfall/dispatch/job_runner.h
@@ -26,6 +26,7 @@
     void revoke_uncertain();
     void place_waiting();
     void wind_down();
+    void record_run_time(const task_entry& task);
     void record_answer();
 
     [[nodiscard]] bool may_start_now(absl::Time now);
--- /dev/null
+++ b/src/libs/carobfall/dispatch/run_times.cpp
@@ -0,0 +1,68 @@
+#include "carobfall/dispatch/run_times.h"
+
+#include <algorithm>
+
+namespace carobfall {
+namespace {
+
+// Later runs have this weight, so that the average follows a change within some 20 tasks. Before,
+// all runs have the same weight: the first one may be a straggler.
+constexpr double min_weight = 0.05;
+
+// Below it, the declaration still has a weight of a tenth or more.
+constexpr std::size_t measured_runs = 10;
+
+// An average without new runs ends, because a template whose tasks are all refused by it would
+// never be measured again.
+constexpr absl::Duration average_validity = absl::Seconds(60);
+
+} // namespace
+
+void run_times::record(const std::string& account, const std::string& template_name,
+                       absl::Duration declared, absl::Duration run, absl::Time now)
+{
+    const std::lock_guard lock(mutex_);
+    const template_key key{account, template_name};
+    if (!averages_.contains(key)) {
+        make_room_locked();
+    }
+    average& kept = averages_[key];
+    const bool expired = kept.recorded_at + average_validity <= now;
+    if (kept.runs == 0 || expired || kept.declared != declared) {
+        kept = {.run = declared, .declared = declared, .runs = 0, .recorded_at = now};
+    }
+    ++kept.runs;
+    kept.run += std::max(min_weight, 1.0 / static_cast<double>(kept.runs + 1)) * (run - kept.run);
+    kept.recorded_at = std::max(kept.recorded_at, now);
+}
+
+run_estimate run_times::expected(const std::string& account, const std::string& template_name,
+                                 absl::Duration declared, absl::Time now) const
+{
+    const std::lock_guard lock(mutex_);
+    const auto found = averages_.find(template_key{account, template_name});
+    if (found == averages_.end() || found->second.declared != declared ||
+        found->second.recorded_at + average_validity <= now) {
+        return {.run = declared};
+    }
+    return {.run = found->second.run, .measured = found->second.runs >= measured_runs};
+}
+
+std::size_t run_times::size() const
+{
+    const std::lock_guard lock(mutex_);
+    return averages_.size();
+}
+
+void run_times::make_room_locked()
+{
+    if (averages_.size() < max_templates_ || averages_.empty()) {
+        return;
+    }
+    averages_.erase(std::min_element(averages_.begin(), averages_.end(),
+                                     [](const auto& one, const auto& other) {
+                                         return one.second.recorded_at < other.second.recorded_at;
+                                     }));
+}
+
+} // namespace carobfall
--- a/tests/auto/dispatch/tst_coordinator.cpp
+++ b/tests/auto/dispatch/tst_coordinator.cpp
@@ -182,6 +182,27 @@
           error_kind::not_found);
 }
 
+// Guards against early refusals and late failures by a declared run time that is far off.
+TEST_CASE("the estimate follows the measured run time of 50 ms, whatever the template declares")
+{
+    dispatch_fixture fixture;
+    fixture.add_agent("a1");
+    const auto state_of = [&](int tasks, const char* id) {
+        return fixture.submit(fixture.request(tasks, absl::Seconds(2), id)).value().state();
+    };
+    const auto declare = [&](absl::Duration run) {
+        fixture.source.change_template([&](dispatch_template& d) { d.expected_run = run; });
+    };
+    declare(absl::Seconds(3));
+    CHECK(state_of(9, "refused") == rpc::submission_failed);
+    CHECK(state_of(8, "s1") == rpc::submission_complete);
+    CHECK(state_of(8, "s2") == rpc::submission_complete);
+    CHECK(state_of(9, "s3") == rpc::submission_complete);
+    declare(absl::Milliseconds(1));
+    CHECK(state_of(40, "s4") == rpc::submission_complete);
+    check_refused(fixture.submit(fixture.request(400, absl::Seconds(2), "s5")), "overloaded");
+}
+
 TEST_CASE("a submission that isn't waited for is answered when it is asked for")
 {
     dispatch_fixture fixture;
--- a/tests/auto/dispatch/tst_limits.cpp
+++ b/tests/auto/dispatch/tst_limits.cpp
@@ -4,6 +4,7 @@
 #include "carobfall/dispatch/attempt_accounting.h"
 #include "carobfall/dispatch/backend_health.h"
 #include "carobfall/dispatch/retry_budget.h"
+#include "carobfall/dispatch/run_times.h"
 
 #include <doctest/doctest.h>
 
@@ -140,6 +141,37 @@
     CHECK(budget.take(100, start + absl::Seconds(60)) == 2);
 }
 
+// Guards against refusals by a declared run time that is wrong, which never ended if a template
+// with a wrong average got no more runs.
+TEST_CASE("measured run times replace the declared one of a template, for a bounded number of them")
+{
+    run_times runs(2);
+    const absl::Duration declared = absl::Seconds(1);
+    const absl::Duration measured = absl::Milliseconds(100);
+    const auto expected = [&](const char* name, absl::Duration given, absl::Time now) {
+        return runs.expected("dambi", name, given, now);
+    };
+    CHECK(expected("a", declared, start).run == declared);
+    for (int i = 0; i < 9; ++i) {
+        runs.record("dambi", "a", declared, measured, start);
+    }
+    CHECK(absl::AbsDuration(expected("a", declared, start).run - absl::Milliseconds(190)) <
+          absl::Milliseconds(1));
+    CHECK_FALSE(expected("a", declared, start).measured);
+    for (int i = 0; i < 50; ++i) {
+        runs.record("dambi", "a", declared, measured, start);
+    }
+    CHECK(expected("a", declared, start).run < absl::Milliseconds(110));
+    CHECK(expected("a", declared, start).measured);
+    CHECK(expected("a", 2 * declared, start).run == 2 * declared);
+    CHECK(expected("a", declared, start + absl::Seconds(60)).run == declared);
+
+    runs.record("dambi", "b", declared, measured, start + absl::Seconds(1));
+    runs.record("dambi", "c", declared, measured, start + absl::Seconds(2));
+    CHECK(runs.size() == 2);
+    CHECK(expected("a", declared, start).run == declared);
+}
+
 TEST_CASE("limits are divided among the entries")
 {
     const account_limit_values part = limits_per_entry({10, 9, 0, 2}, 3);
