--- a/src/libs/carobfall/dispatch/job_runner.h
+++ b/src/libs/carobfall/dispatch/job_runner.h
@@ -28,6 +28,7 @@
     void revoke_uncertain();
     void place_waiting();
     void wind_down();
+    void record_run_time(const task_entry& task);
     bool record_answer();
     void forget();
 
