Agent: Lower the default bound of held results to 8 MB

Cause: with both bounds of the ledger full an agent takes 87 MB (26 MB of records, 32 MB of results, 10 MB fixed part, 19 MB of libraries), over the 64 MB that a daemon may take.

Before: 32 MB of results. After: 8 MB, 63 MB together. Worked out from the slopes of docs/CAPACITY.md; a ledger with both bounds full was not run. An agent with larger results drops the oldest ones sooner, as the setting says.

--- a/src/libs/carobfall/agent/task_ledger.h
+++ b/src/libs/carobfall/agent/task_ledger.h
@@ -29,7 +29,7 @@
     /// one task per submission.
     std::size_t max_records{65'536};
     /// Bound on the bytes of results held for late requests.
-    std::size_t max_result_bytes{std::size_t{32} * 1024 * 1024};
+    std::size_t max_result_bytes{std::size_t{8} * 1024 * 1024};
 };
 
 /// One record as shown in a state dump.
--- a/src/libs/carobfall/config/agent_settings.h
+++ b/src/libs/carobfall/config/agent_settings.h
@@ -14,7 +14,7 @@
 /// Bounds of the agent's task records. A full ledger refuses new tasks.
 struct ledger_settings {
     std::uint64_t max_records{65'536};
-    std::uint64_t max_result_bytes{32ULL << 20U};
+    std::uint64_t max_result_bytes{8ULL << 20U};
 };
 
 /// Settings of carobfall-agent. Addresses are "ip:port"; port 0 lets the kernel choose.
--- a/tests/auto/config/tst_settings.cpp
+++ b/tests/auto/config/tst_settings.cpp
@@ -83,7 +83,7 @@
         {"127.0.0.1:8090", "localhost:8090", "agent.yaml:10", "host names"},
         {"127.0.0.1:8090", "0.0.0.0:8090", "agent.yaml:10", "unspecified"},
         {"  - 127.0.0.1:8082", "  []", "agent.yaml:15", "list of different addresses"},
-        {"ledger:\n  max_records: 65536\n  max_result_bytes: 33554432", "ledger: 5",
+        {"ledger:\n  max_records: 65536\n  max_result_bytes: 8388608", "ledger: 5",
          "agent.yaml:25: ledger is not a mapping", "max_records, max_result_bytes"},
         {"name: worker", "name: [worker", "agent.yaml:", "syntax"},
     };
