Agent: Send heartbeats to most entries every 10 s

Cause: each agent sent a heartbeat to each entry every 2 s, though only one renews its lease: 245 calls/s at an entry of 6 with 420 agents, 70 of them for leases.

Change: a heartbeat names the entry that renews the lease. That entry lists in each heartbeat to the other entries the agents that it has not heard for 3.5 s; while an entry hears it, it allows the agent one heartbeat in 10 s (beat_reply.standby_ms). An entry that does not hear the lease entry, or an agent through it, asks the agent for a heartbeat (fence with request_beat) after 1.5 s. Older entries and agents keep to 2 s. Reports and start replies carry the load; a load older than 2 s doesn't keep tasks away any more, because the next heartbeat may be 10 s off.

Ruled out: notes of changes with acknowledgement (a lost one has to be made up for), and a fixed 10 s at the agent (an entry cut off from the lease entry would take its agents for failed).

--- a/src/libs/carobfall/agent/agent_daemon.cpp
+++ b/src/libs/carobfall/agent/agent_daemon.cpp
@@ -23,7 +23,8 @@
 /// Interval of dropping expired records.
 constexpr absl::Duration expire_interval = absl::Seconds(1);
 
-/// Interval of heartbeats to entries that don't renew the lease, relative to those that do.
+/// Interval of heartbeats to entries that don't renew the lease and allow no longer one, relative
+/// to those that do.
 constexpr int standby_share = 2;
 
 /// Interval at which a shutdown looks whether tasks and reports are done.
@@ -89,7 +90,9 @@
                                                         limits_.max_task_result_bytes, clock_);
           },
           [this](pending_report report) { post(std::move(report)); }, metrics_, clock_),
-      server_(ledger_, {.tasks_queued = [this](std::size_t tasks) { executor_.notify(tasks); }},
+      server_(ledger_,
+              {.tasks_queued = [this](std::size_t tasks) { executor_.notify(tasks); },
+               .beat_requested = [this] { sessions_.beat_now(); }},
               metrics_, clock_),
       operator_server_("operator_request", operator_http(settings_.operator_address))
 {
--- a/src/libs/carobfall/agent/agent_server.cpp
+++ b/src/libs/carobfall/agent/agent_server.cpp
@@ -130,6 +130,9 @@
 {
     *reply = ledger_.fence(*request);
     metrics_.add("fence_requests_total");
+    if (request->request_beat()) {
+        events_.beat_requested();
+    }
     return grpc::Status::OK;
 }
 
--- a/src/libs/carobfall/agent/agent_server.h
+++ b/src/libs/carobfall/agent/agent_server.h
@@ -21,6 +21,7 @@
 /// Reactions of the agent to what its gRPC service has decided. Called without a lock.
 struct agent_server_events {
     std::function<void(std::size_t tasks)> tasks_queued;
+    std::function<void()> beat_requested{[] {}};
 };
 
 /// Serves `agent_service` to the entries from the ledger.
--- a/src/libs/carobfall/agent/entry_session.cpp
+++ b/src/libs/carobfall/agent/entry_session.cpp
@@ -18,6 +18,9 @@
 /// Bounds a wait without a due time.
 constexpr absl::Duration max_wait = absl::Minutes(1);
 
+/// Bounds the interval that an entry may ask for.
+constexpr absl::Duration max_standby_interval = absl::Minutes(1);
+
 constexpr absl::Duration min_delivery_backoff = absl::Milliseconds(50);
 constexpr absl::Duration max_delivery_backoff = absl::Seconds(2);
 
@@ -30,11 +33,12 @@
 
 entry_session::entry_session(std::string address, std::unique_ptr<entry_link> link,
                              const session_environment& environment, bool report_only,
-                             std::function<void()> grant_changed)
+                             session_hooks hooks)
     : address_(std::move(address)),
       link_(std::move(link)),
       environment_(environment),
-      grant_changed_(std::move(grant_changed)),
+      hooks_(std::move(hooks)),
+      standby_interval_(environment.standby_interval),
       last_post_(environment.clock())
 {
     state_.address = address_;
@@ -76,13 +80,16 @@
     const std::lock_guard lock(mutex_);
     beat_requested_ = beat_requested_ || (renews && !state_.renews_lease);
     state_.renews_lease = renews;
+    if (!renews && grant_ == lease_grant::renewing) {
+        grant_ = lease_grant::standby;
+    }
     changed_.notify_one();
 }
 
-bool entry_session::grants_lease() const
+lease_grant entry_session::grant() const
 {
     const std::lock_guard lock(mutex_);
-    return grants_lease_;
+    return grant_;
 }
 
 void entry_session::request_stop()
@@ -140,7 +147,7 @@
     if (keep_registered(now)) {
         send_beat(environment_.clock());
     } else {
-        note_grant(false);
+        note_grant(lease_grant::none);
     }
 }
 
@@ -148,19 +155,19 @@
 /// leaving agent in time.
 absl::Time entry_session::next_contact() const
 {
-    return last_contact_ + (state_.renews_lease || !grants_lease_ ? environment_.beat_interval
-                                                                  : environment_.standby_interval);
+    const bool frequent = state_.renews_lease || grant_ == lease_grant::none;
+    return last_contact_ + (frequent ? environment_.beat_interval : standby_interval_);
 }
 
-void entry_session::note_grant(bool grants)
+void entry_session::note_grant(lease_grant grant)
 {
     {
         const std::lock_guard lock(mutex_);
-        if (std::exchange(grants_lease_, grants) == grants) {
+        if (std::exchange(grant_, grant) == grant) {
             return;
         }
     }
-    grant_changed_();
+    hooks_.grant_changed();
 }
 
 bool entry_session::keep_registered(absl::Time now)
@@ -196,10 +203,12 @@
 {
     rpc::beat_request request = environment_.beat();
     request.set_send_time_us(absl::ToUnixMicros(now));
+    const lease_entry renewing = hooks_.renewing_entry();
+    request.set_lease_entry(renewing.incarnation_hash);
     const result<rpc::beat_reply> reply = link_->beat(request, environment_.call_limit);
     if (!reply) {
         note_failure(reply.error());
-        note_grant(false);
+        note_grant(lease_grant::none);
         return;
     }
     note_success(now);
@@ -210,7 +219,12 @@
     if (!reply.value().registered()) {
         registered_as_.reset();
     }
-    note_grant(reply.value().registered() && reply.value().lease_ms() > 0);
+    const absl::Duration standby = absl::Milliseconds(reply.value().standby_ms());
+    standby_interval_ = standby > absl::ZeroDuration() ? std::min(standby, max_standby_interval)
+                                                       : environment_.standby_interval;
+    const bool granted = reply.value().registered() && reply.value().lease_ms() > 0;
+    const lease_grant kind = renewing.is_receiver ? lease_grant::renewing : lease_grant::standby;
+    note_grant(granted ? kind : lease_grant::none);
 }
 
 void entry_session::deliver_reports(absl::Time now)
--- a/src/libs/carobfall/agent/entry_session.h
+++ b/src/libs/carobfall/agent/entry_session.h
@@ -36,14 +36,33 @@
     std::string data_centre;
     /// Interval of heartbeats to the entry that renews the lease, and to entries that grant none.
     absl::Duration beat_interval{absl::Seconds(1)};
-    /// Interval of heartbeats to the other entries. Entries take an agent for failed after 3.5 s
-    /// (`dispatch_settings::heartbeat_timeout`), so that one call may time out.
+    /// Interval of heartbeats to the other entries, unless the entry allows a longer one. Entries
+    /// take an agent for failed after 3.5 s (`heartbeat_timeout`), so that one call may time out.
     absl::Duration standby_interval{absl::Seconds(2)};
     /// Time limit of one call. Well below the validity of a lease, so that a slow entry doesn't
     /// keep a renewal from arriving.
     absl::Duration call_limit{absl::Milliseconds(500)};
 };
 
+/// What the last heartbeat of a session brought.
+enum class lease_grant {
+    none,
+    standby,  ///< a lease, from an entry that was told that another one renews the lease
+    renewing, ///< a lease, from an entry that expects frequent heartbeats
+};
+
+/// What a heartbeat says of the entry that renews the lease.
+struct lease_entry {
+    std::uint64_t incarnation_hash{0}; ///< `beat_request::lease_entry`
+    bool is_receiver{true};            ///< the receiver may take itself for that entry
+};
+
+/// What a session asks of its set and tells it. Called without a lock.
+struct session_hooks {
+    std::function<void()> grant_changed{[] {}};
+    std::function<lease_entry()> renewing_entry{[] { return lease_entry{}; }};
+};
+
 /// State of a session for dumps.
 struct session_state {
     std::string address;
@@ -61,11 +80,9 @@
 class entry_session {
 public:
     /// `environment` has to outlive the session. A report-only session sends no heartbeats.
-    /// `grant_changed` is called without a lock when `grants_lease` has changed.
-    entry_session(
-        std::string address, std::unique_ptr<entry_link> link,
-        const session_environment& environment, bool report_only,
-        std::function<void()> grant_changed = [] {});
+    entry_session(std::string address, std::unique_ptr<entry_link> link,
+                  const session_environment& environment, bool report_only,
+                  session_hooks hooks = {});
     ~entry_session();
     entry_session(const entry_session&) = delete;
     entry_session& operator=(const entry_session&) = delete;
@@ -78,8 +95,7 @@
     /// Chooses the interval of the heartbeats. The first one of the shorter interval is sent at
     /// once.
     void set_renews_lease(bool renews);
-    /// The last heartbeat was answered with a lease.
-    [[nodiscard]] bool grants_lease() const;
+    [[nodiscard]] lease_grant grant() const;
     /// Ends the thread after the call in progress; undelivered reports are dropped.
     void request_stop();
 
@@ -93,7 +109,7 @@
     bool stopping() const;
     void keep_contact(absl::Time now);
     [[nodiscard]] absl::Time next_contact() const;
-    void note_grant(bool grants);
+    void note_grant(lease_grant grant);
     bool keep_registered(absl::Time now);
     void send_beat(absl::Time now);
     void deliver_reports(absl::Time now);
@@ -106,12 +122,13 @@
     const std::string address_;
     const std::unique_ptr<entry_link> link_;
     const session_environment& environment_;
-    const std::function<void()> grant_changed_;
+    const session_hooks hooks_;
 
     // Used by the thread of the session only.
     std::optional<rpc::agent_info> registered_as_;
     absl::Time last_contact_{absl::InfinitePast()};
     absl::Time next_delivery_{absl::InfinitePast()};
+    absl::Duration standby_interval_;
     absl::Duration delivery_backoff_{absl::ZeroDuration()};
 
     mutable std::mutex mutex_;
@@ -120,7 +137,7 @@
     session_state state_;
     absl::Time last_post_;
     bool beat_requested_{false};
-    bool grants_lease_{false};
+    lease_grant grant_{lease_grant::none};
     bool stopping_{false};
 
     std::thread thread_; // last, so that it starts with all members in place
--- a/src/libs/carobfall/agent/entry_session_set.cpp
+++ b/src/libs/carobfall/agent/entry_session_set.cpp
@@ -62,18 +62,50 @@
         return;
     }
     sessions_[address] = std::make_unique<entry_session>(
-        address, make_link_(address), environment_, report_only, [this] { choose_lease_entry(); });
+        address, make_link_(address), environment_, report_only,
+        session_hooks{.grant_changed = [this] { choose_lease_entry(); },
+                      .renewing_entry = [this, address] { return lease_entry_for(address); }});
+}
+
+lease_entry entry_session_set::lease_entry_for(const std::string& address) const
+{
+    const std::lock_guard lock(mutex_);
+    if (lease_address_.empty()) {
+        return {};
+    }
+    if (address != lease_address_) {
+        return {told_lease_entry_, false};
+    }
+    return {incarnations_.at(address), true};
 }
 
 void entry_session_set::choose_lease_entry()
 {
     const std::lock_guard lock(mutex_);
+    choose_lease_entry_locked();
+}
+
+void entry_session_set::choose_lease_entry_locked()
+{
     const auto chosen = std::find_if(lease_order_.begin(), lease_order_.end(), [&](const auto& to) {
         const auto session = sessions_.find(to);
-        return session != sessions_.end() && session->second->grants_lease();
+        return session != sessions_.end() && session->second->grant() != lease_grant::none;
     });
+    const bool found = chosen != lease_order_.end();
+    lease_address_ = found ? *chosen : "";
     for (const auto& [address, session] : sessions_) {
-        session->set_renews_lease(chosen == lease_order_.end() || address == *chosen);
+        session->set_renews_lease(!found || address == lease_address_);
+    }
+    // An entry that was told earlier could rely on one that doesn't watch this agent yet.
+    const bool knows = found && sessions_.at(lease_address_)->grant() == lease_grant::renewing;
+    const std::uint64_t told = knows ? incarnations_[lease_address_] : 0;
+    if (std::exchange(told_lease_entry_, told) == told || told == 0) {
+        return;
+    }
+    for (const auto& [address, session] : sessions_) {
+        if (address != lease_address_) {
+            session->beat_now();
+        }
     }
 }
 
@@ -93,13 +125,16 @@
     view_number_ = view.number();
     lease_order_ = lease_order(view, environment_);
     std::set<std::string> wanted = seeds_;
+    incarnations_.clear();
     for (const rpc::entry_member& member : view.members()) {
         wanted.insert(member.address());
+        incarnations_[member.address()] = stable_hash(member.incarnation());
     }
     for (auto session = sessions_.begin(); session != sessions_.end();) {
         const bool is_wanted = wanted.contains(session->first);
         if (is_wanted) {
             session->second->promote();
+            session->second->set_renews_lease(false);
             // A new incarnation at the same address doesn't know this agent yet.
             session->second->beat_now();
         }
@@ -112,6 +147,8 @@
             add(address, false);
         }
     }
+    // The entry that renewed the lease may have left, or be another process at the same address.
+    choose_lease_entry_locked();
     LOG(INFO) << log_fields("view_adopted").add("view", view.number());
     return true;
 }
--- a/src/libs/carobfall/agent/entry_session_set.h
+++ b/src/libs/carobfall/agent/entry_session_set.h
@@ -14,7 +14,8 @@
 
 /// The sessions with the entries of the settings and of the current view, one per address. One
 /// member of the view renews the lease: the first in rendezvous order that grants one, members in
-/// the agent's data centre before others. While none does, all are asked. Thread-safe.
+/// the agent's data centre before others. While none does, all are asked. The others are told which
+/// one it is as soon as it knows, because it tells them whether it hears the agent. Thread-safe.
 class entry_session_set {
 public:
     /// `environment` has to outlive the set.
@@ -50,6 +51,8 @@
 
     void add(const std::string& address, bool report_only);
     void choose_lease_entry();
+    void choose_lease_entry_locked();
+    [[nodiscard]] lease_entry lease_entry_for(const std::string& address) const;
     session_map::iterator retire(session_map::iterator session);
 
     const std::set<std::string> seeds_;
@@ -59,6 +62,9 @@
     mutable std::mutex mutex_;
     std::uint64_t view_number_{0};
     std::vector<std::string> lease_order_; ///< addresses of the members, the preferred first
+    std::map<std::string, std::uint64_t, std::less<>> incarnations_; ///< hashes, by address
+    std::string lease_address_;         ///< of the entry that renews the lease; empty: none
+    std::uint64_t told_lease_entry_{0}; ///< what the other entries are told
     session_map sessions_;
     /// A session can be retired by its own thread, which can't join itself.
     std::vector<std::unique_ptr<entry_session>> retired_;
--- a/src/libs/carobfall/daemon/entry_daemon.cpp
+++ b/src/libs/carobfall/daemon/entry_daemon.cpp
@@ -25,10 +25,14 @@
 namespace {
 
 constexpr absl::Duration table_call_limit = absl::Seconds(2);
-/// Threads for calls to the other entries. They are kept: 6 entries call each other 10 times a second.
+/// Threads for calls to the other entries. They are kept: 6 entries call each other 10 times a
+/// second.
 constexpr std::size_t peer_call_threads = 16;
 constexpr std::size_t max_peer_calls = 64;
 constexpr absl::Duration upkeep_interval = absl::Milliseconds(200);
+constexpr absl::Duration ask_check_interval = absl::Milliseconds(500);
+constexpr absl::Duration ask_limit = absl::Milliseconds(300);
+constexpr std::size_t ask_threads = 16;
 constexpr absl::Duration drain_check_interval = absl::Milliseconds(20);
 constexpr absl::Duration server_stop_limit = absl::Seconds(5);
 // Leaves a quarter of the callers' threads to status requests and cancels.
@@ -157,6 +161,9 @@
         hooks.run_parallel = [this](const std::vector<std::function<void()>>& calls) {
             peer_calls.for_each(calls.size(), [&](std::size_t i) { calls[i](); });
         };
+        hooks.add_agents = [this](rpc::entry_beat_request& request, absl::Time now) {
+            registry.name_silent_agents(request, now);
+        };
         hooks.claims_delivered = [this](const rpc::entry_view& view) {
             return transfer.has_served_all(view);
         };
@@ -213,6 +220,20 @@
         submissions->expire(now);
     }
 
+    /// Another entry that is expected to watch these agents isn't heard, or has not heard them.
+    void ask_for_beats(absl::Time now)
+    {
+        rpc::fence_request request;
+        *request.mutable_view() = members.snapshot().view;
+        request.set_request_beat(true);
+        std::vector<std::function<void()>> calls;
+        for (const auto& agent : registry.agents_to_ask(now)) {
+            calls.emplace_back(
+                [this, agent, &request] { (void)agents(*agent)->fence(request, ask_limit); });
+        }
+        run_in_threads(calls, ask_threads);
+    }
+
     const rpc::entry_member self;
     std::atomic<bool> draining{false};
     std::uint64_t adopted_view{0}; ///< used by the upkeep thread only
@@ -237,6 +258,7 @@
     operator_server operators;
     std::unique_ptr<entry_threads> threads;
     std::unique_ptr<periodic_task> upkeep_thread;
+    std::unique_ptr<periodic_task> ask_thread;
 };
 
 entry_daemon::entry_daemon(entry_settings settings, clock_function clock,
@@ -259,6 +281,8 @@
         entry_thread_intervals{settings_.intervals.heartbeat, settings_.intervals.poll});
     parts_->upkeep_thread = std::make_unique<periodic_task>(
         upkeep_interval, clock_, [this](absl::Time now) { parts_->upkeep(now); });
+    parts_->ask_thread = std::make_unique<periodic_task>(
+        ask_check_interval, clock_, [this](absl::Time now) { parts_->ask_for_beats(now); });
     LOG(INFO) << log_fields("started")
                      .add("name", settings_.name)
                      .add("incarnation", parts_->self.incarnation())
@@ -285,6 +309,7 @@
         LOG(WARNING) << log_fields("leave_failed").add("error", to_string(left.error()));
     }
     parts_->callers.stop();
+    parts_->ask_thread.reset();
     parts_->upkeep_thread.reset();
     parts_->threads.reset();
     parts_->operators.stop();
--- a/src/libs/carobfall/dispatch/admission.cpp
+++ b/src/libs/carobfall/dispatch/admission.cpp
@@ -116,7 +116,7 @@
         feasible = feasible || can_ever_run(*agent.info, declaration);
         if (may_place(agent, current, declaration, context_.settings, now)) {
             slots += agent.info->backend_server().slots();
-            ahead += std::max(agent.load.running() + agent.load.queued(), agent.outstanding);
+            ahead += known_load(agent, context_.settings, now);
         }
     });
     if (!feasible && any) {
--- a/src/libs/carobfall/dispatch/agent_calls.cpp
+++ b/src/libs/carobfall/dispatch/agent_calls.cpp
@@ -19,7 +19,8 @@
     if (reply) {
         if (reply.value().has_load()) {
             // Without it, the starts of the other entries are unknown here until a heartbeat.
-            context_.outside.registry->update_load(ref_of(*batch.agent), reply.value().load());
+            context_.outside.registry->update_load(ref_of(*batch.agent), reply.value().load(),
+                                                   context_.now());
         }
         for (const rpc::task_status& status : reply.value().tasks()) {
             all_taken = all_taken && status.state() != rpc::task_state_refused;
--- a/src/libs/carobfall/dispatch/agent_events.h
+++ b/src/libs/carobfall/dispatch/agent_events.h
@@ -7,7 +7,8 @@
 
 namespace carobfall {
 
-/// What agents tell an entry. The gRPC service of the entry passes the calls on to it.
+/// What agents, and other entries about agents, tell an entry. The gRPC service of the entry passes
+/// the calls on to it.
 class agent_events {
 public:
     virtual ~agent_events() = default;
@@ -16,6 +17,8 @@
                                             absl::Time now) = 0;
     virtual rpc::beat_reply on_beat(const rpc::beat_request& request, absl::Time now) = 0;
     virtual void on_report(const rpc::report_request& request, absl::Time now) = 0;
+    /// Another entry's word of the agents that it watches.
+    virtual void on_entry_beat(const rpc::entry_beat_request& request, absl::Time now) = 0;
 };
 
 } // namespace carobfall
--- a/src/libs/carobfall/dispatch/agent_registry.cpp
+++ b/src/libs/carobfall/dispatch/agent_registry.cpp
@@ -1,5 +1,6 @@
 #include "carobfall/dispatch/agent_registry.h"
 
+#include "carobfall/base/ids.h"
 #include "carobfall/base/log_fields.h"
 #include "carobfall/dispatch/dispatch_settings.h"
 #include "carobfall/entry/claim_store.h"
@@ -13,6 +14,18 @@
 namespace carobfall {
 namespace {
 
+/// Interval of heartbeats of an agent that another entry watches.
+constexpr absl::Duration standby_interval = absl::Seconds(10);
+/// An agent on standby is relied on for so long after its last own heartbeat: one may be lost.
+const absl::Duration standby_limit = standby_interval + heartbeat_timeout;
+/// Entries send heartbeats every 0.5 to 1 s. An agent is put on standby only while its lease entry
+/// is heard, and is asked for a heartbeat well before `heartbeat_timeout` when it isn't.
+constexpr absl::Duration entry_silence = absl::Milliseconds(1500);
+constexpr absl::Duration ask_interval = absl::Seconds(1);
+/// Longer than `standby_limit`, after which the other entries need no word of a silent agent.
+constexpr absl::Duration silence_named_for = absl::Seconds(30);
+constexpr absl::Duration entries_kept_for = absl::Minutes(1);
+
 std::string incarnation_key(const std::string& name, const std::string& incarnation)
 {
     return absl::StrCat(name, "\n", incarnation);
@@ -45,7 +58,10 @@
 
 agent_registry::agent_registry(agent_membership& members, const configuration_source& source,
                                const ownership& owner)
-    : members_(members), source_(source), owner_(owner)
+    : members_(members),
+      source_(source),
+      owner_(owner),
+      self_hash_(stable_hash(owner.self().incarnation()))
 {}
 
 rpc::register_reply agent_registry::on_register(const rpc::register_request& request,
@@ -81,6 +97,7 @@
     if (held != agents_.end() && held->second.info->incarnation() == info.incarnation()) {
         held->second.info = std::make_shared<const rpc::agent_info>(info);
         held->second.last_beat = now;
+        held->second.last_contact = now;
         return true;
     }
     if (held != agents_.end()) {
@@ -90,6 +107,8 @@
     state.info = std::make_shared<const rpc::agent_info>(info);
     state.load.set_free_slots(info.backend_server().slots());
     state.last_beat = now;
+    state.last_contact = now;
+    state.load_reported_at = now;
     agents_.insert_or_assign(info.name(), std::move(state));
     LOG(INFO) << log_fields("agent_registered")
                      .add("agent", info.name())
@@ -113,29 +132,97 @@
     if (request.view_number() != snapshot.view.number()) {
         *reply.mutable_view() = snapshot.view;
     }
-    reply.set_registered(update_from_beat(request, now));
+    update_from_beat(request, reply, now);
     reply.set_lease_ms(reply.registered() ? lease_ms(snapshot, now) : 0);
     return reply;
 }
 
-bool agent_registry::update_from_beat(const rpc::beat_request& request, absl::Time now)
+void agent_registry::update_from_beat(const rpc::beat_request& request, rpc::beat_reply& reply,
+                                      absl::Time now)
 {
     std::uint32_t gained = 0;
     {
         const std::lock_guard lock(mutex_);
         agent_state* state = find_locked(request.agent());
         if (state == nullptr) {
-            return false;
+            return;
         }
+        reply.set_registered(true);
         gained = room_gained(*state, [&] {
             state->load = request.load();
             state->leaving = request.leaving();
             state->backend_available = request.backend_available();
         });
         state->last_beat = now;
+        state->last_contact = now;
+        state->load_reported_at = now;
+        state->lease_entry = request.lease_entry();
+        state->on_standby = is_watched_by(request.lease_entry(), now);
+        if (state->on_standby) {
+            reply.set_standby_ms(
+                static_cast<std::uint32_t>(absl::ToInt64Milliseconds(standby_interval)));
+        }
     }
     notify_room(gained);
-    return true;
+}
+
+bool agent_registry::is_watched_by(std::uint64_t entry, absl::Time now) const
+{
+    const auto heard = entries_heard_.find(entry);
+    return entry != self_hash_ && heard != entries_heard_.end() &&
+           now - heard->second <= entry_silence;
+}
+
+void agent_registry::name_silent_agents(rpc::entry_beat_request& request, absl::Time now) const
+{
+    request.set_names_silent_agents(true);
+    const std::lock_guard lock(mutex_);
+    for (const auto& [name, state] : agents_) {
+        const absl::Duration silence = now - state.last_contact;
+        if (!state.on_standby && silence > heartbeat_timeout && silence < silence_named_for) {
+            *request.add_silent_agents() = ref_of(*state.info);
+        }
+    }
+}
+
+void agent_registry::on_entry_beat(const rpc::entry_beat_request& request, absl::Time now)
+{
+    if (!request.names_silent_agents()) {
+        return;
+    }
+    const std::uint64_t sender = stable_hash(request.member().incarnation());
+    absl::flat_hash_set<std::string> silent;
+    for (const rpc::agent_ref& agent : request.silent_agents()) {
+        silent.insert(incarnation_key(agent.name(), agent.incarnation()));
+    }
+    const std::lock_guard lock(mutex_);
+    absl::erase_if(entries_heard_,
+                   [&](const auto& heard) { return now - heard.second > entries_kept_for; });
+    entries_heard_[sender] = now;
+    for (auto& [name, state] : agents_) {
+        if (!state.on_standby || state.lease_entry != sender ||
+            now - state.last_contact > standby_limit) {
+            continue;
+        }
+        const bool is_silent =
+            !silent.empty() && silent.contains(incarnation_key(name, state.info->incarnation()));
+        state.last_beat = is_silent ? state.last_contact : now;
+    }
+}
+
+std::vector<std::shared_ptr<const rpc::agent_info>> agent_registry::agents_to_ask(absl::Time now)
+{
+    std::vector<std::shared_ptr<const rpc::agent_info>> asked;
+    const std::lock_guard lock(mutex_);
+    for (auto& [name, state] : agents_) {
+        if (state.on_standby && !state.leaving && now - state.last_beat > entry_silence &&
+            now - state.last_contact <= standby_limit &&
+            now - state.beat_requested_at >= ask_interval) {
+            state.beat_requested_at = now;
+            asked.push_back(state.info);
+        }
+    }
+    return asked;
 }
 
 void agent_registry::notify_room(std::uint32_t slots) const
@@ -154,13 +241,15 @@
     return static_cast<std::uint32_t>(std::max<std::int64_t>(0, absl::ToInt64Milliseconds(lease)));
 }
 
-void agent_registry::update_load(const rpc::agent_ref& agent, const rpc::agent_load& load)
+void agent_registry::update_load(const rpc::agent_ref& agent, const rpc::agent_load& load,
+                                 absl::Time now)
 {
     std::uint32_t gained = 0;
     {
         const std::lock_guard lock(mutex_);
         if (agent_state* state = find_locked(agent)) {
             gained = room_gained(*state, [&] { state->load = load; });
+            state->load_reported_at = now;
         }
     }
     notify_room(gained);
@@ -169,7 +258,7 @@
 void agent_registry::on_report(const rpc::report_request& request, absl::Time now)
 {
     if (request.has_load()) {
-        update_load(request.agent(), request.load());
+        update_load(request.agent(), request.load(), now);
     }
     if (on_report_) {
         on_report_(request, now);
--- a/src/libs/carobfall/dispatch/agent_registry.h
+++ b/src/libs/carobfall/dispatch/agent_registry.h
@@ -22,13 +22,21 @@
 struct agent_state {
     std::shared_ptr<const rpc::agent_info> info;
     rpc::agent_load load; ///< as last reported
-    absl::Time last_beat; ///< arrival of the last heartbeat or registration
+    /// Last sign of life: a heartbeat or registration, or word of the entry that renews the lease.
+    absl::Time last_beat;
+    absl::Time last_contact; ///< last heartbeat or registration that arrived here
+    absl::Time load_reported_at;
     bool leaving{false};
     bool backend_available{true};
+    std::uint64_t lease_entry{0}; ///< `beat_request::lease_entry`
+    /// Was told that it may send few heartbeats, because `lease_entry` names it if it falls silent.
+    bool on_standby{false};
+    absl::Time beat_requested_at{absl::InfinitePast()};
     std::uint32_t outstanding{0}; ///< attempts of this entry that are neither finished nor undone
 };
 
-/// Registered agents of an entry. Thread-safe.
+/// Registered agents of an entry. An agent sends frequent heartbeats to the entry that renews its
+/// lease, which tells the other entries of the agents that have fallen silent. Thread-safe.
 class agent_registry final : public agent_events {
 public:
     using report_handler = std::function<void(const rpc::report_request&, absl::Time)>;
@@ -48,6 +56,13 @@
     rpc::register_reply on_register(const rpc::register_request& request, absl::Time now) override;
     rpc::beat_reply on_beat(const rpc::beat_request& request, absl::Time now) override;
     void on_report(const rpc::report_request& request, absl::Time now) override;
+    void on_entry_beat(const rpc::entry_beat_request& request, absl::Time now) override;
+
+    /// Adds the agents to a heartbeat to the other entries that have fallen silent here.
+    void name_silent_agents(rpc::entry_beat_request& request, absl::Time now) const;
+    /// Agents on standby of which nothing has been heard lately, and that are therefore to be asked
+    /// for a heartbeat. Each is returned once a second at most.
+    [[nodiscard]] std::vector<std::shared_ptr<const rpc::agent_info>> agents_to_ask(absl::Time now);
 
     /// All registered agents, whether or not they may get new tasks.
     [[nodiscard]] std::vector<agent_state> agents() const;
@@ -58,14 +73,15 @@
     [[nodiscard]] bool is_lost(const rpc::agent_ref& agent) const;
 
     /// Load from the answer to a start, which is newer than that of the last heartbeat.
-    void update_load(const rpc::agent_ref& agent, const rpc::agent_load& load);
+    void update_load(const rpc::agent_ref& agent, const rpc::agent_load& load, absl::Time now);
     void add_outstanding(const rpc::agent_ref& agent, std::uint32_t tasks);
     /// Returns the number of slots that may have become free by it.
     std::uint32_t remove_outstanding(const rpc::agent_ref& agent, std::uint32_t tasks);
 
 private:
     bool register_incarnation(const rpc::agent_info& info, absl::Time now);
-    bool update_from_beat(const rpc::beat_request& request, absl::Time now);
+    void update_from_beat(const rpc::beat_request& request, rpc::beat_reply& reply, absl::Time now);
+    [[nodiscard]] bool is_watched_by(std::uint64_t entry, absl::Time now) const;
     void notify_room(std::uint32_t slots) const;
     agent_state* find_locked(const rpc::agent_ref& agent);
     [[nodiscard]] std::uint32_t lease_ms(const ownership_snapshot& snapshot, absl::Time now) const;
@@ -73,6 +89,7 @@
     agent_membership& members_;
     const configuration_source& source_;
     const ownership& owner_;
+    const std::uint64_t self_hash_;
     report_handler on_report_;
     room_handler on_room_;
 
@@ -81,6 +98,9 @@
     /// Incarnations that a later one has replaced, with the time of that. They are kept as long
     /// as a job that uses them can last.
     absl::flat_hash_map<std::string, absl::Time> lost_incarnations_;
+    /// Arrival of the last heartbeat of an entry that named silent agents, by the hash of its
+    /// incarnation.
+    absl::flat_hash_map<std::uint64_t, absl::Time> entries_heard_;
 };
 
 [[nodiscard]] rpc::agent_ref ref_of(const rpc::agent_info& info);
--- a/src/libs/carobfall/dispatch/agent_selection.cpp
+++ b/src/libs/carobfall/dispatch/agent_selection.cpp
@@ -37,6 +37,13 @@
     return limit - std::min(limit, std::max(reported, agent.outstanding));
 }
 
+std::uint32_t known_load(const agent_state& agent, const dispatch_settings& settings,
+                         absl::Time now)
+{
+    const bool is_valid = now - agent.load_reported_at <= settings.load_validity;
+    return std::max(is_valid ? agent.load.running() + agent.load.queued() : 0, agent.outstanding);
+}
+
 std::vector<placement_candidate>
 select_candidates(const agent_registry& agents, const configuration& current,
                   const dispatch_template& declaration, const backend_health& health,
@@ -44,7 +51,10 @@
 {
     std::vector<placement_candidate> candidates;
     agents.for_each([&](const agent_state& agent) {
-        const std::uint32_t room = room_at(agent, settings);
+        std::uint32_t room = room_at(agent, settings);
+        if (room == 0 && known_load(agent, settings, now) < agent.info->backend_server().slots()) {
+            room = 1;
+        }
         if (room == 0 || !may_place(agent, current, declaration, settings, now)) {
             return;
         }
--- a/src/libs/carobfall/dispatch/agent_selection.h
+++ b/src/libs/carobfall/dispatch/agent_selection.h
@@ -20,6 +20,11 @@
 /// taken.
 [[nodiscard]] std::uint32_t room_at(const agent_state& agent, const dispatch_settings& settings);
 
+/// Tasks that the agent has, as far as this entry knows: those of a report that is still valid, or
+/// the entry's own.
+[[nodiscard]] std::uint32_t known_load(const agent_state& agent, const dispatch_settings& settings,
+                                       absl::Time now);
+
 /// The agents that may get tasks of the template now, with room for at least one. A backend
 /// server in backoff gets none, or one as a probe.
 [[nodiscard]] std::vector<placement_candidate>
--- a/src/libs/carobfall/dispatch/dispatch_context.h
+++ b/src/libs/carobfall/dispatch/dispatch_context.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "carobfall/base/clock.h"
+#include "carobfall/base/work_pool.h"
 #include "carobfall/config/configuration.h"
 #include "carobfall/dispatch/account_limits.h"
 #include "carobfall/dispatch/agent_channel.h"
@@ -12,7 +13,6 @@
 #include "carobfall/dispatch/retry_budget.h"
 #include "carobfall/dispatch/slot_waiters.h"
 #include "carobfall/dispatch/submission_table.h"
-#include "carobfall/base/work_pool.h"
 #include "carobfall/entry/agent_membership.h"
 #include "carobfall/entry/claim_store.h"
 #include "carobfall/entry/entry_channel.h"
--- a/src/libs/carobfall/dispatch/dispatch_settings.h
+++ b/src/libs/carobfall/dispatch/dispatch_settings.h
@@ -10,11 +10,16 @@
 
 namespace carobfall {
 
+/// An agent whose last sign of life is older gets no new tasks. Agents that no entry watches send a
+/// heartbeat every 2 s and, if that call times out (0.5 s), the next one 1 s after it.
+inline constexpr absl::Duration heartbeat_timeout = absl::Milliseconds(3500);
+
 /// Settings of the dispatching part of an entry.
 struct dispatch_settings {
-    /// An agent whose last heartbeat is older gets no new tasks. Most entries get a heartbeat every
-    /// 2 s and, if that call times out (0.5 s), the next one 1 s after it.
-    absl::Duration heartbeat_timeout{absl::Milliseconds(3500)};
+    absl::Duration heartbeat_timeout{carobfall::heartbeat_timeout};
+    /// A reported load that is older doesn't keep tasks away: the answer to a start brings the
+    /// present one, and the next heartbeat may be 10 s away.
+    absl::Duration load_validity{absl::Seconds(2)};
 
     absl::Duration start_call_limit{absl::Milliseconds(500)};
     absl::Duration revoke_call_limit{absl::Milliseconds(300)};
--- a/src/libs/carobfall/entry/entry_calls.cpp
+++ b/src/libs/carobfall/entry/entry_calls.cpp
@@ -159,6 +159,7 @@
                                      rpc::entry_beat_reply* reply)
 {
     *reply = parts_.members.answer_beat(*request);
+    parts_.agents.on_entry_beat(*request, parts_.clock());
     return grpc::Status::OK;
 }
 
--- a/src/libs/carobfall/entry/membership.cpp
+++ b/src/libs/carobfall/entry/membership.cpp
@@ -65,6 +65,7 @@
     *request.mutable_member() = self();
     request.set_view_number(effective.view().number());
     request.set_configuration_version(hooks_.configuration_version());
+    hooks_.add_agents(request, now);
     const std::vector<peer_answer> answers = monitor_.beat(others(known), request, now);
     hooks_.on_answers(now, effective.view(), answers);
     const auto in_view = std::count_if(answers.begin(), answers.end(), [&](const auto& answer) {
--- a/src/libs/carobfall/entry/membership.h
+++ b/src/libs/carobfall/entry/membership.h
@@ -47,6 +47,9 @@
     parallel_runner run_parallel{[](const auto& calls) { run_in_threads(calls); }};
     std::function<void(absl::Duration)> sleep{absl::SleepFor};
     std::function<std::uint64_t()> configuration_version{[] { return 0; }};
+    /// Adds what this entry knows of agents to a heartbeat.
+    std::function<void(rpc::entry_beat_request& request, absl::Time now)> add_agents{
+        [](auto&&...) {}};
     /// Answers to the heartbeats that were sent at `sent` while `view` was in effect here.
     std::function<void(absl::Time sent, const rpc::entry_view& view,
                        const std::vector<peer_answer>& answers)>
--- a/tests/auto/dispatch/tst_agent_registry.cpp
+++ b/tests/auto/dispatch/tst_agent_registry.cpp
@@ -1,5 +1,6 @@
 #include "fakes.h"
 
+#include "carobfall/base/ids.h"
 #include "carobfall/dispatch/agent_selection.h"
 
 #include <doctest/doctest.h>
@@ -99,6 +100,120 @@
     CHECK(fixture.registry.on_beat(beat_of("a1", "2"), now).registered());
 }
 
+namespace {
+
+/// An agent whose lease the entry e2 renews, as the entry e1 sees it.
+struct watched_agent {
+    explicit watched_agent(dispatch_fixture& fixture) : registry(fixture.registry)
+    {
+        fixture.add_agent("a1");
+        now = monotonic_now();
+    }
+    void hear_entry(const std::vector<std::string>& silent = {}, const std::string& from = "e2-1")
+    {
+        rpc::entry_beat_request beat;
+        beat.mutable_member()->set_incarnation(from);
+        beat.set_names_silent_agents(true);
+        for (const std::string& name : silent) {
+            *beat.add_silent_agents() = ref_of(agent_named(name, "1"));
+        }
+        registry.on_entry_beat(beat, now);
+    }
+    std::uint32_t contact(const std::string& lease_entry = "e2-1")
+    {
+        rpc::beat_request beat = beat_of("a1", "1");
+        beat.set_lease_entry(stable_hash(lease_entry));
+        return registry.on_beat(beat, now).standby_ms();
+    }
+    absl::Duration age() const { return now - registry.agents().front().last_beat; }
+    void pass(absl::Duration time) { now += time; }
+
+    agent_registry& registry;
+    absl::Time now;
+};
+
+} // namespace
+
+// Guards against an agent that is put on standby although nobody watches it: the entry that renews
+// its lease isn't heard, sends no names, is this entry itself, or has restarted.
+TEST_CASE("an agent sends few heartbeats only while the entry that renews its lease is heard")
+{
+    dispatch_fixture fixture;
+    watched_agent agent(fixture);
+    CHECK(agent.contact() == 0);
+    fixture.registry.on_entry_beat({}, agent.now);
+    CHECK(agent.contact("") == 0);
+    agent.hear_entry();
+    CHECK(agent.contact() == 10'000);
+    CHECK(agent.contact("e2-2") == 0);
+    agent.hear_entry({}, fixture.owner.self().incarnation());
+    CHECK(agent.contact(fixture.owner.self().incarnation()) == 0);
+    agent.pass(absl::Seconds(2));
+    CHECK(agent.contact() == 0);
+}
+
+// Guards against a healthy agent taken for failed between two of its heartbeats, and against a
+// failed one taken for usable because an entry is silent, restarted, or the agent's own silence
+// lasts.
+TEST_CASE("the entry that renews the lease tells whether the agent is heard")
+{
+    dispatch_fixture fixture;
+    watched_agent agent(fixture);
+    agent.hear_entry();
+    REQUIRE(agent.contact() > 0);
+    agent.pass(absl::Seconds(9));
+    agent.hear_entry();
+    CHECK(agent.age() == absl::ZeroDuration());
+    agent.hear_entry({"a1"});
+    CHECK(agent.age() == absl::Seconds(9));
+    agent.hear_entry({"a2"});
+    CHECK(agent.age() == absl::ZeroDuration());
+    agent.hear_entry({}, "e2-2");
+    agent.pass(absl::Seconds(2));
+    CHECK(agent.age() == absl::Seconds(2));
+    agent.pass(absl::Seconds(4));
+    agent.hear_entry();
+    CHECK(agent.age() > heartbeat_timeout);
+}
+
+// Guards against a healthy agent taken for failed because the entry that renews its lease is cut
+// off from this one.
+TEST_CASE("an agent is asked for a heartbeat when the entry that renews its lease isn't heard")
+{
+    dispatch_fixture fixture;
+    watched_agent agent(fixture);
+    agent.hear_entry();
+    REQUIRE(agent.contact() > 0);
+    agent.pass(absl::Seconds(1));
+    CHECK(fixture.registry.agents_to_ask(agent.now).empty());
+    agent.pass(absl::Seconds(1));
+    CHECK(fixture.registry.agents_to_ask(agent.now).size() == 1);
+    CHECK(fixture.registry.agents_to_ask(agent.now).empty());
+    CHECK(agent.contact() == 0);
+    agent.pass(absl::Seconds(2));
+    CHECK(fixture.registry.agents_to_ask(agent.now).empty());
+}
+
+// Guards against an entry that names agents which another one watches, or none that it watches.
+TEST_CASE("an entry names the agents that it expects heartbeats from and has not heard")
+{
+    dispatch_fixture fixture;
+    watched_agent agent(fixture);
+    const auto named = [&] {
+        rpc::entry_beat_request beat;
+        fixture.registry.name_silent_agents(beat, agent.now);
+        return beat.silent_agents_size();
+    };
+    agent.contact(fixture.owner.self().incarnation());
+    CHECK(named() == 0);
+    agent.pass(absl::Seconds(4));
+    CHECK(named() == 1);
+    agent.hear_entry();
+    REQUIRE(agent.contact() > 0);
+    agent.pass(absl::Seconds(4));
+    CHECK(named() == 0);
+}
+
 TEST_CASE("silent, leaving, excluded and full agents get no tasks, but stay registered")
 {
     dispatch_fixture fixture;
@@ -116,6 +231,9 @@
     state.load.set_running(8);
     state.load.set_queued(9);
     CHECK(room_at(state, fixture.settings) == 0);
+    // An old report must not keep tasks away until the next heartbeat.
+    CHECK(known_load(state, fixture.settings, now) == 17);
+    CHECK(known_load(state, fixture.settings, now + absl::Seconds(3)) == 0);
     state.leaving = true;
     CHECK(!allowed(now));
     state.leaving = false;
--- a/tests/auto/entry/tst_entry_server.cpp
+++ b/tests/auto/entry/tst_entry_server.cpp
@@ -35,6 +35,7 @@
         return reply;
     }
     void on_report(const rpc::report_request&, absl::Time) override {}
+    void on_entry_beat(const rpc::entry_beat_request&, absl::Time) override {}
 };
 
 // Forwarded submissions wait until they are released.
