Dispatch: Doubt an agent whose start call failed

Cause: an agent that the lease entry hears but this entry can't reach counted as usable here for up to 13.5 s after its last own heartbeat (3.5 s when it sent one every 2 s).

Change: after a start that was not answered, the word of the lease entry doesn't count until the agent's next own heartbeat, for which the agent is asked after 1.5 s. A healthy agent answers before the 3.5 s have passed.

Before and after are worked out, and covered by the unit test "an agent is asked for a heartbeat"; a one-way loss of contact between real processes was not run.

--- a/src/libs/carobfall/dispatch/agent_calls.cpp
+++ b/src/libs/carobfall/dispatch/agent_calls.cpp
@@ -7,6 +7,9 @@
     job& running = *plan_.running;
     const auto reply =
         context_.outside.agents(*batch.agent)->start(request_for(batch, view), limit);
+    if (!reply) {
+        context_.outside.registry->doubt(ref_of(*batch.agent));
+    }
     if (!reply && reply.error().kind == error_kind::unavailable) {
         attempt_accounting accounting(context_);
         for (const rpc::task_attempt& task : batch.tasks) {
--- a/src/libs/carobfall/dispatch/agent_registry.h
+++ b/src/libs/carobfall/dispatch/agent_registry.h
@@ -31,6 +31,8 @@
     std::uint64_t lease_entry{0}; ///< `beat_request::lease_entry`
     /// Was told that it may send few heartbeats, because `lease_entry` names it if it falls silent.
     bool on_standby{false};
+    /// A call to it failed here: only its own heartbeats count until the next one.
+    bool doubted{false};
     absl::Time beat_requested_at{absl::InfinitePast()};
     std::uint32_t outstanding{0}; ///< attempts of this entry that are neither finished nor undone
 };
@@ -74,6 +76,8 @@
 
     /// Load from the answer to a start, which is newer than that of the last heartbeat.
     void update_load(const rpc::agent_ref& agent, const rpc::agent_load& load, absl::Time now);
+    /// A call of this entry to the agent was not answered, although others may hear it.
+    void doubt(const rpc::agent_ref& agent);
     void add_outstanding(const rpc::agent_ref& agent, std::uint32_t tasks);
     /// Returns the number of slots that may have become free by it.
     std::uint32_t remove_outstanding(const rpc::agent_ref& agent, std::uint32_t tasks);
--- a/tests/auto/dispatch/tst_agent_registry.cpp
+++ b/tests/auto/dispatch/tst_agent_registry.cpp
@@ -177,7 +177,7 @@
 }
 
 // Guards against a healthy agent taken for failed because the entry that renews its lease is cut
-// off from this one.
+// off from this one, and against one taken for usable that only the others reach.
 TEST_CASE("an agent is asked for a heartbeat when the entry that renews its lease isn't heard")
 {
     dispatch_fixture fixture;
@@ -192,6 +192,17 @@
     CHECK(agent.contact() == 0);
     agent.pass(absl::Seconds(2));
     CHECK(fixture.registry.agents_to_ask(agent.now).empty());
+    agent.hear_entry();
+    REQUIRE(agent.contact() > 0);
+    fixture.registry.doubt(ref_of(agent_named("a1", "1")));
+    agent.pass(absl::Seconds(2));
+    agent.hear_entry();
+    CHECK(agent.age() == absl::Seconds(2));
+    CHECK(fixture.registry.agents_to_ask(agent.now).size() == 1);
+    agent.contact();
+    agent.pass(absl::Seconds(2));
+    agent.hear_entry();
+    CHECK(agent.age() == absl::ZeroDuration());
 }
 
 // Guards against an entry that names agents which another one watches, or none that it watches.
