--- a/src/libs/carobfall/agent/agent_server.h
+++ b/src/libs/carobfall/agent/agent_server.h
@@ -24,6 +24,7 @@
     /// Starts were refused because the data centre is out, though the entry, which holds this
     /// version of the configuration, considers it in service.
     std::function<void(std::uint64_t configuration_version)> refused_as_out;
+    std::function<void()> beat_requested{[] {}};
 };
 
 /// Serves `agent_service` to the entries from the ledger.
--- a/src/libs/carobfall/daemon/entry_daemon.cpp
+++ b/src/libs/carobfall/daemon/entry_daemon.cpp
@@ -1,6 +1,7 @@
 #include "carobfall/daemon/entry_daemon.h"
 
 #include "carobfall/base/log_fields.h"
+#include "carobfall/base/work_pool.h"
 #include "carobfall/caller/caller_server.h"
 #include "carobfall/config/configuration_builder.h"
 #include "carobfall/config/ip_endpoint.h"
@@ -25,8 +26,15 @@
 namespace {
 
 constexpr absl::Duration table_call_limit = absl::Seconds(2);
+/// Threads for calls to the other entries. They are kept: 6 entries call each other 10 times a
+/// second.
+constexpr std::size_t peer_call_threads = 16;
+constexpr std::size_t max_peer_calls = 64;
 constexpr absl::Duration upkeep_interval = absl::Milliseconds(200);
 constexpr absl::Duration bound_interval = absl::Seconds(5);
+constexpr absl::Duration ask_check_interval = absl::Milliseconds(500);
+constexpr absl::Duration ask_limit = absl::Milliseconds(300);
+constexpr std::size_t ask_threads = 16;
 constexpr absl::Duration drain_check_interval = absl::Milliseconds(20);
 constexpr absl::Duration server_stop_limit = absl::Seconds(5);
 // Leaves a quarter of the callers' threads to status requests and cancels.
@@ -154,6 +162,12 @@
     {
         membership_hooks hooks;
         hooks.channels = entries;
+        hooks.run_parallel = [this](const std::vector<std::function<void()>>& calls) {
+            peer_calls.for_each(calls.size(), [&](std::size_t i) { calls[i](); });
+        };
+        hooks.add_agents = [this](rpc::entry_beat_request& request, absl::Time now) {
+            registry.name_silent_agents(request, now);
+        };
         hooks.claims_delivered = [this](const rpc::entry_view& view) {
             return transfer.has_served_all(view);
         };
@@ -220,6 +234,20 @@
         }
     }
 
+    /// Another entry that is expected to watch these agents isn't heard, or has not heard them.
+    void ask_for_beats(absl::Time now)
+    {
+        rpc::fence_request request;
+        *request.mutable_view() = members.snapshot().view;
+        request.set_request_beat(true);
+        std::vector<std::function<void()>> calls;
+        for (const auto& agent : registry.agents_to_ask(now)) {
+            calls.emplace_back(
+                [this, agent, &request] { (void)agents(*agent)->fence(request, ask_limit); });
+        }
+        run_in_threads(calls, ask_threads);
+    }
+
     const rpc::entry_member self;
     const std::string region;
     std::atomic<bool> draining{false};
@@ -230,6 +258,7 @@
     configuration_store store;
     configuration_builder builder; ///< used under the keeper's lock for changes
     claim_store claims;
+    work_pool peer_calls{peer_call_threads, max_peer_calls};
     entry_channel_factory entries;
     agent_channel_factory agents;
     membership members;
@@ -245,6 +274,7 @@
     std::unique_ptr<entry_threads> threads;
     std::unique_ptr<periodic_task> upkeep_thread;
     std::unique_ptr<periodic_task> bound_thread;
+    std::unique_ptr<periodic_task> ask_thread;
 };
 
 entry_daemon::entry_daemon(entry_settings settings, clock_function clock,
@@ -269,6 +299,8 @@
         upkeep_interval, clock_, [this](absl::Time now) { parts_->upkeep(now); });
     parts_->bound_thread = std::make_unique<periodic_task>(
         bound_interval, clock_, [this](absl::Time /*now*/) { parts_->confirm_bounds(clock_); });
+    parts_->ask_thread = std::make_unique<periodic_task>(
+        ask_check_interval, clock_, [this](absl::Time now) { parts_->ask_for_beats(now); });
     LOG(INFO) << log_fields("started")
                      .add("name", settings_.name)
                      .add("incarnation", parts_->self.incarnation())
@@ -296,6 +328,7 @@
     }
     parts_->callers.stop();
     parts_->bound_thread.reset();
+    parts_->ask_thread.reset();
     parts_->upkeep_thread.reset();
     parts_->threads.reset();
     parts_->operators.stop();
--- a/src/libs/carobfall/dispatch/agent_calls.cpp
+++ b/src/libs/carobfall/dispatch/agent_calls.cpp
@@ -14,8 +14,11 @@
         // Without it, the starts of the other entries are unknown here until a heartbeat.
         load = reply.value().load();
     }
-    context_.outside.registry->end_start(ref_of(*batch.agent),
-                                         static_cast<std::uint32_t>(batch.tasks.size()), load);
+    context_.outside.registry->end_start(
+        ref_of(*batch.agent), static_cast<std::uint32_t>(batch.tasks.size()), load, context_.now());
+    if (!reply) {
+        context_.outside.registry->doubt(ref_of(*batch.agent));
+    }
     if (!reply && reply.error().kind == error_kind::unavailable) {
         attempt_accounting accounting(context_);
         for (const rpc::task_attempt& task : batch.tasks) {
--- a/src/libs/carobfall/dispatch/agent_selection.cpp
+++ b/src/libs/carobfall/dispatch/agent_selection.cpp
@@ -36,6 +36,14 @@
     return limit - std::min(limit, agent.tasks());
 }
 
+std::uint32_t known_load(const agent_state& agent, const dispatch_settings& settings,
+                         absl::Time now)
+{
+    const bool is_valid = now - agent.load_reported_at <= settings.load_validity;
+    const std::uint32_t reported = is_valid ? agent.load.running() + agent.load.queued() : 0;
+    return std::max(reported + agent.in_flight, agent.outstanding);
+}
+
 std::vector<placement_candidate>
 select_candidates(const agent_registry& agents, const configuration& current,
                   const dispatch_template& declaration, const backend_health& health,
@@ -43,7 +51,10 @@
 {
     std::vector<placement_candidate> candidates;
     agents.for_each([&](const agent_state& agent) {
-        const std::uint32_t room = room_at(agent, settings);
+        std::uint32_t room = room_at(agent, settings);
+        if (room == 0 && known_load(agent, settings, now) < agent.info->backend_server().slots()) {
+            room = 1;
+        }
         if (room == 0 || !may_place(agent, current, declaration, settings, now)) {
             return;
         }
@@ -54,7 +65,7 @@
         placement_candidate candidate;
         candidate.info = agent.info;
         candidate.slots = agent.info->backend_server().slots();
-        candidate.tasks = agent.tasks();
+        candidate.tasks = known_load(agent, settings, now);
         candidate.outstanding = agent.outstanding;
         candidate.room = permission == backend_permission::probe ? 1 : room;
         candidates.push_back(std::move(candidate));
--- a/src/libs/carobfall/dispatch/dispatch_context.h
+++ b/src/libs/carobfall/dispatch/dispatch_context.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "carobfall/base/clock.h"
+#include "carobfall/base/work_pool.h"
 #include "carobfall/config/configuration.h"
 #include "carobfall/dispatch/account_limits.h"
 #include "carobfall/dispatch/agent_channel.h"
@@ -13,7 +14,6 @@
 #include "carobfall/dispatch/run_times.h"
 #include "carobfall/dispatch/slot_waiters.h"
 #include "carobfall/dispatch/submission_table.h"
-#include "carobfall/dispatch/work_pool.h"
 #include "carobfall/entry/agent_membership.h"
 #include "carobfall/entry/claim_store.h"
 #include "carobfall/entry/entry_channel.h"
