--- a/tests/auto/stateful/tst_random_faults.cpp
+++ b/tests/auto/stateful/tst_random_faults.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-constexpr int default_runs = 200;
+constexpr int default_runs = 300;
 constexpr int default_size = 100;
 constexpr const char* default_seed = "20261204";
 
