Tests: Take the termination signals from the daemons

Cause: both stand-ins had their own copy of the code that blocks and awaits SIGTERM and SIGINT, and the stateful test had two classes for one flag.

Change: the stand-ins use termination_signals of src/app/common; told_ownership has the flag.

--- a/tests/auto/stateful/entry_process.cpp
+++ b/tests/auto/stateful/entry_process.cpp
@@ -132,9 +132,8 @@
 
 void entry_process::make_coordinator(world& region)
 {
-    owner = region.mutation() == rule_removed::completeness
-                ? std::make_unique<always_complete>(*members)
-                : std::unique_ptr<ownership>(std::make_unique<same_ownership>(*members));
+    owner =
+        std::make_unique<told_ownership>(*members, region.mutation() == rule_removed::completeness);
     registry = std::make_unique<agent_registry>(*agent_rows, *keeper, *members);
     const random_source random = counting_random();
     submissions = coordinator_builder()
--- a/tests/auto/stateful/mutations.h
+++ b/tests/auto/stateful/mutations.h
@@ -23,13 +23,20 @@
     versions,     ///< a configuration counts as in force before the entries hold it
 };
 
-/// Passes everything on.
-class same_ownership : public ownership {
+/// What the coordinator is told of the ownership; with the rule removed, it knows every submission.
+class told_ownership final : public ownership {
 public:
-    explicit same_ownership(const ownership& source) : source_(source) {}
+    told_ownership(const ownership& source, bool always_complete)
+        : source_(source), always_complete_(always_complete)
+    {}
 
     [[nodiscard]] const rpc::entry_member& self() const override { return source_.self(); }
-    [[nodiscard]] ownership_snapshot snapshot() const override { return source_.snapshot(); }
+    [[nodiscard]] ownership_snapshot snapshot() const override
+    {
+        ownership_snapshot told = source_.snapshot();
+        told.complete = told.complete || always_complete_;
+        return told;
+    }
     bool wait_for_change(std::uint64_t view_number, absl::Duration limit) const override
     {
         return source_.wait_for_change(view_number, limit);
@@ -37,19 +44,7 @@
 
 private:
     const ownership& source_;
-};
-
-/// Claims to know every submission.
-class always_complete final : public same_ownership {
-public:
-    using same_ownership::same_ownership;
-
-    [[nodiscard]] ownership_snapshot snapshot() const override
-    {
-        ownership_snapshot changed = same_ownership::snapshot();
-        changed.complete = true;
-        return changed;
-    }
+    const bool always_complete_;
 };
 
 } // namespace carobfall::stateful
--- a/tests/standins/backend/main.cpp
+++ b/tests/standins/backend/main.cpp
@@ -1,8 +1,8 @@
 #include "backend_standin.h"
+#include "program.h"
 
 #include <CLI/CLI.hpp>
 
-#include <csignal>
 #include <iostream>
 
 int main(int argc, char** argv)
@@ -27,11 +27,7 @@
                    "file that keeps the log of starts when the process ends");
     CLI11_PARSE(app, argc, argv);
 
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    const carobfall::termination_signals signals;
 
     carobfall::backend_standin standin(options);
     if (!standin.start()) {
@@ -39,8 +35,7 @@
         return 1;
     }
     std::cout << "port " << standin.port() << std::endl;
-    int signal = 0;
-    sigwait(&signals, &signal);
+    signals.wait();
     standin.leave();
     return 0;
 }
--- a/tests/standins/platform/main.cpp
+++ b/tests/standins/platform/main.cpp
@@ -1,9 +1,9 @@
 #include "carobfall/config/ip_endpoint.h"
 #include "platform_server.h"
+#include "program.h"
 
 #include <CLI/CLI.hpp>
 
-#include <csignal>
 #include <iostream>
 
 int main(int argc, char** argv)
@@ -17,11 +17,7 @@
     CLI11_PARSE(app, argc, argv);
 
     // Blocked before the server's threads are made, so that only sigwait receives the signals.
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    const carobfall::termination_signals signals;
 
     const auto endpoint = carobfall::parse_ip_endpoint(address);
     carobfall::testing::platform_server server;
@@ -40,7 +36,6 @@
         return 1;
     }
     std::cout << "listening on " << endpoint->ip << ':' << port.value() << std::endl;
-    int signal = 0;
-    sigwait(&signals, &signal);
+    signals.wait();
     return 0;
 }
