Documentation: Correct comments on the load of an agent

The load in the answer to a start comes with `end_start` now, and the memory of a measured template had been stated without a measurement. The dispatch, agent and entry tests pass.

--- a/src/libs/carobfall/dispatch/agent_registry.h
+++ b/src/libs/carobfall/dispatch/agent_registry.h
@@ -61,6 +61,7 @@
     /// True once a later incarnation of the agent has registered here.
     [[nodiscard]] bool is_lost(const rpc::agent_ref& agent) const;
 
+    /// Load from a report, which is newer than that of the last heartbeat.
     void update_load(const rpc::agent_ref& agent, const rpc::agent_load& load);
     /// Counts starts that are about to be sent; `end_start` has to follow.
     void add_outstanding(const rpc::agent_ref& agent, std::uint32_t tasks);
--- a/src/libs/carobfall/dispatch/dispatch_settings.h
+++ b/src/libs/carobfall/dispatch/dispatch_settings.h
@@ -50,7 +50,7 @@
     /// Bound of all recorded answers together. A daemon has 64 MB in all.
     std::size_t recorded_answer_bytes{std::size_t{24} * 1024 * 1024};
 
-    /// Templates whose measured run times are kept, at about 200 bytes each.
+    /// Most templates whose measured run times are kept; there are 730 teams.
     std::size_t measured_templates{4096};
 
     /// Threads that run submissions whose caller doesn't wait, and takeovers.
