--- a/src/libs/carobfall/dispatch/agent_registry.h
+++ b/src/libs/carobfall/dispatch/agent_registry.h
@@ -78,7 +78,7 @@
     /// True once a later incarnation of the agent has registered here.
     [[nodiscard]] bool is_lost(const rpc::agent_ref& agent) const;
 
-    /// Load from the answer to a start, which is newer than that of the last heartbeat.
+    /// Load from a report, which is newer than that of the last heartbeat.
     void update_load(const rpc::agent_ref& agent, const rpc::agent_load& load, absl::Time now);
     /// A call of this entry to the agent was not answered, although others may hear it.
     void doubt(const rpc::agent_ref& agent);
