Dispatch: Record a refusal only together with a claim

Cause: a job that was refused before anything was claimed, for example cancelled while it waited for a slot, had its refusal recorded and repeated. An owner of the key in a later view knew nothing of it and could run the submission, while the former owner still said not_run. Found by reading. Ruled out: dropping such records when the view changes, since a cancellation would be forgotten; not recording them at all, for the same reason. Before: the new case of tst_job_runner finds no claim of a cancelled job. Conclusion: a resubmission after a refusal that couldn't be claimed is a new try.

--- a/src/libs/carobfall/dispatch/job_runner.cpp
+++ b/src/libs/carobfall/dispatch/job_runner.cpp
@@ -332,11 +332,21 @@
     }
 }
 
-// The new owner may run the submission, so that a refusal recorded here could become untrue.
-void job_runner::forget()
+// Nothing was started. The refusal is true now, but not recorded.
+bool job_runner::end_without_claim(const rpc::submission_answer& refusal)
 {
+    const bool confirmed = is_confirmed(*context_.outside.owner, job_.key(), context_.now());
     claim_.withdraw();
-    context_.table.remove(plan_.running);
+    if (ownership_moved_ || !claim_.owns_key()) {
+        context_.table.remove(plan_.running);
+        return false;
+    }
+    if (confirmed) {
+        context_.table.discard(plan_.running, refusal);
+    } else {
+        context_.table.discard(plan_.running, unconfirmed_view());
+    }
+    return true;
 }
 
 void job_runner::record_run_time(const task_entry& task)
@@ -349,6 +359,17 @@
                          absl::Milliseconds(task.result->run_ms()), context_.now());
 }
 
+// A recorded refusal is given again as long as it is kept. Without a claim, an owner of the key in
+// a later view would not know of it and could run the submission meanwhile.
+bool job_runner::hold_claim_of_answer()
+{
+    if (!claim_.held_once()) {
+        const auto held = claim_.hold({}, call_limit(context_.settings.claim_call_limit));
+        ownership_moved_ = !held && held.error().kind == error_kind::stale_view;
+    }
+    return claim_.held_once();
+}
+
 bool job_runner::record_answer()
 {
     attempt_accounting accounting(context_);
@@ -359,16 +380,10 @@
         ++index;
     }
     context_.limits.leave(job_.key().client_account, job_.progress().waiting);
-    const bool confirmed = is_confirmed(*context_.outside.owner, job_.key(), context_.now());
-    if (!claim_.held_once() && (ownership_moved_ || !claim_.owns_key())) {
-        forget();
-        return false;
-    }
-    if (!claim_.held_once() && !confirmed) {
-        context_.table.discard(plan_.running, unconfirmed_view());
-        return true;
-    }
     rpc::submission_answer answer = answer_for(job_, failure_reason());
+    if (!hold_claim_of_answer()) {
+        return end_without_claim(answer);
+    }
     claim_.set_answered(answer);
     LOG(INFO) << log_fields("submission_answered")
                      .add("submission", to_string(job_.key()))
--- a/src/libs/carobfall/dispatch/job_runner.h
+++ b/src/libs/carobfall/dispatch/job_runner.h
@@ -30,7 +30,8 @@
     void wind_down();
     void record_run_time(const task_entry& task);
     bool record_answer();
-    void forget();
+    bool hold_claim_of_answer();
+    bool end_without_claim(const rpc::submission_answer& refusal);
 
     [[nodiscard]] bool may_start_now(absl::Time now);
     [[nodiscard]] std::vector<placement_candidate> candidates(absl::Time now) const;
--- a/tests/auto/dispatch/tst_job_runner.cpp
+++ b/tests/auto/dispatch/tst_job_runner.cpp
@@ -268,6 +268,31 @@
     CHECK(answer.error_kind() == "unavailable");
     CHECK(count_outcomes(answer, rpc::outcome_not_run) == 2);
     CHECK(agent.starts() == 0);
+    // Without a claim the refusal must not be given again: another entry may run the id meanwhile.
+    CHECK_FALSE(fixture.claims.find({"dambi", id}));
+}
+
+// Guards against a refusal with not_run that stays here while a later owner, which knows nothing of
+// it, runs the submission.
+TEST_CASE("a refusal is recorded together with a claim")
+{
+    dispatch_fixture fixture;
+    fixture.add_agent("a1", agent_mode::hold, 1);
+    auto running = submit_async(fixture, fixture.request(2, absl::Seconds(1)));
+    REQUIRE(fixture.wait_for_open(2));
+    auto waiting = submit_async(fixture, fixture.request(1, absl::Seconds(10), "waits"));
+    const submission_key other{"dambi", "waits"};
+    while (!fixture.service().cancel(other, monotonic_now())) {
+        absl::SleepFor(absl::Milliseconds(1));
+    }
+    CHECK(waiting.get().error_kind() == "cancelled");
+    const std::optional<rpc::claim> claim = fixture.claims.find(other);
+    REQUIRE(claim);
+    CHECK(claim->answered());
+    CHECK(claim->planned_agents().empty());
+    fixture.agent("a1")->finish(key, 0);
+    fixture.agent("a1")->finish(key, 1);
+    CHECK(running.get().state() == rpc::submission_complete);
 }
 
 TEST_CASE("a held job runs once a new view has another witness")
