Agent: Answer a revoke after the retention with unknown

Cause: a coordinator that stood still past the deadline and the retention of 60 s asked for tasks whose records the agent had dropped. The agent stored a tombstone, so that a task that had run was reported as not_run. Ruled out: a check at the coordinator, whose clock may be behind the agent's.

--- a/src/libs/carobfall/agent/record_table.cpp
+++ b/src/libs/carobfall/agent/record_table.cpp
@@ -81,12 +81,16 @@
     record->result.reset();
 }
 
+bool record_table::has_expired(std::int64_t deadline_unix_ms, absl::Time now)
+{
+    return from_unix_ms(deadline_unix_ms) + record_retention <= now;
+}
+
 std::size_t record_table::expire(absl::Time now)
 {
     const std::size_t before = size_;
     for (auto it = submissions_.begin(); it != submissions_.end();) {
-        const absl::Time expiry = from_unix_ms(it->second.deadline_unix_ms) + record_retention;
-        if (expiry > now || has_started_task(it->second)) {
+        if (!has_expired(it->second.deadline_unix_ms, now) || has_started_task(it->second)) {
             ++it;
             continue;
         }
--- a/src/libs/carobfall/agent/record_table.h
+++ b/src/libs/carobfall/agent/record_table.h
@@ -38,6 +38,9 @@
     /// themselves stay.
     void store_result(const task_key& key, task_record& record, rpc::task_result result);
 
+    /// Records of a submission with this deadline may have been dropped.
+    [[nodiscard]] static bool has_expired(std::int64_t deadline_unix_ms, absl::Time now);
+
     /// Drops the records whose deadline and retention have passed; returns how many. Tasks that
     /// are started keep their submission until they have finished.
     std::size_t expire(absl::Time now);
--- a/src/libs/carobfall/agent/task_ledger.cpp
+++ b/src/libs/carobfall/agent/task_ledger.cpp
@@ -170,13 +170,13 @@
 {
     rpc::revoke_reply reply;
     const std::lock_guard lock(mutex_);
-    advance(now);
+    now = advance(now);
     const bool meant_for_this = request.agent_incarnation() == options_.agent_incarnation;
     if (meant_for_this) {
         view_number_ = std::max(view_number_, request.view_number());
     }
     for (const rpc::task_attempt& task : request.tasks()) {
-        *reply.add_tasks() = meant_for_this ? revoke_task(request, task)
+        *reply.add_tasks() = meant_for_this ? revoke_task(request, task, now)
                                             : status_without_record(task.index(), task.attempt(),
                                                                     rpc::task_state_unknown,
                                                                     rpc::refusal_stale_view);
@@ -186,11 +186,16 @@
 }
 
 rpc::task_status task_ledger::revoke_task(const rpc::revoke_request& request,
-                                          const rpc::task_attempt& task)
+                                          const rpc::task_attempt& task, absl::Time now)
 {
     const task_key key = key_of(request.submission(), task.index());
     task_record* record = records_.find(key);
     const bool stale = request.view_number() < view_number_;
+    // The record may have been dropped: a coordinator that was paused asks as late as it likes.
+    if (record == nullptr && records_.has_expired(request.deadline_unix_ms(), now)) {
+        return status_without_record(task.index(), task.attempt(), rpc::task_state_unknown,
+                                     rpc::refusal_deadline);
+    }
     if (record == nullptr && (stale || records_.size() >= 2 * options_.max_records)) {
         return status_without_record(task.index(), task.attempt(), rpc::task_state_unknown,
                                      stale ? rpc::refusal_stale_view : rpc::refusal_ledger_full);
--- a/src/libs/carobfall/agent/task_ledger.h
+++ b/src/libs/carobfall/agent/task_ledger.h
@@ -70,6 +70,8 @@
 
     /// Stores a tombstone for every task that has not started and has no higher attempt. From a
     /// view older than the highest one, or for another incarnation, it only reports the states.
+    /// Without a record and after deadline and retention the state is `unknown`: there may have
+    /// been one.
     rpc::revoke_reply revoke(const rpc::revoke_request& request, absl::Time now);
 
     /// Raises the highest view and lists the records if the request asks for them.
@@ -133,7 +135,8 @@
     absl::Time advance(absl::Time now);
     rpc::task_status decide(const rpc::start_request& request, const rpc::start_task& task,
                             const context_ptr& context, absl::Time now);
-    rpc::task_status revoke_task(const rpc::revoke_request& request, const rpc::task_attempt& task);
+    rpc::task_status revoke_task(const rpc::revoke_request& request, const rpc::task_attempt& task,
+                                 absl::Time now);
     [[nodiscard]] rpc::refusal_reason refusal_for(const rpc::start_request& request,
                                                   absl::Time now) const;
     [[nodiscard]] rpc::refusal_reason start_obstacle(absl::Time now) const;
--- a/tests/auto/agent/tst_task_ledger.cpp
+++ b/tests/auto/agent/tst_task_ledger.cpp
@@ -271,6 +271,8 @@
     f.ledger.finish(f.key(0), 1, f.result_of(1), expiry);
     CHECK(f.ledger.expire(expiry) == 2);
     CHECK(f.ledger.totals().result_bytes == 0);
+    // A coordinator that was paused must not take the missing record for a task that did not run.
+    CHECK(f.revoke(0, 1).state() == rpc::task_state_unknown);
     CHECK(f.start(0).reason() == rpc::refusal_deadline);
 }
 
