--- a/src/libs/carobfall/agent/agent_daemon.cpp
+++ b/src/libs/carobfall/agent/agent_daemon.cpp
@@ -93,7 +93,6 @@
       server_(ledger_,
               {.tasks_queued = [this](std::size_t tasks) { executor_.notify(tasks); },
                .refused_as_out = [this](std::uint64_t version) { catch_up(version); },
-
                .beat_requested = [this] { sessions_.beat_now(); }},
               metrics_, clock_),
       operator_server_("operator_request", operator_http(settings_.operator_address))
