--- a/src/libs/carobfall/config/configuration_builder.cpp
+++ b/src/libs/carobfall/config/configuration_builder.cpp
@@ -6,7 +6,6 @@
 namespace carobfall {
 namespace {
 
-constexpr std::string_view account_prefix = "account/";
 constexpr std::string_view data_centre_prefix = "data_centre/";
 
 struct row_key {
--- a/src/libs/carobfall/config/configuration_builder.h
+++ b/src/libs/carobfall/config/configuration_builder.h
@@ -7,7 +7,8 @@
 
 namespace carobfall {
 
-/// Begin of the keys "template/<client account>/<name>".
+/// Begin of the keys "account/<client account>" and "template/<client account>/<name>".
+inline constexpr std::string_view account_prefix = "account/";
 inline constexpr std::string_view template_prefix = "template/";
 
 /// Values of a row "data_centre/<name>". A deleted row means the same as `data_centre_in`.
--- a/src/libs/carobfall/daemon/configuration_service.cpp
+++ b/src/libs/carobfall/daemon/configuration_service.cpp
@@ -59,7 +59,7 @@
 // Data centres are not declared: they are taken out and in.
 result<rpc::configuration_change> removal_of(const std::string& key)
 {
-    if (!key.starts_with("account/") && !key.starts_with("template/")) {
+    if (!key.starts_with(account_prefix) && !key.starts_with(template_prefix)) {
         return failure(error_kind::invalid_request, key + " is not an account or a template",
                        "name it account/<client account> or template/<client account>/<name>");
     }
@@ -158,10 +158,8 @@
                                                     const change_options& options)
 {
     BOOST_OUTCOME_TRY(find_declaration(key));
-    rpc::configuration_change change;
-    change.set_key(key);
-    change.set_deleted(true);
-    return commit({change}, options);
+    BOOST_OUTCOME_TRY(rpc::configuration_change removal, removal_of(key));
+    return commit({std::move(removal)}, options);
 }
 
 result<change_report> configuration_service::set_data_centre(const std::string& name, bool out,
--- a/src/libs/carobfall/dispatch/coordinator.cpp
+++ b/src/libs/carobfall/dispatch/coordinator.cpp
@@ -134,21 +134,19 @@
 
 // Asks the coordinator that the claim names. Nothing if that incarnation never held the claim.
 std::optional<coordinator::answer_result>
-coordinator::ask_claimant(const rpc::claim& claim, const rpc::submission_request& request,
-                          const rpc::entry_view& view)
+coordinator::ask_claimant(const rpc::entry_member& claimant, const rpc::submission_request& request)
 {
     rpc::forward_request message;
     message.set_view_number(claim_directed);
-    message.set_coordinator_incarnation(claim.coordinator().incarnation());
+    message.set_coordinator_incarnation(claimant.incarnation());
     *message.mutable_submission() = request;
-    const rpc::entry_member& target = *find_member(view, claim.coordinator());
     const absl::Duration limit = time_to(from_unix_ms(request.deadline_unix_ms()), context_.now());
-    auto reply = context_.outside.entries(target)->forward(message, limit);
+    auto reply = context_.outside.entries(claimant)->forward(message, limit);
     if (reply && reply.value().never_held()) {
         return std::nullopt;
     }
     bool again = false;
-    return read_reply(target, std::move(reply), again);
+    return read_reply(claimant, std::move(reply), again);
 }
 
 rpc::forward_reply coordinator::submit_forwarded(const rpc::forward_request& request,
@@ -265,8 +263,8 @@
     }
     const ownership_snapshot snapshot = context_.outside.owner->snapshot();
     if (!same_incarnation(claim.coordinator(), context_.outside.owner->self())) {
-        if (find_member(snapshot.view, claim.coordinator()) != nullptr) {
-            return ask_claimant(claim, request, snapshot.view);
+        if (const auto* claimant = find_member(snapshot.view, claim.coordinator())) {
+            return ask_claimant(*claimant, request);
         }
         if (!takeover_->adopt(claim)) {
             return recovering("too many submissions are being taken over");
--- a/src/libs/carobfall/dispatch/coordinator.h
+++ b/src/libs/carobfall/dispatch/coordinator.h
@@ -61,9 +61,8 @@
     answer_result route(const rpc::submission_request& request, absl::Time now);
     answer_result forward(const rpc::entry_member& target, const rpc::submission_request& request,
                           std::uint64_t view, bool& again);
-    std::optional<answer_result> ask_claimant(const rpc::claim& claim,
-                                              const rpc::submission_request& request,
-                                              const rpc::entry_view& view);
+    std::optional<answer_result> ask_claimant(const rpc::entry_member& claimant,
+                                              const rpc::submission_request& request);
     answer_result submit_here(const rpc::submission_request& request, absl::Time now);
     [[nodiscard]] ownership_snapshot await_completeness(const rpc::submission_request& request,
                                                         absl::Time now) const;
--- a/tests/auto/stateful/schedules.cpp
+++ b/tests/auto/stateful/schedules.cpp
@@ -129,6 +129,18 @@
     std::string delayed_at;
 };
 
+// The delayed start arrives at an agent that can run tasks again, after the task has started
+// elsewhere.
+schedule_outcome end_after_late_start(scene& at, int late_agent, bool sent)
+{
+    const bool ran = at.run_until([&] { return at.region.facts().starts(at.key, 0) > 0; });
+    at.region.agent(late_agent)->set_backend(backend_state::present);
+    at.region.run(1);
+    at.region.network().deliver_late(0);
+    at.region.run(2);
+    return at.end(sent && ran);
+}
+
 } // namespace
 
 schedule_outcome resumed_coordinator(rule_removed mutation)
@@ -190,12 +202,7 @@
     at.take_work_from(late_agent);
     at.region.run(view_change_rounds);
     at.region.submit(at.other, at.request);
-    const bool ran = at.run_until([&] { return at.region.facts().starts(at.key, 0) > 0; });
-    at.region.agent(late_agent)->set_backend(backend_state::present);
-    at.region.run(1);
-    at.region.network().deliver_late(0);
-    at.region.run(2);
-    return at.end(sent && ran);
+    return end_after_late_start(at, late_agent, sent);
 }
 
 schedule_outcome start_after_revoke(rule_removed mutation)
@@ -207,12 +214,7 @@
     // The task must not run again at the agent that the start was meant for.
     const int late_agent = at.delayed_at.empty() ? 0 : at.delayed_at.back() - '0';
     at.take_work_from(late_agent);
-    const bool ran = at.run_until([&] { return at.region.facts().starts(at.key, 0) > 0; });
-    at.region.agent(late_agent)->set_backend(backend_state::present);
-    at.region.run(1);
-    at.region.network().deliver_late(0);
-    at.region.run(2);
-    return at.end(sent && ran);
+    return end_after_late_start(at, late_agent, sent);
 }
 
 schedule_outcome restarted_entries(rule_removed mutation)
