--- /dev/null
+++ b/src/libs/carobfall/base/async_http_client.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <absl/time/time.h>
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/verb.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace carobfall {
+
+struct http_call {
+    boost::beast::http::verb method{boost::beast::http::verb::get};
+    std::string target;
+    std::vector<std::pair<std::string, std::string>> headers;
+    std::string body; ///< JSON; empty: none
+    absl::Duration limit; ///< for the whole call
+};
+
+enum class exchange_result {
+    answered,
+    not_sent,  ///< no connection; the peer has done nothing
+    no_answer, ///< sent, at least in part; the peer may have acted on it or may do so later
+};
+
+struct http_exchange {
+    exchange_result result{exchange_result::not_sent};
+    bool refused{false}; ///< with `not_sent`: nothing listens at the address
+    unsigned status{0};
+    std::string body;
+};
+
+/// One kept connection to an HTTP server. A connection on which an answer didn't come is not used
+/// again. One call at a time.
+class async_http_client {
+public:
+    async_http_client(const boost::asio::any_io_executor& executor,
+                      boost::asio::ip::tcp::endpoint server);
+
+    boost::asio::awaitable<http_exchange> call(const http_call& request);
+
+private:
+    boost::asio::awaitable<bool> connect(absl::Duration limit, http_exchange& exchange);
+
+    boost::asio::any_io_executor executor_;
+    const boost::asio::ip::tcp::endpoint server_;
+    std::optional<boost::beast::tcp_stream> stream_;
+    boost::beast::flat_buffer buffer_;
+};
+
+/// Kept connections to one server for calls at the same time.
+class async_http_client_pool {
+public:
+    async_http_client_pool(const boost::asio::any_io_executor& executor,
+                           boost::asio::ip::tcp::endpoint server, std::size_t max_connections);
+
+    /// `not_sent` if all connections are in use.
+    boost::asio::awaitable<http_exchange> call(const http_call& request);
+
+private:
+    boost::asio::any_io_executor executor_;
+    const boost::asio::ip::tcp::endpoint server_;
+    const std::size_t max_connections_;
+    std::size_t in_use_{0};
+    std::vector<std::unique_ptr<async_http_client>> idle_;
+};
+
+} // namespace carobfall
--- /dev/null
+++ b/src/libs/carobfall/base/async_http_server.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <absl/time/time.h>
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <cstddef>
+#include <functional>
+#include <string>
+
+namespace carobfall {
+
+using async_http_request = boost::beast::http::request<boost::beast::http::string_body>;
+
+struct async_http_response {
+    unsigned status{200};
+    std::string body; ///< JSON or text; empty: none
+    std::string content_type{"application/json"};
+    std::string retry_after; ///< whole seconds; empty: no header
+};
+
+/// Tells a handler that its caller has closed the connection and waits no longer.
+struct caller_watch {
+    bool closed{false};
+    std::function<void()> on_closed;
+};
+
+using async_http_handler = std::function<boost::asio::awaitable<async_http_response>(
+    const async_http_request&, caller_watch&)>;
+
+/// Bounds of the requests of callers.
+struct async_http_limits {
+    std::size_t max_connections{1000};
+    std::size_t max_header_bytes{16U << 10U};
+    std::size_t max_body_bytes{256U << 10U};
+    absl::Duration header_timeout{absl::Seconds(3)};
+    absl::Duration idle_timeout{absl::Seconds(15)};
+};
+
+/// HTTP/1.1 server with one coroutine for each connection. Requests that break the limits are
+/// answered with 400, 413 or 431; connections beyond the limit with 503.
+class async_http_server {
+public:
+    async_http_server(const boost::asio::any_io_executor& executor, async_http_handler handler);
+
+    /// Throws `boost::system::system_error` if it can't listen.
+    void start(const boost::asio::ip::tcp::endpoint& address);
+    /// Applies to later requests.
+    void set_limits(const async_http_limits& limits) { limits_ = limits; }
+    /// Asks callers to connect elsewhere: answers close their connections.
+    void drain() { draining_ = true; }
+    [[nodiscard]] std::size_t connections() const { return connections_; }
+
+private:
+    boost::asio::awaitable<void> accept(boost::asio::ip::tcp::acceptor acceptor);
+    boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
+
+    boost::asio::any_io_executor executor_;
+    const async_http_handler handler_;
+    async_http_limits limits_;
+    std::size_t connections_{0};
+    bool draining_{false};
+};
+
+} // namespace carobfall
--- /dev/null
+++ b/src/libs/carobfall/fleet/frame_channel.cpp
@@ -0,0 +1,102 @@
+#include "carobfall/fleet/frame_channel.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/endian/conversion.hpp>
+
+#include <netinet/tcp.h>
+
+#include <array>
+#include <cstdint>
+#include <utility>
+
+namespace carobfall {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// A configuration of the largest size that the store keeps, with room for names of our own.
+constexpr std::size_t max_frame_bytes = 4U << 20U;
+// A peer that leaves this much unread no longer keeps up.
+constexpr std::size_t max_queued_bytes = 8U << 20U;
+constexpr std::size_t length_bytes = 4;
+// The kernel gives up on data that is not acknowledged for this long.
+constexpr unsigned unacknowledged_limit_ms = 1500;
+
+} // namespace
+
+frame_channel::frame_channel(asio::ip::tcp::socket socket)
+    : socket_(std::move(socket)), queued_(socket_.get_executor())
+{}
+
+asio::awaitable<bool> frame_channel::read(google::protobuf::MessageLite& message)
+{
+    std::array<unsigned char, length_bytes> prefix{};
+    boost::system::error_code error;
+    co_await asio::async_read(socket_, asio::buffer(prefix),
+                              asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+        co_return false;
+    }
+    const std::uint32_t size = boost::endian::load_big_u32(prefix.data());
+    if (size > max_frame_bytes) {
+        co_return false;
+    }
+    incoming_.resize(size);
+    co_await asio::async_read(socket_, asio::buffer(incoming_),
+                              asio::redirect_error(asio::use_awaitable, error));
+    co_return !error && message.ParseFromString(incoming_);
+}
+
+void frame_channel::send(const google::protobuf::MessageLite& message)
+{
+    std::array<unsigned char, length_bytes> prefix{};
+    boost::endian::store_big_u32(prefix.data(), static_cast<std::uint32_t>(message.ByteSizeLong()));
+    outgoing_.append(prefix.begin(), prefix.end());
+    message.AppendToString(&outgoing_);
+    if (outgoing_.size() > max_queued_bytes) {
+        close();
+    }
+    queued_.notify();
+}
+
+asio::awaitable<void> frame_channel::write_all()
+{
+    std::string batch;
+    while (socket_.is_open()) {
+        if (outgoing_.empty()) {
+            co_await queued_.wait();
+            continue;
+        }
+        batch.clear();
+        std::swap(batch, outgoing_);
+        boost::system::error_code error;
+        co_await asio::async_write(socket_, asio::buffer(batch),
+                                   asio::redirect_error(asio::use_awaitable, error));
+        if (error) {
+            close();
+        }
+    }
+}
+
+void frame_channel::close()
+{
+    boost::system::error_code ignored;
+    socket_.close(ignored); // the descriptor is closed also when an error is reported
+    queued_.notify();
+}
+
+void configure_link_socket(asio::ip::tcp::socket& socket)
+{
+    boost::system::error_code ignored; // the options only speed up the detection of lost peers
+    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    using user_timeout =
+        asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+    socket.set_option(user_timeout(unacknowledged_limit_ms), ignored);
+}
+
+} // namespace carobfall
--- /dev/null
+++ b/src/libs/carobfall/jobs/agent_choice.cpp
@@ -0,0 +1,80 @@
+#include "carobfall/jobs/agent_choice.h"
+
+#include <algorithm>
+
+namespace carobfall {
+namespace {
+
+// Run time on a rack without the data of the task, against one with it; the platform's figure for
+// today's deployments, used only to compare workers.
+constexpr double remote_data_factor = 1.5;
+// Scores that differ by less are the same within what is known of run times.
+constexpr double score_tolerance = 0.05;
+// Extra time counted for a worker on which a task of the job has failed already.
+constexpr absl::Duration failed_before_penalty = absl::Seconds(2);
+
+bool can_take(const agent_view& agent, const job_request& request)
+{
+    if (!agent.usable || agent.service != request.service ||
+        !request.demand.fits_into(agent.capacity)) {
+        return false;
+    }
+    if (request.max_tasks_per_agent > 0 && agent.tasks_of_job >= request.max_tasks_per_agent) {
+        return false;
+    }
+    return request.required_label.empty() ||
+           std::find(agent.labels.begin(), agent.labels.end(), request.required_label) !=
+               agent.labels.end();
+}
+
+double free_share(const agent_view& agent)
+{
+    return static_cast<double>(agent.free.cpu_millicores) /
+           static_cast<double>(std::max<std::int64_t>(agent.capacity.cpu_millicores, 1));
+}
+
+} // namespace
+
+absl::Duration expected_wait(const agent_view& agent, const resource_amounts& demand)
+{
+    if (demand.fits_into(agent.free)) {
+        return absl::ZeroDuration();
+    }
+    const double cores = std::max(static_cast<double>(agent.capacity.cpu_millicores) / 1000, 0.001);
+    // At least one of the runs has to end first.
+    constexpr absl::Duration min_wait = absl::Milliseconds(20);
+    return min_wait + agent.slowness * absl::Milliseconds(agent.waiting_core_ms / cores);
+}
+
+std::optional<std::size_t> choose_agent(std::span<const agent_view> agents,
+                                        const job_request& request, absl::Duration expected_run,
+                                        const std::function<double()>& random)
+{
+    std::optional<std::size_t> best;
+    double best_score = 0;
+    double best_room = 0;
+    for (std::size_t i = 0; i < agents.size(); ++i) {
+        const agent_view& agent = agents[i];
+        if (!can_take(agent, request)) {
+            continue;
+        }
+        const bool remote = !request.data_rack.empty() && agent.rack != request.data_rack;
+        absl::Duration time = expected_wait(agent, request.demand) +
+                              expected_run * agent.slowness * (remote ? remote_data_factor : 1.0);
+        if (agent.avoided) {
+            time += failed_before_penalty;
+        }
+        const double score = absl::ToDoubleMilliseconds(time);
+        const double room = free_share(agent) * (0.8 + 0.4 * random());
+        const bool clearly_better = score < best_score * (1 - score_tolerance);
+        const bool as_good = score <= best_score * (1 + score_tolerance);
+        if (!best || clearly_better || (as_good && room > best_room)) {
+            best = i;
+            best_score = score;
+            best_room = room;
+        }
+    }
+    return best;
+}
+
+} // namespace carobfall
--- /dev/null
+++ b/src/libs/carobfall/jobs/agent_choice.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "carobfall/jobs/job_request.h"
+
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace carobfall {
+
+/// What an entry knows of an agent and the worker beside it. The figures are those of the last
+/// report less the orders sent since.
+struct agent_view {
+    std::string name;
+    std::string data_centre;
+    std::string rack;
+    std::vector<std::string> labels;
+    std::string service;
+    bool usable{false};         ///< connected, takes orders, its data centre is in service
+    resource_amounts capacity;
+    resource_amounts free;      ///< negative with work that waits
+    double waiting_core_ms{0};  ///< work of the orders that wait
+    double slowness{1};         ///< measured run time against the expected one
+    std::uint32_t tasks_of_job{0};
+    bool avoided{false};        ///< a task of this job has failed there
+};
+
+/// Wait until a task could start at the agent. 0 if there is room now.
+[[nodiscard]] absl::Duration expected_wait(const agent_view& agent, const resource_amounts& demand);
+
+/// The agent where the task is expected to end first; among equals the one with most room. Answers
+/// load that is known late and placed by several entries at once: `random` (0 to 1 at each call)
+/// makes entries with the same knowledge choose differently. Nothing if no agent can take the task.
+[[nodiscard]] std::optional<std::size_t> choose_agent(std::span<const agent_view> agents,
+                                                      const job_request& request,
+                                                      absl::Duration expected_run,
+                                                      const std::function<double()>& random);
+
+} // namespace carobfall
--- /dev/null
+++ b/src/libs/carobfall/jobs/agent_service.cpp
@@ -0,0 +1,489 @@
+#include "carobfall/jobs/agent_service.h"
+
+#include "carobfall/base/boot_clock.h"
+
+#include <absl/strings/str_cat.h>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace carobfall {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// Lease that a renewal asks for. Shorter than the worker's longest one, so that the runs of a lost
+// agent are gone before callers of its entries send their jobs again.
+constexpr absl::Duration worker_lease = absl::Milliseconds(800);
+// The worker's clock may be 2% slow; the rest covers the way of the order.
+constexpr absl::Duration lapse_margin = absl::Milliseconds(100);
+// A renewal waits this long for the end of a run, so that two lost answers in a row don't end the
+// lease.
+constexpr absl::Duration renewal_wait = absl::Milliseconds(150);
+constexpr absl::Duration renewal_retry_pause = absl::Milliseconds(20);
+constexpr absl::Duration watch_interval = absl::Milliseconds(25);
+// Longest pause between frames to an entry; its answers renew the permission to run.
+constexpr absl::Duration frame_interval = absl::Milliseconds(100);
+// Entries without events hear of changed room this often.
+constexpr absl::Duration status_interval = absl::Milliseconds(20);
+constexpr absl::Duration stop_retry_pause = absl::Milliseconds(10);
+
+} // namespace
+
+agent_service::agent_service(const asio::any_io_executor& executor, process_identity identity,
+                             worker_orders& orders, operator_view& operators, event_log& log,
+                             metrics_registry& metrics)
+    : executor_(executor), identity_(std::move(identity)), orders_(orders), operators_(operators),
+      log_(log), metrics_(metrics), worker_known_(executor)
+{
+    operators_.on_change([this] {
+        const absl::Time now = boot_now();
+        if (operators_.is_out(identity_.data_centre)) {
+            ledger_.hand_back("data_centre_out");
+        }
+        for (const auto& [address, link] : links_) {
+            if (link->is_open() && link->known_operator_version() < operators_.version()) {
+                fleet::agent_frame frame;
+                *frame.mutable_state() = operators_.state();
+                send_status(*link, frame, now);
+            }
+        }
+    });
+}
+
+void agent_service::start()
+{
+    asio::co_spawn(
+        executor_, [this]() -> asio::awaitable<void> { co_await renew_leases(); }, asio::detached);
+    asio::co_spawn(
+        executor_, [this]() -> asio::awaitable<void> { co_await watch_time(); }, asio::detached);
+}
+
+bool agent_service::announce(const worker_announcement& worker)
+{
+    const absl::Time now = boot_now();
+    const std::optional<worker_announcement> before = ledger_.worker();
+    if (!ledger_.announce(worker, now)) {
+        return false;
+    }
+    const bool restarted = !before || before->id != worker.id ||
+                           before->started_unix_ms != worker.started_unix_ms;
+    if (restarted) {
+        orders_.set_target(worker);
+        fencing_token_.reset();
+        settled_ = false;
+        worker_known_.notify();
+    }
+    if (restarted || before->state != worker.state) {
+        log_.write(log_fields("worker_announced")
+                       .add("worker", worker.id)
+                       .add("service", worker.service)
+                       .add("draining", worker.state == worker_state::draining)
+                       .add("cpu_millicores", worker.capacity.cpu_millicores)
+                       .add("started_unix_ms", worker.started_unix_ms),
+                   now);
+        status_changed_ = true;
+    }
+    advance(now);
+    return true;
+}
+
+void agent_service::worker_left(std::string_view id)
+{
+    const absl::Time now = boot_now();
+    ledger_.remove_worker(id, now);
+    log_.write(log_fields("worker_left").add("worker", id), now);
+    status_changed_ = true;
+    advance(now);
+}
+
+void agent_service::learn_entries(const std::vector<std::string>& addresses)
+{
+    for (const std::string& address : addresses) {
+        if (links_.contains(address)) {
+            continue;
+        }
+        entry_link::hooks hooks;
+        hooks.new_session = [this] { return ++last_session_; };
+        hooks.on_open = [this](entry_link& link) { on_open(link); };
+        hooks.on_frame = [this](entry_link& link, fleet::entry_frame& frame) {
+            on_frame(link, frame);
+        };
+        hooks.on_closed = [this](session_number session) { on_closed(session); };
+        auto link = std::make_shared<entry_link>(executor_, address, std::move(hooks));
+        links_.emplace(address, link);
+        asio::co_spawn(
+            executor_, [link]() -> asio::awaitable<void> { co_await link->run(); }, asio::detached);
+    }
+}
+
+void agent_service::drain()
+{
+    draining_ = true;
+    ledger_.hand_back("agent_draining");
+    status_changed_ = true;
+    advance(boot_now());
+}
+
+std::size_t agent_service::open_links() const
+{
+    return static_cast<std::size_t>(std::count_if(
+        links_.begin(), links_.end(), [](const auto& link) { return link.second->is_open(); }));
+}
+
+bool agent_service::accepts_orders() const
+{
+    return ledger_.worker() && ledger_.worker()->state == worker_state::ready && settled_ &&
+           worker_reachable_ && !draining_ && !operators_.is_out(identity_.data_centre);
+}
+
+entry_link* agent_service::link_of(session_number session) const
+{
+    for (const auto& [address, link] : links_) {
+        if (session != 0 && link->session() == session) {
+            return link.get();
+        }
+    }
+    return nullptr;
+}
+
+// ------------------------------------------------------------------- entries
+
+void agent_service::on_open(entry_link& link)
+{
+    const absl::Time now = boot_now();
+    log_.write(log_fields("entry_connected").add("address", link.address()), now);
+    fleet::agent_frame frame;
+    if (operators_.version() > 0) {
+        *frame.mutable_state() = operators_.state();
+    }
+    for (const auto& [address, other] : links_) {
+        if (other->is_open()) {
+            frame.add_entries(address);
+        }
+    }
+    send_status(link, frame, now);
+}
+
+void agent_service::on_frame(entry_link& link, fleet::entry_frame& frame)
+{
+    const absl::Time now = boot_now();
+    if (frame.has_state()) {
+        operators_.adopt(std::move(*frame.mutable_state()));
+    }
+    if (frame.entries_size() > 0) {
+        learn_entries({frame.entries().begin(), frame.entries().end()});
+    }
+    for (const fleet::task_stop& stop : frame.stops()) {
+        ledger_.request_stop(link.session(), stop);
+    }
+    for (const fleet::task_order& order : frame.orders()) {
+        ledger_.add(link.session(), order, now);
+        status_changed_ = true;
+    }
+    if (!accepts_orders()) {
+        ledger_.hand_back("not_accepting");
+    }
+    advance(now);
+}
+
+void agent_service::on_closed(session_number session)
+{
+    const absl::Time now = boot_now();
+    log_.write(log_fields("entry_lost").add("session", session), now);
+    ledger_.drop_session(session);
+    advance(now);
+}
+
+// -------------------------------------------------------------------- worker
+
+void agent_service::note_clock(const std::optional<worker_time>& clock, absl::Time now)
+{
+    if (clock) {
+        worker_clock_offset_ms_ = *clock - absl::ToUnixMillis(now);
+    }
+}
+
+worker_time agent_service::lease_end(absl::Time now) const
+{
+    return absl::ToUnixMillis(now + worker_lease) + worker_clock_offset_ms_;
+}
+
+asio::awaitable<void> agent_service::acquire_token()
+{
+    // The worker's clock rises for as long as the worker remembers tokens, so that a time on it is
+    // higher than the token of every earlier agent.
+    renewal_order order;
+    order.acknowledged_end = ledger_.acknowledged_end();
+    const renewal_reply reply = co_await orders_.renew(order);
+    note_clock(reply.clock, boot_now());
+    if (reply.clock) {
+        fencing_token_ = std::max<std::int64_t>(*reply.clock, 1);
+        log_.write(log_fields("fencing_token").add("token", *fencing_token_), boot_now());
+    }
+}
+
+asio::awaitable<void> agent_service::renew_leases()
+{
+    while (true) {
+        if (!ledger_.worker()) {
+            co_await worker_known_.wait();
+            continue;
+        }
+        if (!fencing_token_) {
+            co_await acquire_token();
+        }
+        const absl::Time asked_at = boot_now();
+        const std::string worker = ledger_.worker() ? ledger_.worker()->id : "";
+        const std::int64_t started = ledger_.worker() ? ledger_.worker()->started_unix_ms : 0;
+        renewal_reply reply;
+        if (fencing_token_) {
+            renewal_order order;
+            order.fencing_token = *fencing_token_;
+            order.acknowledged_end = ledger_.acknowledged_end();
+            order.lease_end = lease_end(asked_at);
+            order.wait = settled_ ? renewal_wait : absl::ZeroDuration();
+            lease_until_ = asked_at + worker_lease;
+            reply = co_await orders_.renew(order);
+        }
+        const absl::Time now = boot_now();
+        note_clock(reply.clock, now);
+        const bool same_worker = ledger_.worker() && ledger_.worker()->id == worker &&
+                                 ledger_.worker()->started_unix_ms == started;
+        if (reply.outcome == renewal_outcome::renewed && same_worker) {
+            ledger_.on_report(reply.report, asked_at, now);
+            status_changed_ = status_changed_ || !settled_ || !worker_reachable_;
+            settled_ = settled_ || ledger_.on_worker() == 0;
+            if (!std::exchange(worker_reachable_, true)) {
+                log_.write(log_fields("worker_reachable").add("worker", worker), now);
+            }
+            advance(now);
+            continue;
+        }
+        if (reply.outcome == renewal_outcome::fenced) {
+            fencing_token_.reset();
+        }
+        check_lapse(now);
+        asio::steady_timer pause(executor_, timer_duration(renewal_retry_pause));
+        co_await pause.async_wait(asio::use_awaitable);
+    }
+}
+
+void agent_service::check_lapse(absl::Time now)
+{
+    constexpr double clock_rate_margin = 1.02;
+    const absl::Time lapsed =
+        lease_until_ + worker_lease * (clock_rate_margin - 1) + lapse_margin;
+    if (now < lapsed || !worker_reachable_) {
+        return;
+    }
+    worker_reachable_ = false;
+    status_changed_ = true;
+    fencing_token_.reset();
+    log_.write(log_fields("worker_unreachable").add("runs", ledger_.on_worker()), now);
+    ledger_.on_lapse("lease_lapsed");
+    ledger_.hand_back("worker_unreachable");
+    advance(now);
+}
+
+asio::awaitable<void> agent_service::start_task(worker_ledger::record_number number)
+{
+    const task_record* record = ledger_.find(number);
+    if (record == nullptr || !fencing_token_) {
+        ledger_.on_start_reply(number, {start_outcome::not_sent, std::nullopt}, boot_now());
+        co_return;
+    }
+    start_order order;
+    order.task = run_of(*record);
+    order.spec = record->order.spec();
+    order.lease_end = lease_end(boot_now());
+    order.fencing_token = *fencing_token_;
+    const start_reply reply = co_await orders_.start(order);
+    const absl::Time now = boot_now();
+    note_clock(reply.clock, now);
+    if (reply.outcome == start_outcome::fenced) {
+        fencing_token_.reset();
+    }
+    if (reply.outcome != start_outcome::started) {
+        log_.write(log_fields("start_refused")
+                       .add("job", order.task.job_id)
+                       .add("task", order.task.index)
+                       .add("run", order.task.run)
+                       .add("outcome", static_cast<int>(reply.outcome)),
+                   now);
+    }
+    metrics_.add(absl::StrCat("orders_total{outcome=\"", static_cast<int>(reply.outcome), "\"}"));
+    ledger_.on_start_reply(number, reply, now);
+    advance(now);
+}
+
+asio::awaitable<void> agent_service::stop_task(worker_ledger::record_number number)
+{
+    const task_record* record = ledger_.find(number);
+    bool answered = false;
+    if (record != nullptr && fencing_token_) {
+        const task_run task = run_of(*record);
+        log_.write(log_fields("stop_ordered")
+                       .add("job", task.job_id)
+                       .add("task", task.index)
+                       .add("run", task.run)
+                       .add("reason", record->stop_reason),
+                   boot_now());
+        answered = co_await orders_.stop(task, *fencing_token_);
+    }
+    if (!answered) {
+        asio::steady_timer pause(executor_, timer_duration(stop_retry_pause));
+        co_await pause.async_wait(asio::use_awaitable);
+    }
+    const absl::Time now = boot_now();
+    ledger_.on_stop_reply(number, answered, now);
+    advance(now);
+}
+
+// ---------------------------------------------------------------------- time
+
+asio::awaitable<void> agent_service::watch_time()
+{
+    asio::steady_timer timer(executor_);
+    while (true) {
+        timer.expires_after(timer_duration(watch_interval));
+        co_await timer.async_wait(asio::use_awaitable);
+        const absl::Time now = boot_now();
+        for (const auto& [address, link] : links_) {
+            if (link->is_open() && !link->permits_starts(now)) {
+                log_.write(log_fields("entry_silent").add("address", address), now);
+                link->close();
+                ledger_.drop_session(link->session());
+            }
+        }
+        ledger_.expire(now);
+        check_lapse(now);
+        advance(now);
+        log_.flush();
+    }
+}
+
+void agent_service::advance(absl::Time now)
+{
+    const auto may_run = [this, now](session_number session) {
+        const entry_link* link = link_of(session);
+        return link != nullptr && link->permits_starts(now);
+    };
+    const bool in_service = settled_ && !operators_.is_out(identity_.data_centre);
+    while (in_service) {
+        const auto next = ledger_.begin_next(now, may_run);
+        if (!next) {
+            break;
+        }
+        asio::co_spawn(
+            executor_,
+            [this, number = *next]() -> asio::awaitable<void> { co_await start_task(number); },
+            asio::detached);
+    }
+    while (const auto next = ledger_.begin_stop()) {
+        asio::co_spawn(
+            executor_,
+            [this, number = *next]() -> asio::awaitable<void> { co_await stop_task(number); },
+            asio::detached);
+    }
+    status_changed_ = status_changed_ || ledger_.has_events();
+    if (std::exchange(advance_posted_, true)) {
+        return;
+    }
+    // What happens in one turn of the loop goes out in one frame.
+    asio::post(executor_, [this] {
+        advance_posted_ = false;
+        send_events(boot_now());
+    });
+}
+
+void agent_service::fill_status(fleet::agent_status& status, const entry_link& link,
+                                absl::Time now) const
+{
+    status.set_name(identity_.name);
+    status.set_incarnation(identity_.incarnation);
+    status.set_data_centre(identity_.data_centre);
+    status.set_accepting(accepts_orders());
+    status.set_orders_received(link.orders_received());
+    status.set_waiting_core_ms(static_cast<std::uint64_t>(ledger_.waiting_core_ms()));
+    status.set_slowness_percent(static_cast<std::uint32_t>(ledger_.slowness(now) * 100));
+    if (!ledger_.worker()) {
+        return;
+    }
+    const worker_announcement& worker = *ledger_.worker();
+    status.set_rack(worker.rack);
+    status.set_service(worker.service);
+    for (const std::string& label : worker.labels) {
+        status.add_labels(label);
+    }
+    status.mutable_capacity()->set_cpu_millicores(worker.capacity.cpu_millicores);
+    status.mutable_capacity()->set_memory_mib(worker.capacity.memory_mib);
+    status.mutable_capacity()->set_accelerators(worker.capacity.accelerators);
+    const resource_amounts free = ledger_.free_room();
+    status.mutable_free()->set_cpu_millicores(free.cpu_millicores);
+    status.mutable_free()->set_memory_mib(free.memory_mib);
+    status.mutable_free()->set_accelerators(free.accelerators);
+}
+
+void agent_service::send_status(entry_link& link, fleet::agent_frame& frame, absl::Time now)
+{
+    fill_status(*frame.mutable_status(), link, now);
+    frame.set_operator_version(operators_.version());
+    link.send(frame, now);
+}
+
+void agent_service::log_event(const session_event& event, absl::Time now)
+{
+    log_.write(log_fields("task_ended")
+                   .add("job", event.event.job_id())
+                   .add("task", event.event.index())
+                   .add("attempt", event.event.attempt())
+                   .add("kind", fleet::task_event_kind_Name(event.event.kind()))
+                   .add("reason", event.event.reason())
+                   .add("run_ms", event.event.run_ms()),
+               now);
+    metrics_.add(absl::StrCat("task_ends_total{kind=\"",
+                              fleet::task_event_kind_Name(event.event.kind()), "\"}"));
+}
+
+void agent_service::send_events(absl::Time now)
+{
+    std::map<session_number, fleet::agent_frame> frames;
+    for (session_event& event : ledger_.take_events()) {
+        log_event(event, now);
+        *frames[event.session].add_events() = std::move(event.event);
+    }
+    const bool all_due = status_changed_ && now - status_sent_ >= status_interval;
+    for (const auto& [address, link] : links_) {
+        if (!link->is_open()) {
+            continue;
+        }
+        const auto frame = frames.find(link->session());
+        if (frame != frames.end()) {
+            send_status(*link, frame->second, now);
+        } else if (all_due || now - link->last_sent() >= frame_interval) {
+            fleet::agent_frame empty;
+            send_status(*link, empty, now);
+        }
+    }
+    if (all_due) {
+        status_sent_ = now;
+        status_changed_ = false;
+    }
+    log_.flush();
+}
+
+std::string agent_service::state_text() const
+{
+    return absl::StrCat("waiting ", ledger_.waiting(), "\non_worker ", ledger_.on_worker(),
+                        "\nopen_links ", open_links(), "\noperator_version ", operators_.version(),
+                        "\naccepting ", accepts_orders(), "\n");
+}
+
+} // namespace carobfall
--- /dev/null
+++ b/src/libs/carobfall/jobs/agent_service.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "carobfall/base/async_event.h"
+#include "carobfall/base/event_log.h"
+#include "carobfall/base/histogram.h"
+#include "carobfall/jobs/entry_link.h"
+#include "carobfall/jobs/operator_view.h"
+#include "carobfall/jobs/worker_ledger.h"
+#include "carobfall/jobs/worker_orders.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace carobfall {
+
+struct process_identity {
+    std::string name;
+    std::string incarnation; ///< new at every start
+    std::string data_centre;
+};
+
+/// The process beside one worker: takes orders of entries, gives orders to the worker and keeps its
+/// lease alive. All tasks run on one thread.
+class agent_service {
+public:
+    agent_service(const boost::asio::any_io_executor& executor, process_identity identity,
+                  worker_orders& orders, operator_view& operators, event_log& log,
+                  metrics_registry& metrics);
+
+    /// Starts the tasks that renew the lease and watch the time.
+    void start();
+    /// The worker's heartbeat. False if it says nothing new, for example because it is late.
+    bool announce(const worker_announcement& worker);
+    void worker_left(std::string_view id);
+    /// Connects to entries that were not known.
+    void learn_entries(const std::vector<std::string>& addresses);
+    /// Takes no more orders and returns those that wait. What runs goes on.
+    void drain();
+    [[nodiscard]] bool is_idle() const { return ledger_.on_worker() == 0; }
+    [[nodiscard]] std::size_t open_links() const;
+    [[nodiscard]] std::string state_text() const;
+
+private:
+    boost::asio::awaitable<void> renew_leases();
+    boost::asio::awaitable<void> watch_time();
+    boost::asio::awaitable<void> start_task(worker_ledger::record_number number);
+    boost::asio::awaitable<void> stop_task(worker_ledger::record_number number);
+    boost::asio::awaitable<void> acquire_token();
+
+    void on_open(entry_link& link);
+    void on_frame(entry_link& link, fleet::entry_frame& frame);
+    void on_closed(session_number session);
+    /// Gives the orders that are due and sends what entries have to hear.
+    void advance(absl::Time now);
+    void send_events(absl::Time now);
+    void send_status(entry_link& link, fleet::agent_frame& frame, absl::Time now);
+    void fill_status(fleet::agent_status& status, const entry_link& link, absl::Time now) const;
+    void note_clock(const std::optional<worker_time>& clock, absl::Time now);
+    void check_lapse(absl::Time now);
+    [[nodiscard]] worker_time lease_end(absl::Time now) const;
+    [[nodiscard]] bool accepts_orders() const;
+    [[nodiscard]] entry_link* link_of(session_number session) const;
+    void log_event(const session_event& event, absl::Time now);
+
+    boost::asio::any_io_executor executor_;
+    const process_identity identity_;
+    worker_orders& orders_;
+    operator_view& operators_;
+    event_log& log_;
+    metrics_registry& metrics_;
+
+    worker_ledger ledger_;
+    std::map<std::string, std::shared_ptr<entry_link>> links_; ///< by address
+    session_number last_session_{0};
+    async_event worker_known_;
+
+    std::optional<std::int64_t> fencing_token_;
+    std::int64_t worker_clock_offset_ms_{0}; ///< worker's clock less ours
+    absl::Time lease_until_{absl::InfinitePast()}; ///< end of the last lease that was asked for
+    bool settled_{false}; ///< a report has shown that nothing of an earlier agent runs
+    bool worker_reachable_{true};
+    bool draining_{false};
+    bool advance_posted_{false};
+    absl::Time status_sent_{absl::InfinitePast()};
+    bool status_changed_{false};
+};
+
+} // namespace carobfall
--- /dev/null
+++ b/src/libs/carobfall/jobs/entry_link.cpp
@@ -0,0 +1,117 @@
+#include "carobfall/jobs/entry_link.h"
+
+#include "carobfall/base/boot_clock.h"
+#include "carobfall/fleet/endpoint.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace carobfall {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr absl::Duration connect_limit = absl::Milliseconds(400);
+// A restarted entry listens again within some hundred milliseconds.
+constexpr absl::Duration reconnect_pause = absl::Milliseconds(150);
+
+} // namespace
+
+entry_link::entry_link(const asio::any_io_executor& executor, std::string address, hooks handlers)
+    : executor_(executor), address_(std::move(address)), hooks_(std::move(handlers))
+{}
+
+asio::awaitable<bool> entry_link::connect(asio::ip::tcp::socket& socket)
+{
+    const std::optional<asio::ip::tcp::endpoint> endpoint = parse_endpoint(address_);
+    if (!endpoint) {
+        co_return false;
+    }
+    asio::steady_timer limit(executor_, timer_duration(connect_limit));
+    limit.async_wait([&socket](const boost::system::error_code& cancelled) {
+        if (!cancelled) {
+            boost::system::error_code ignored; // a socket that can't be closed isn't connected
+            socket.close(ignored);
+        }
+    });
+    boost::system::error_code error;
+    co_await socket.async_connect(*endpoint, asio::redirect_error(asio::use_awaitable, error));
+    limit.cancel();
+    co_return !error && socket.is_open();
+}
+
+asio::awaitable<void> entry_link::read_frames()
+{
+    const std::shared_ptr<frame_channel> channel = channel_;
+    fleet::entry_frame frame;
+    while (co_await channel->read(frame)) {
+        permitted_until_ = std::max(permitted_until_,
+                                    absl::FromUnixMicros(frame.echo_us()) + entry_permission);
+        entry_name_ = frame.entry();
+        orders_received_ += static_cast<std::uint64_t>(frame.orders_size());
+        operator_version_ = std::max(operator_version_, frame.operator_version());
+        hooks_.on_frame(*this, frame);
+    }
+}
+
+asio::awaitable<void> entry_link::run()
+{
+    const std::shared_ptr<entry_link> self = shared_from_this();
+    while (!stopped_) {
+        asio::ip::tcp::socket socket(executor_);
+        if (co_await connect(socket)) {
+            configure_link_socket(socket);
+            channel_ = std::make_shared<frame_channel>(std::move(socket));
+            asio::co_spawn(
+                executor_,
+                [channel = channel_]() -> asio::awaitable<void> { co_await channel->write_all(); },
+                asio::detached);
+            const absl::Time now = boot_now();
+            session_ = hooks_.new_session();
+            orders_received_ = 0;
+            operator_version_ = 0;
+            last_connected_ = now;
+            permitted_until_ = now + entry_permission;
+            hooks_.on_open(*this);
+            co_await read_frames();
+            channel_->close();
+            hooks_.on_closed(std::exchange(session_, 0));
+        }
+        if (stopped_) {
+            break;
+        }
+        asio::steady_timer pause(executor_, timer_duration(reconnect_pause));
+        co_await pause.async_wait(asio::use_awaitable);
+    }
+}
+
+void entry_link::stop()
+{
+    stopped_ = true;
+    close();
+}
+
+void entry_link::send(fleet::agent_frame& frame, absl::Time now)
+{
+    if (!is_open()) {
+        return;
+    }
+    frame.set_sent_us(absl::ToUnixMicros(now));
+    channel_->send(frame);
+    last_sent_ = now;
+}
+
+void entry_link::close()
+{
+    if (channel_) {
+        channel_->close();
+    }
+}
+
+} // namespace carobfall
--- /dev/null
+++ b/src/libs/carobfall/jobs/entry_link.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "carobfall/fleet/fleet.pb.h"
+#include "carobfall/fleet/frame_channel.h"
+#include "carobfall/jobs/worker_ledger.h"
+
+#include <absl/time/time.h>
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace carobfall {
+
+/// Longest time without a frame from an entry for which the agent goes on with its tasks. Callers
+/// send a job again 1.3 s after they have lost their entry; until then the runs have to be gone, the
+/// time for stop orders and for an ended worker lease included.
+inline constexpr absl::Duration entry_permission = absl::Milliseconds(500);
+
+/// Connection of the agent to one entry, made again whenever it ends.
+class entry_link : public std::enable_shared_from_this<entry_link> {
+public:
+    struct hooks {
+        std::function<session_number()> new_session;
+        std::function<void(entry_link&)> on_open;
+        std::function<void(entry_link&, fleet::entry_frame&)> on_frame;
+        std::function<void(session_number)> on_closed;
+    };
+
+    entry_link(const boost::asio::any_io_executor& executor, std::string address, hooks handlers);
+
+    /// Connects and reads until `stop` is called.
+    boost::asio::awaitable<void> run();
+    void stop();
+    void send(fleet::agent_frame& frame, absl::Time now);
+    void close();
+
+    /// Whether the entry has been heard recently enough to start its tasks. The time counts from the
+    /// sending of the frame that the entry has echoed, so that frames that were held up on their way
+    /// don't prolong it.
+    [[nodiscard]] bool permits_starts(absl::Time now) const
+    {
+        return is_open() && now < permitted_until_;
+    }
+    [[nodiscard]] bool is_open() const { return session_ != 0; }
+    [[nodiscard]] session_number session() const { return session_; }
+    [[nodiscard]] const std::string& address() const { return address_; }
+    [[nodiscard]] const std::string& entry_name() const { return entry_name_; }
+    [[nodiscard]] std::uint64_t orders_received() const { return orders_received_; }
+    [[nodiscard]] absl::Time last_sent() const { return last_sent_; }
+    [[nodiscard]] std::uint64_t known_operator_version() const { return operator_version_; }
+    [[nodiscard]] absl::Time last_connected() const { return last_connected_; }
+
+private:
+    boost::asio::awaitable<bool> connect(boost::asio::ip::tcp::socket& socket);
+    boost::asio::awaitable<void> read_frames();
+
+    boost::asio::any_io_executor executor_;
+    const std::string address_;
+    const hooks hooks_;
+    std::shared_ptr<frame_channel> channel_;
+    session_number session_{0};
+    std::string entry_name_;
+    absl::Time permitted_until_{absl::InfinitePast()};
+    absl::Time last_sent_{absl::InfinitePast()};
+    absl::Time last_connected_{absl::InfinitePast()};
+    std::uint64_t orders_received_{0};
+    std::uint64_t operator_version_{0};
+    bool stopped_{false};
+};
+
+} // namespace carobfall
--- /dev/null
+++ b/src/libs/carobfall/jobs/entry_service.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include "carobfall/base/event_log.h"
+#include "carobfall/base/histogram.h"
+#include "carobfall/fleet/fleet.pb.h"
+#include "carobfall/fleet/frame_channel.h"
+#include "carobfall/jobs/agent_choice.h"
+#include "carobfall/jobs/operator_view.h"
+
+#include <absl/time/time.h>
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace carobfall {
+
+/// After the last word of an agent, the time after which no run of it is left: the agent stops the
+/// runs of an entry that it doesn't hear, and if it is gone itself, the worker's lease ends. 500 ms
+/// permission, 820 ms lease with the worker's clock rate, 380 ms for stop orders and their ways.
+inline constexpr absl::Duration runs_gone_after = absl::Milliseconds(1700);
+
+/// The entry's side of the connections to agents: accepts them, keeps what is known of each agent,
+/// and passes orders and events on.
+class entry_service {
+public:
+    struct hooks {
+        std::function<void(const std::string& agent, const fleet::task_event&)> on_event;
+        /// Runs at the agent are gone `runs_gone_after` after `last_heard`.
+        std::function<void(const std::string& agent, absl::Time last_heard)> on_lost;
+        /// A later incarnation of the agent takes orders: no earlier run is left.
+        std::function<void(const std::string& agent)> on_settled;
+        std::function<void()> on_room; ///< an agent has reported its room
+    };
+
+    entry_service(const boost::asio::any_io_executor& executor, std::string name,
+                  std::string address, operator_view& operators, event_log& log,
+                  metrics_registry& metrics);
+
+    void set_hooks(hooks handlers) { hooks_ = std::move(handlers); }
+    /// Accepts agents at `address`. Throws `boost::system::system_error` if it can't listen.
+    void start(const boost::asio::ip::tcp::endpoint& address);
+    /// Tells agents of further entries.
+    void learn_entries(const std::vector<std::string>& addresses);
+
+    /// What is known of the agents. The caller sets the members that concern its job.
+    [[nodiscard]] std::vector<agent_view>& agents() { return views_; }
+    /// Sends the order with the other orders of this turn of the loop. False if the agent is lost.
+    bool order(const std::string& agent, fleet::task_order task);
+    void stop(const std::string& agent, fleet::task_stop task);
+    [[nodiscard]] std::size_t usable_agents() const;
+
+private:
+    struct sent_order {
+        std::uint64_t number{0};
+        resource_amounts demand;
+        double core_ms{0};
+    };
+    struct connection {
+        std::shared_ptr<frame_channel> channel;
+        fleet::agent_status status;
+        std::deque<sent_order> unreported; ///< orders that the last status doesn't cover
+        std::uint64_t orders_sent{0};
+        std::int64_t echo_us{0};
+        absl::Time last_heard;
+        absl::Time last_sent{absl::InfinitePast()};
+        fleet::entry_frame pending;
+        bool has_pending{false};
+        std::uint64_t operator_version{0};
+        std::size_t entries_told{0};
+    };
+
+    boost::asio::awaitable<void> accept(boost::asio::ip::tcp::endpoint address);
+    boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
+    boost::asio::awaitable<void> watch_time();
+    void take_frame(const std::shared_ptr<connection>& peer, fleet::agent_frame& frame);
+    void adopt_status(connection& peer, fleet::agent_status status);
+    void lose(const std::string& agent, const std::string& reason);
+    void refresh_view(const connection& peer);
+    void refresh_usable();
+    void post_flush();
+    void flush(absl::Time now);
+    void send(connection& peer, absl::Time now);
+
+    boost::asio::any_io_executor executor_;
+    const std::string name_;
+    operator_view& operators_;
+    event_log& log_;
+    metrics_registry& metrics_;
+    hooks hooks_;
+    std::map<std::string, std::shared_ptr<connection>> agents_; ///< by name
+    std::vector<agent_view> views_;
+    std::set<std::string> entries_; ///< addresses
+    bool flush_posted_{false};
+};
+
+} // namespace carobfall
--- /dev/null
+++ b/src/libs/carobfall/jobs/job_dispatcher.cpp
@@ -0,0 +1,420 @@
+#include "carobfall/jobs/job_dispatcher.h"
+
+#include "carobfall/base/boot_clock.h"
+#include "carobfall/base/strings.h"
+
+#include <absl/strings/str_cat.h>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace carobfall {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::size_t max_measured_routes = 1000;
+// Orders for one task over its life: refusals for want of room are repeated elsewhere, but not
+// without end.
+constexpr std::uint32_t max_orders_per_task = 10;
+// Pause before a task that no agent can take at present is tried again.
+constexpr absl::Duration placing_pause = absl::Milliseconds(20);
+// Time for agents to return waiting orders, so that an answer can say that nothing has run.
+constexpr absl::Duration withdrawal_limit = absl::Milliseconds(100);
+constexpr absl::Duration predecessor_poll = absl::Milliseconds(10);
+// Longest pause of a job between two looks at the time.
+constexpr absl::Duration max_pause = absl::Milliseconds(250);
+// Agents connect within this time after a restart of the entry.
+constexpr absl::Duration retry_without_agents = absl::Seconds(1);
+
+bool is_open(const job_task& task)
+{
+    return task.phase == job_task_phase::ordered || task.phase == job_task_phase::lost;
+}
+
+bool has_open_tasks(const active_job& job)
+{
+    return std::any_of(job.tasks.begin(), job.tasks.end(), is_open);
+}
+
+bool all_done(const active_job& job)
+{
+    return std::all_of(job.tasks.begin(), job.tasks.end(), [](const job_task& task) {
+        return task.phase == job_task_phase::done;
+    });
+}
+
+bool any_unplaced(const active_job& job)
+{
+    return std::any_of(job.tasks.begin(), job.tasks.end(), [](const job_task& task) {
+        return task.phase == job_task_phase::unplaced;
+    });
+}
+
+std::string_view name_of(job_outcome outcome)
+{
+    switch (outcome) {
+    case job_outcome::succeeded:
+        return "succeeded";
+    case job_outcome::failed:
+        return "failed";
+    case job_outcome::not_run:
+        return "not_run";
+    case job_outcome::unknown:
+        break;
+    }
+    return "unknown";
+}
+
+} // namespace
+
+job_dispatcher::job_dispatcher(const asio::any_io_executor& executor, entry_service& agents,
+                               event_log& log, metrics_registry& metrics)
+    : executor_(executor), agents_(agents), log_(log), metrics_(metrics),
+      run_times_(max_measured_routes)
+{
+    entry_service::hooks hooks;
+    hooks.on_event = [this](const std::string& agent, const fleet::task_event& event) {
+        on_event(agent, event);
+    };
+    hooks.on_lost = [this](const std::string& agent, absl::Time last_heard) {
+        on_lost(agent, last_heard);
+    };
+    hooks.on_settled = [this](const std::string& agent) { on_settled(agent); };
+    hooks.on_room = [] {};
+    agents_.set_hooks(std::move(hooks));
+}
+
+std::shared_ptr<active_job> job_dispatcher::create(job_request request)
+{
+    auto job = std::make_shared<active_job>(executor_, std::move(request));
+    job->arrival = boot_now();
+    const absl::Duration declared = job->request.declared_run_time;
+    const run_estimate measured = run_times_.expected(job->request.service, job->request.route,
+                                                      declared, job->arrival);
+    // Declared and measured times are off in different ways: one differs by job, the other by kind.
+    job->expected_run = absl::Seconds(
+        std::sqrt(absl::ToDoubleSeconds(declared) * absl::ToDoubleSeconds(measured.run)));
+    job->timing = timing_of(job->request, job->expected_run, job->arrival);
+    job->tasks.resize(job->request.task_count);
+    return job;
+}
+
+asio::awaitable<void> job_dispatcher::wait_for_predecessor(active_job& job)
+{
+    asio::steady_timer timer(executor_);
+    for (auto found = jobs_.find(job.request.id); found != jobs_.end();
+         found = jobs_.find(job.request.id)) {
+        // The caller has sent the job again: it no longer waits for the earlier answer, and two runs
+        // of a task must not overlap.
+        abandon(*found->second);
+        timer.expires_after(timer_duration(predecessor_poll));
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+}
+
+job_answer job_dispatcher::refuse(const active_job& job, std::string reason,
+                                  absl::Duration retry_after)
+{
+    job_answer answer{job_outcome::not_run, std::move(reason), retry_after};
+    log_answer(job, answer, boot_now());
+    return answer;
+}
+
+absl::Duration job_dispatcher::least_wait(const active_job& job)
+{
+    absl::Duration least = absl::InfiniteDuration();
+    for (const agent_view& agent : agents_.agents()) {
+        if (agent.usable && agent.service == job.request.service) {
+            least = std::min(least, expected_wait(agent, job.request.demand));
+        }
+    }
+    return least;
+}
+
+asio::awaitable<job_answer> job_dispatcher::run(std::shared_ptr<active_job> job)
+{
+    co_await wait_for_predecessor(*job);
+    absl::Time now = boot_now();
+    const absl::Duration wait = least_wait(*job);
+    if (wait == absl::InfiniteDuration()) {
+        co_return refuse(*job, "no_worker", retry_without_agents);
+    }
+    const admission_decision decision = admit(job->timing, job->expected_run, wait, now, random());
+    if (!decision.admitted) {
+        co_return refuse(*job, "overloaded", decision.retry_after);
+    }
+    jobs_[job->request.id] = job;
+    while (true) {
+        now = boot_now();
+        release_lost_tasks(*job, now);
+        if (all_done(*job)) {
+            co_return co_await end(job, job_outcome::succeeded, "done");
+        }
+        if (job->caller_gone) {
+            co_return co_await end(job, job_outcome::unknown, "caller_gone");
+        }
+        if (job->too_many_failures) {
+            co_return co_await end(job, job_outcome::failed, "too_many_failures");
+        }
+        if (now >= job->timing.give_up) {
+            co_return co_await end(job, job_outcome::failed, "time_over");
+        }
+        const bool hopeless = std::any_of(
+            job->tasks.begin(), job->tasks.end(), [&](const job_task& task) {
+                return task.phase == job_task_phase::lost && task.gone_at > job->timing.give_up;
+            });
+        if (hopeless) {
+            co_return co_await end(job, job_outcome::unknown, "agent_lost");
+        }
+        if (now >= job->place_after) {
+            place(*job, now);
+        }
+        co_await job->changed.wait_for(timer_duration(next_check(*job) - boot_now()));
+    }
+}
+
+absl::Time job_dispatcher::next_check(const active_job& job) const
+{
+    absl::Time next = std::min(job.timing.give_up, boot_now() + max_pause);
+    for (const job_task& task : job.tasks) {
+        if (task.phase == job_task_phase::lost) {
+            next = std::min(next, task.gone_at);
+        } else if (task.phase == job_task_phase::unplaced) {
+            next = std::min(next, job.place_after);
+        }
+    }
+    return next;
+}
+
+void job_dispatcher::place(active_job& job, absl::Time now)
+{
+    for (std::uint32_t index = 0; index < job.tasks.size(); ++index) {
+        if (job.tasks[index].phase == job_task_phase::unplaced && !place_task(job, index, now)) {
+            job.place_after = now + placing_pause;
+            return;
+        }
+    }
+}
+
+bool job_dispatcher::place_task(active_job& job, std::uint32_t index, absl::Time now)
+{
+    job_task& task = job.tasks[index];
+    std::vector<agent_view>& agents = agents_.agents();
+    for (agent_view& agent : agents) {
+        agent.avoided = job.avoided.contains(agent.name);
+        agent.tasks_of_job = 0;
+        if (job.request.max_tasks_per_agent > 0) {
+            agent.tasks_of_job = static_cast<std::uint32_t>(
+                std::count_if(job.tasks.begin(), job.tasks.end(), [&](const job_task& other) {
+                    return is_open(other) && other.agent == agent.name;
+                }));
+        }
+    }
+    const std::optional<std::size_t> chosen =
+        choose_agent(agents, job.request, job.expected_run, [this] { return random(); });
+    if (!chosen) {
+        return false;
+    }
+    task.agent = agents[*chosen].name;
+    task.phase = job_task_phase::ordered;
+    ++task.attempt;
+    fleet::task_order order;
+    order.set_job_id(job.request.id);
+    order.set_index(index);
+    order.set_attempt(task.attempt);
+    order.set_spec(job.request.spec);
+    order.set_cpu_millicores(static_cast<std::uint32_t>(job.request.demand.cpu_millicores));
+    order.set_memory_mib(static_cast<std::uint32_t>(job.request.demand.memory_mib));
+    order.set_accelerators(static_cast<std::uint32_t>(job.request.demand.accelerators));
+    order.set_priority(job.request.priority);
+    order.set_service(job.request.service);
+    order.set_expected_run_ms(
+        static_cast<std::uint32_t>(absl::ToInt64Milliseconds(job.expected_run)));
+    order.set_start_by_ms(
+        static_cast<std::int32_t>(absl::ToInt64Milliseconds(job.timing.start_by - now)));
+    order.set_give_up_ms(
+        static_cast<std::int32_t>(absl::ToInt64Milliseconds(job.timing.give_up - now)));
+    return agents_.order(task.agent, std::move(order));
+}
+
+void job_dispatcher::on_event(const std::string& agent, const fleet::task_event& event)
+{
+    const auto found = jobs_.find(event.job_id());
+    if (found == jobs_.end() || event.index() >= found->second->tasks.size()) {
+        return;
+    }
+    active_job& job = *found->second;
+    job_task& task = job.tasks[event.index()];
+    if (!is_open(task) || task.agent != agent || task.attempt != event.attempt()) {
+        return;
+    }
+    job.may_have_run = job.may_have_run || event.kind() != fleet::task_not_run;
+    switch (event.kind()) {
+    case fleet::task_done:
+        task.phase = job_task_phase::done;
+        run_times_.record(job.request.service, job.request.route, job.request.declared_run_time,
+                          absl::Milliseconds(event.run_ms()), boot_now());
+        break;
+    case fleet::task_failed:
+        task.phase = job_task_phase::unplaced;
+        job.avoided.insert(agent);
+        job.too_many_failures = ++task.failures >= job.request.max_attempts;
+        break;
+    case fleet::task_ended:
+    case fleet::task_not_run:
+        task.phase = job_task_phase::unplaced;
+        if (task.attempt >= max_orders_per_task) {
+            job.too_many_failures = true;
+        }
+        break;
+    default:
+        return;
+    }
+    if (task.phase == job_task_phase::unplaced) {
+        log_.write(log_fields("task_returned")
+                       .add("job", job.request.id)
+                       .add("task", event.index())
+                       .add("attempt", event.attempt())
+                       .add("agent", agent)
+                       .add("kind", fleet::task_event_kind_Name(event.kind()))
+                       .add("reason", event.reason()),
+                   boot_now());
+    }
+    job.changed.notify();
+}
+
+void job_dispatcher::on_lost(const std::string& agent, absl::Time last_heard)
+{
+    for (const auto& [id, job] : jobs_) {
+        for (job_task& task : job->tasks) {
+            if (task.phase == job_task_phase::ordered && task.agent == agent) {
+                task.phase = job_task_phase::lost;
+                task.gone_at = last_heard + runs_gone_after;
+                job->may_have_run = true;
+                job->changed.notify();
+            }
+        }
+    }
+}
+
+void job_dispatcher::on_settled(const std::string& agent)
+{
+    for (const auto& [id, job] : jobs_) {
+        for (job_task& task : job->tasks) {
+            if (task.phase == job_task_phase::lost && task.agent == agent) {
+                task.gone_at = absl::InfinitePast();
+                job->changed.notify();
+            }
+        }
+    }
+}
+
+void job_dispatcher::release_lost_tasks(active_job& job, absl::Time now)
+{
+    for (job_task& task : job.tasks) {
+        if (task.phase == job_task_phase::lost && task.gone_at <= now) {
+            task.phase = job_task_phase::unplaced;
+        }
+    }
+}
+
+void job_dispatcher::abandon(active_job& job)
+{
+    job.caller_gone = true;
+    job.changed.notify();
+}
+
+bool job_dispatcher::cancel(const std::string& id)
+{
+    const auto found = jobs_.find(id);
+    if (found == jobs_.end()) {
+        return false;
+    }
+    abandon(*found->second);
+    return true;
+}
+
+std::size_t job_dispatcher::pending(const std::string& route) const
+{
+    return static_cast<std::size_t>(std::count_if(jobs_.begin(), jobs_.end(), [&](const auto& job) {
+        return job.second->request.route == route && !job.second->may_have_run &&
+               any_unplaced(*job.second);
+    }));
+}
+
+asio::awaitable<job_answer> job_dispatcher::end(std::shared_ptr<active_job> job,
+                                                job_outcome outcome, std::string reason)
+{
+    for (std::uint32_t index = 0; index < job->tasks.size(); ++index) {
+        job_task& task = job->tasks[index];
+        if (task.phase == job_task_phase::ordered) {
+            fleet::task_stop stop;
+            stop.set_job_id(job->request.id);
+            stop.set_index(index);
+            stop.set_attempt(task.attempt);
+            agents_.stop(task.agent, std::move(stop));
+        }
+    }
+    const absl::Time withdrawn_by = boot_now() + withdrawal_limit;
+    while (outcome != job_outcome::succeeded && !job->may_have_run && has_open_tasks(*job) &&
+           boot_now() < withdrawn_by) {
+        co_await job->changed.wait_for(timer_duration(withdrawn_by - boot_now()));
+    }
+    const bool truly_not_run = !job->may_have_run && !has_open_tasks(*job);
+    if (outcome != job_outcome::succeeded && truly_not_run) {
+        outcome = job_outcome::not_run;
+    }
+    if (has_open_tasks(*job)) {
+        asio::co_spawn(
+            executor_,
+            [this, job]() -> asio::awaitable<void> {
+                while (has_open_tasks(*job)) {
+                    co_await job->changed.wait_for(
+                        timer_duration(next_check(*job) - boot_now()));
+                    release_lost_tasks(*job, boot_now());
+                }
+                settle(job->request.id);
+            },
+            asio::detached);
+    } else {
+        settle(job->request.id);
+    }
+    job_answer answer{outcome, std::move(reason),
+                      outcome == job_outcome::not_run ? absl::Seconds(1 + random())
+                                                      : absl::ZeroDuration()};
+    log_answer(*job, answer, boot_now());
+    co_return answer;
+}
+
+void job_dispatcher::settle(const std::string& id)
+{
+    jobs_.erase(id);
+}
+
+void job_dispatcher::log_answer(const active_job& job, const job_answer& answer, absl::Time now)
+{
+    log_.write(log_fields("job_answered")
+                   .add("job", job.request.id)
+                   .add("route", job.request.route)
+                   .add("outcome", name_of(answer.outcome))
+                   .add("reason", answer.reason)
+                   .add("tasks", job.tasks.size())
+                   .add("declared_ms", absl::ToInt64Milliseconds(job.request.declared_run_time))
+                   .add("expected_ms", absl::ToInt64Milliseconds(job.expected_run))
+                   .add("objective_ms", absl::ToInt64Milliseconds(job.timing.objective))
+                   .add("took_ms", absl::ToInt64Milliseconds(now - job.arrival))
+                   .add("retry_after_ms", absl::ToInt64Milliseconds(answer.retry_after)),
+               now);
+    metrics_.add(absl::StrCat("jobs_total{outcome=\"", to_absl(name_of(answer.outcome)), "\",reason=\"",
+                              answer.reason, "\"}"));
+    metrics_.distribution("job_seconds").record(absl::ToDoubleSeconds(now - job.arrival));
+}
+
+} // namespace carobfall
--- /dev/null
+++ b/src/libs/carobfall/jobs/job_dispatcher.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "carobfall/base/async_event.h"
+#include "carobfall/base/event_log.h"
+#include "carobfall/base/histogram.h"
+#include "carobfall/dispatch/run_times.h"
+#include "carobfall/jobs/entry_service.h"
+#include "carobfall/jobs/job_request.h"
+#include "carobfall/jobs/job_timing.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/time/time.h>
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace carobfall {
+
+enum class job_task_phase {
+    unplaced,
+    ordered, ///< with an agent, which reports how it ends
+    lost,    ///< with an agent that is lost; may run until `gone_at`
+    done,
+    given_up,
+};
+
+struct job_task {
+    job_task_phase phase{job_task_phase::unplaced};
+    std::string agent;
+    std::uint32_t attempt{0};
+    std::uint32_t failures{0};
+    absl::Time gone_at;
+};
+
+/// A job while its caller waits, and afterwards until none of its runs is left.
+struct active_job {
+    active_job(const boost::asio::any_io_executor& executor, job_request job)
+        : request(std::move(job)), changed(executor), settled(executor)
+    {}
+
+    job_request request;
+    job_timing timing;
+    absl::Time arrival;
+    absl::Duration expected_run;
+    std::vector<job_task> tasks;
+    std::set<std::string> avoided; ///< agents where a task has failed
+    bool may_have_run{false};      ///< an order was not returned as not run
+    bool caller_gone{false};
+    bool too_many_failures{false};
+    absl::Time place_after{absl::InfinitePast()};
+    async_event changed;
+    async_event settled;
+};
+
+/// Runs jobs: places their tasks on agents, places them again when an agent returns them or is lost,
+/// and ends the job when its answer is known or nobody waits for it any more.
+class job_dispatcher {
+public:
+    job_dispatcher(const boost::asio::any_io_executor& executor, entry_service& agents,
+                   event_log& log, metrics_registry& metrics);
+
+    /// Creates the job; `run` answers it.
+    [[nodiscard]] std::shared_ptr<active_job> create(job_request request);
+    boost::asio::awaitable<job_answer> run(std::shared_ptr<active_job> job);
+    /// The caller has gone: nothing of the job goes on.
+    void abandon(active_job& job);
+    /// Cancels the job of this id. False if there is none.
+    bool cancel(const std::string& id);
+    [[nodiscard]] std::size_t active_jobs() const { return jobs_.size(); }
+    /// Jobs of the route of which no task has been ordered.
+    [[nodiscard]] std::size_t pending(const std::string& route) const;
+
+private:
+    boost::asio::awaitable<void> wait_for_predecessor(active_job& job);
+    boost::asio::awaitable<job_answer> end(std::shared_ptr<active_job> job, job_outcome outcome,
+                                           std::string reason);
+    void place(active_job& job, absl::Time now);
+    bool place_task(active_job& job, std::uint32_t index, absl::Time now);
+    void on_event(const std::string& agent, const fleet::task_event& event);
+    void on_lost(const std::string& agent, absl::Time last_heard);
+    void on_settled(const std::string& agent);
+    void settle(const std::string& id);
+    void release_lost_tasks(active_job& job, absl::Time now);
+    [[nodiscard]] absl::Duration least_wait(const active_job& job);
+    [[nodiscard]] absl::Time next_check(const active_job& job) const;
+    job_answer refuse(const active_job& job, std::string reason, absl::Duration retry_after);
+    void log_answer(const active_job& job, const job_answer& answer, absl::Time now);
+    double random() { return distribution_(generator_); }
+
+    boost::asio::any_io_executor executor_;
+    entry_service& agents_;
+    event_log& log_;
+    metrics_registry& metrics_;
+    run_times run_times_;
+    absl::flat_hash_map<std::string, std::shared_ptr<active_job>> jobs_;
+    std::mt19937_64 generator_{std::random_device{}()};
+    std::uniform_real_distribution<double> distribution_{0.0, 1.0};
+};
+
+} // namespace carobfall
--- /dev/null
+++ b/src/libs/carobfall/jobs/job_request.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <string>
+
+namespace carobfall {
+
+/// Resources that one task takes on a worker, or that a worker has.
+struct resource_amounts {
+    std::int64_t cpu_millicores{0};
+    std::int64_t memory_mib{0};
+    std::int64_t accelerators{0};
+
+    [[nodiscard]] bool fits_into(const resource_amounts& room) const
+    {
+        return cpu_millicores <= room.cpu_millicores && memory_mib <= room.memory_mib &&
+               accelerators <= room.accelerators;
+    }
+    resource_amounts& operator+=(const resource_amounts& other)
+    {
+        cpu_millicores += other.cpu_millicores;
+        memory_mib += other.memory_mib;
+        accelerators += other.accelerators;
+        return *this;
+    }
+    resource_amounts& operator-=(const resource_amounts& other)
+    {
+        cpu_millicores -= other.cpu_millicores;
+        memory_mib -= other.memory_mib;
+        accelerators -= other.accelerators;
+        return *this;
+    }
+};
+
+/// A job of tasks of one kind whose answer the caller waits for on its connection. Nothing of it is
+/// stored: if the entry is lost, the caller sends it again.
+struct job_request {
+    std::string id; ///< chosen by the caller
+    std::string spec;
+    std::uint32_t task_count{0};
+    resource_amounts demand;              ///< of each task
+    absl::Duration declared_run_time;     ///< of each task, often far off
+    std::string data_rack;                ///< tasks run slower on any other rack; empty: none
+    std::string required_label;           ///< the worker has to have it; empty: none
+    std::uint32_t max_tasks_per_agent{0}; ///< 0: no limit
+
+    std::string route;
+    std::string service;
+    std::uint32_t priority{0}; ///< 0 is served first
+    double slack_factor{1};
+    absl::Duration target;
+    std::uint32_t max_attempts{1};
+    absl::Duration time_limit; ///< from the arrival; the caller waits no longer
+};
+
+enum class job_outcome {
+    succeeded,
+    failed,  ///< a task failed too often, or the time was over after tasks had begun
+    not_run, ///< nothing has run and nothing will
+    unknown, ///< tasks may have run; the caller should send the job again
+};
+
+struct job_answer {
+    job_outcome outcome{job_outcome::not_run};
+    std::string reason;         ///< for logs
+    absl::Duration retry_after; ///< with `not_run`: when to come back
+};
+
+} // namespace carobfall
--- /dev/null
+++ b/src/libs/carobfall/jobs/job_timing.cpp
@@ -0,0 +1,35 @@
+#include "carobfall/jobs/job_timing.h"
+
+#include <algorithm>
+
+namespace carobfall {
+namespace {
+
+// Round trips between caller, entry, agent and backend server around a run.
+constexpr absl::Duration answer_overhead = absl::Milliseconds(15);
+// Retry-After has whole seconds; a shorter pause would be rounded to none.
+constexpr absl::Duration min_retry_after = absl::Seconds(1);
+constexpr absl::Duration max_retry_after = absl::Seconds(8);
+
+} // namespace
+
+job_timing timing_of(const job_request& request, absl::Duration expected_run, absl::Time arrival)
+{
+    job_timing timing;
+    timing.objective = request.slack_factor * expected_run + request.target;
+    timing.start_by = arrival + timing.objective - expected_run - answer_overhead;
+    timing.give_up = arrival + request.time_limit;
+    return timing;
+}
+
+admission_decision admit(const job_timing& timing, absl::Duration expected_run,
+                         absl::Duration expected_wait, absl::Time now, double random)
+{
+    if (now + expected_wait + expected_run <= timing.give_up) {
+        return {};
+    }
+    const absl::Duration base = std::clamp(expected_wait, min_retry_after, max_retry_after);
+    return {false, base * (1 + random)};
+}
+
+} // namespace carobfall
--- /dev/null
+++ b/src/libs/carobfall/jobs/job_timing.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "carobfall/jobs/job_request.h"
+
+#include <absl/time/time.h>
+
+namespace carobfall {
+
+/// The times that matter to a job, all counted from its arrival.
+struct job_timing {
+    absl::Duration objective; ///< response time objective
+    absl::Time start_by;      ///< latest start of a task that meets the objective
+    absl::Time give_up;       ///< after this nobody waits for the answer
+};
+
+/// `expected_run`: the longest run time that is expected of a task.
+[[nodiscard]] job_timing timing_of(const job_request& request, absl::Duration expected_run,
+                                   absl::Time arrival);
+
+/// What is decided on a job before any of its tasks is ordered.
+struct admission_decision {
+    bool admitted{true};
+    absl::Duration retry_after;
+};
+
+/// Answers load beyond the room of all workers: a job whose tasks can't begin early enough to be
+/// answered within the caller's time is refused before it takes room from others. The time to come
+/// back covers the work that waits, and is spread by `random` (0 to 1) so that refused callers don't
+/// return together.
+[[nodiscard]] admission_decision admit(const job_timing& timing, absl::Duration expected_run,
+                                       absl::Duration expected_wait, absl::Time now, double random);
+
+} // namespace carobfall
--- /dev/null
+++ b/src/libs/carobfall/jobs/operator_view.cpp
@@ -0,0 +1,57 @@
+#include "carobfall/jobs/operator_view.h"
+
+#include "carobfall/base/strings.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace carobfall {
+
+bool operator_view::adopt(fleet::operator_state state)
+{
+    if (state.version() <= state_.version()) {
+        return false;
+    }
+    state_ = std::move(state);
+    index_routes();
+    for (const listener& changed : listeners_) {
+        changed();
+    }
+    return true;
+}
+
+void operator_view::index_routes()
+{
+    routes_by_host_.clear();
+    for (int i = 0; i < state_.routes_size(); ++i) {
+        routes_by_host_[state_.routes(i).host()].push_back(i);
+    }
+    for (auto& [host, positions] : routes_by_host_) {
+        std::stable_sort(positions.begin(), positions.end(), [this](int left, int right) {
+            return state_.routes(left).prefix().size() > state_.routes(right).prefix().size();
+        });
+    }
+}
+
+bool operator_view::is_out(std::string_view data_centre) const
+{
+    const auto& out = state_.data_centres_out();
+    return std::find(out.begin(), out.end(), data_centre) != out.end();
+}
+
+const fleet::route* operator_view::find_route(std::string_view host, std::string_view path) const
+{
+    const auto found = routes_by_host_.find(to_absl(host));
+    if (found == routes_by_host_.end()) {
+        return nullptr;
+    }
+    for (const int position : found->second) {
+        const fleet::route& route = state_.routes(position);
+        if (path.substr(0, route.prefix().size()) == route.prefix()) {
+            return &route;
+        }
+    }
+    return nullptr;
+}
+
+} // namespace carobfall
--- /dev/null
+++ b/src/libs/carobfall/jobs/operator_view.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "carobfall/fleet/fleet.pb.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace carobfall {
+
+/// What operators have decided, as far as this process knows. Only a later version replaces what is
+/// held, whoever delivers it: the store, or another process that the store still answers.
+class operator_view {
+public:
+    using listener = std::function<void()>;
+
+    /// False if `state` is no later than the one held.
+    bool adopt(fleet::operator_state state);
+    void on_change(listener changed) { listeners_.push_back(std::move(changed)); }
+
+    [[nodiscard]] const fleet::operator_state& state() const { return state_; }
+    [[nodiscard]] std::uint64_t version() const { return state_.version(); }
+    [[nodiscard]] bool has_configuration() const { return state_.configuration_version() > 0; }
+    [[nodiscard]] bool is_out(std::string_view data_centre) const;
+    /// The route with the longest prefix that `path` begins with. Null if there is none.
+    [[nodiscard]] const fleet::route* find_route(std::string_view host, std::string_view path) const;
+
+private:
+    void index_routes();
+
+    fleet::operator_state state_;
+    // Positions in `state_.routes()`, longest prefix first.
+    absl::flat_hash_map<std::string, std::vector<int>> routes_by_host_;
+    std::vector<listener> listeners_;
+};
+
+} // namespace carobfall
--- /dev/null
+++ b/src/libs/carobfall/jobs/worker_ledger.cpp
@@ -0,0 +1,453 @@
+#include "carobfall/jobs/worker_ledger.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace carobfall {
+namespace {
+
+// Longer than an order without an answer can be on its way, so that run numbers keep rising.
+constexpr absl::Duration past_run_retention = absl::Seconds(30);
+// Pause after a refusal for want of room, about the time in which a run ends.
+constexpr absl::Duration room_pause = absl::Milliseconds(20);
+
+resource_amounts demand_of(const fleet::task_order& order)
+{
+    return {order.cpu_millicores(), order.memory_mib(), order.accelerators()};
+}
+
+std::string_view reason_of(run_end_kind kind)
+{
+    switch (kind) {
+    case run_end_kind::done:
+        return "done";
+    case run_end_kind::failed:
+        return "failed";
+    case run_end_kind::stopped:
+        return "stopped";
+    case run_end_kind::lapsed:
+        return "lease_lapsed";
+    case run_end_kind::broken:
+        break;
+    }
+    return "broken";
+}
+
+fleet::task_event_kind event_kind_of(run_end_kind kind)
+{
+    switch (kind) {
+    case run_end_kind::done:
+        return fleet::task_done;
+    case run_end_kind::failed:
+        return fleet::task_failed;
+    default:
+        return fleet::task_ended;
+    }
+}
+
+} // namespace
+
+task_run run_of(const task_record& record)
+{
+    return {record.order.job_id(), record.order.index(), record.run};
+}
+
+bool worker_ledger::announce(const worker_announcement& worker, absl::Time now)
+{
+    if (worker.id == left_id_ && worker.started_unix_ms <= left_started_unix_ms_) {
+        return false;
+    }
+    const bool same = worker_ && worker_->id == worker.id &&
+                      worker_->started_unix_ms == worker.started_unix_ms;
+    if (same && worker.sequence <= worker_->sequence) {
+        return false;
+    }
+    if (worker_ && !same && worker.started_unix_ms < worker_->started_unix_ms) {
+        return false;
+    }
+    if (!same) {
+        on_lapse("worker_restarted");
+        acknowledged_end_ = 0;
+        past_runs_.clear();
+        speed_ = worker_speed();
+    }
+    worker_ = worker;
+    if (worker.state == worker_state::draining) {
+        hand_back("worker_draining");
+    }
+    static_cast<void>(now);
+    return true;
+}
+
+void worker_ledger::remove_worker(std::string_view id, absl::Time)
+{
+    if (!worker_ || worker_->id != id) {
+        return;
+    }
+    left_id_ = worker_->id;
+    left_started_unix_ms_ = worker_->started_unix_ms;
+    worker_.reset();
+    on_lapse("worker_left");
+    hand_back("worker_left");
+}
+
+void worker_ledger::add(session_number session, const fleet::task_order& order, absl::Time now)
+{
+    task_record record;
+    record.session = session;
+    record.order = order;
+    record.demand = demand_of(order);
+    record.received = now;
+    record.start_by = now + absl::Milliseconds(order.start_by_ms());
+    record.give_up = now + absl::Milliseconds(order.give_up_ms());
+    const auto added = records_.emplace(++last_number_, std::move(record)).first;
+    if (!worker_ || worker_->state != worker_state::ready) {
+        finish(added, fleet::task_not_run, worker_ ? "worker_draining" : "no_worker", now);
+    } else if (worker_->service != order.service()) {
+        finish(added, fleet::task_not_run, "other_service", now);
+    }
+}
+
+void worker_ledger::begin_stopping(task_record& record, std::string_view reason)
+{
+    if (record.phase == task_phase::stopping) {
+        return;
+    }
+    // An order that is under way is stopped after its answer, see on_start_reply.
+    record.stop_reason = reason;
+    if (record.phase == task_phase::running) {
+        record.phase = task_phase::stopping;
+        record.answered_at = absl::InfiniteFuture();
+    }
+}
+
+void worker_ledger::request_stop(session_number session, const fleet::task_stop& stop)
+{
+    for (auto record = records_.begin(); record != records_.end(); ++record) {
+        const fleet::task_order& order = record->second.order;
+        if (record->second.session != session || order.job_id() != stop.job_id() ||
+            order.index() != stop.index() || order.attempt() != stop.attempt()) {
+            continue;
+        }
+        if (record->second.phase == task_phase::waiting) {
+            finish(record, fleet::task_not_run, "withdrawn", absl::InfinitePast());
+        } else {
+            begin_stopping(record->second, "stop_requested");
+        }
+        return;
+    }
+}
+
+void worker_ledger::drop_session(session_number session)
+{
+    for (auto record = records_.begin(); record != records_.end();) {
+        const auto current = record++;
+        if (current->second.session != session) {
+            continue;
+        }
+        if (current->second.phase == task_phase::waiting) {
+            records_.erase(current);
+        } else {
+            begin_stopping(current->second, "entry_lost");
+        }
+    }
+}
+
+void worker_ledger::hand_back(std::string_view reason)
+{
+    for (auto record = records_.begin(); record != records_.end();) {
+        const auto current = record++;
+        if (current->second.phase == task_phase::waiting) {
+            finish(current, fleet::task_not_run, reason, absl::InfinitePast());
+        }
+    }
+}
+
+void worker_ledger::expire(absl::Time now)
+{
+    for (auto record = records_.begin(); record != records_.end();) {
+        const auto current = record++;
+        if (current->second.phase == task_phase::waiting && current->second.give_up <= now) {
+            finish(current, fleet::task_not_run, "time_over", now);
+        }
+    }
+}
+
+void worker_ledger::finish(record_map::iterator record, fleet::task_event_kind kind,
+                           std::string_view reason, absl::Time now)
+{
+    const task_record& task = record->second;
+    if (task.run > 0) {
+        remember_run(run_of(task), now);
+    }
+    if (task.session != 0) {
+        session_event event;
+        event.session = task.session;
+        event.event.set_job_id(task.order.job_id());
+        event.event.set_index(task.order.index());
+        event.event.set_attempt(task.order.attempt());
+        event.event.set_kind(kind);
+        event.event.set_reason(std::string(reason));
+        if (kind == fleet::task_done) {
+            const absl::Duration run = now - task.ordered_at;
+            event.event.set_run_ms(
+                static_cast<std::uint32_t>(std::max<std::int64_t>(absl::ToInt64Milliseconds(run), 0)));
+        }
+        events_.push_back(std::move(event));
+    }
+    records_.erase(record);
+}
+
+bool worker_ledger::has_run_elsewhere(record_number number, const task_record& record) const
+{
+    return std::any_of(records_.begin(), records_.end(), [&](const auto& other) {
+        return other.first != number && other.second.phase != task_phase::waiting &&
+               other.second.order.job_id() == record.order.job_id() &&
+               other.second.order.index() == record.order.index();
+    });
+}
+
+std::uint32_t worker_ledger::next_run(const task_record& record) const
+{
+    const auto past = past_runs_.find({record.order.job_id(), record.order.index()});
+    const std::uint32_t after_past = past == past_runs_.end() ? 1 : past->second.first + 1;
+    return std::max({record.order.attempt(), after_past, record.run + 1});
+}
+
+void worker_ledger::remember_run(const task_run& run, absl::Time now)
+{
+    auto& [highest, at] = past_runs_[{run.job_id, run.index}];
+    highest = std::max(highest, run.run);
+    at = std::max(at, now);
+}
+
+std::optional<worker_ledger::record_number>
+worker_ledger::begin_next(absl::Time now, const std::function<bool(session_number)>& may_run)
+{
+    if (!worker_ || worker_->state != worker_state::ready) {
+        return std::nullopt;
+    }
+    std::vector<record_number> numbers;
+    std::vector<waiting_task> waiting;
+    for (const auto& [number, record] : records_) {
+        if (record.phase != task_phase::waiting) {
+            // Runs of an earlier agent take room that isn't known.
+            if (record.session == 0) {
+                return std::nullopt;
+            }
+            continue;
+        }
+        waiting_task task;
+        task.priority = record.order.priority();
+        task.start_by = record.start_by;
+        task.received = record.received;
+        task.demand = record.demand;
+        task.startable = record.not_before <= now && may_run(record.session) &&
+                         !has_run_elsewhere(number, record);
+        numbers.push_back(number);
+        waiting.push_back(task);
+    }
+    const std::optional<std::size_t> next = next_task(waiting, free_room(), now);
+    if (!next) {
+        return std::nullopt;
+    }
+    task_record& record = records_.at(numbers[*next]);
+    record.phase = task_phase::starting;
+    record.run = next_run(record);
+    record.ordered_at = now;
+    return numbers[*next];
+}
+
+void worker_ledger::on_start_reply(record_number number, const start_reply& reply, absl::Time now)
+{
+    const auto found = records_.find(number);
+    if (found == records_.end()) {
+        return; // a report has shown its end already
+    }
+    task_record& record = found->second;
+    switch (reply.outcome) {
+    case start_outcome::started:
+        record.phase = task_phase::running;
+        record.answered_at = now;
+        if (!record.stop_reason.empty()) {
+            begin_stopping(record, std::string(record.stop_reason));
+        }
+        return;
+    case start_outcome::no_answer:
+        record.phase = task_phase::stopping;
+        record.answered_at = absl::InfiniteFuture();
+        if (record.stop_reason.empty()) {
+            record.stop_reason = "order_unanswered";
+        }
+        return;
+    case start_outcome::no_room:
+    case start_outcome::superseded:
+    case start_outcome::lease_over:
+    case start_outcome::fenced:
+        if (!record.stop_reason.empty() || record.give_up <= now) {
+            break;
+        }
+        record.phase = task_phase::waiting;
+        record.not_before =
+            reply.outcome == start_outcome::no_room ? now + room_pause : absl::InfinitePast();
+        return;
+    case start_outcome::unhealthy:
+    case start_outcome::other_incarnation:
+    case start_outcome::invalid:
+    case start_outcome::not_sent:
+        break;
+    }
+    finish(found, fleet::task_not_run,
+           absl::StrCat("order_refused_", static_cast<int>(reply.outcome)), now);
+}
+
+std::optional<worker_ledger::record_number> worker_ledger::begin_stop()
+{
+    for (auto& [number, record] : records_) {
+        if (record.phase == task_phase::stopping && !record.stop_under_way &&
+            record.answered_at == absl::InfiniteFuture()) {
+            record.stop_under_way = true;
+            return number;
+        }
+    }
+    return std::nullopt;
+}
+
+void worker_ledger::on_stop_reply(record_number number, bool answered, absl::Time now)
+{
+    const auto found = records_.find(number);
+    if (found == records_.end()) {
+        return;
+    }
+    found->second.stop_under_way = false;
+    if (answered) {
+        found->second.answered_at = now;
+    }
+}
+
+worker_ledger::record_map::iterator worker_ledger::find_run(const task_run& run)
+{
+    return std::find_if(records_.begin(), records_.end(), [&](const auto& entry) {
+        return entry.second.phase != task_phase::waiting && run_of(entry.second) == run;
+    });
+}
+
+void worker_ledger::apply_end(const run_end& end, absl::Time now)
+{
+    const auto found = find_run(end.task);
+    if (found == records_.end()) {
+        remember_run(end.task, now);
+        return;
+    }
+    const task_record& record = found->second;
+    if (end.kind == run_end_kind::done) {
+        speed_.record(now - record.ordered_at,
+                      absl::Milliseconds(record.order.expected_run_ms()), now);
+    }
+    finish(found, event_kind_of(end.kind), reason_of(end.kind), now);
+}
+
+void worker_ledger::stop_unknown_runs(const worker_report& report)
+{
+    for (const active_run& active : report.active) {
+        if (find_run(active.task) != records_.end()) {
+            continue;
+        }
+        task_record record;
+        record.order.set_job_id(active.task.job_id);
+        record.order.set_index(active.task.index);
+        record.run = active.task.run;
+        record.phase = task_phase::stopping;
+        record.stop_reason = "unknown_run";
+        records_.emplace(++last_number_, std::move(record));
+    }
+}
+
+void worker_ledger::on_report(const worker_report& report, absl::Time asked_at, absl::Time now)
+{
+    for (const run_end& end : report.ends) {
+        if (end.number > acknowledged_end_) {
+            apply_end(end, now);
+            acknowledged_end_ = end.number;
+        }
+    }
+    stop_unknown_runs(report);
+    if (report.ends_cut) {
+        return;
+    }
+    for (auto record = records_.begin(); record != records_.end();) {
+        const auto current = record++;
+        const task_record& task = current->second;
+        const bool settled = (task.phase == task_phase::running ||
+                              task.phase == task_phase::stopping) &&
+                             task.answered_at < asked_at;
+        const bool active =
+            std::any_of(report.active.begin(), report.active.end(),
+                        [&](const active_run& run) { return run.task == run_of(task); });
+        if (settled && !active) {
+            const std::string reason = task.stop_reason.empty() ? "run_gone" : task.stop_reason;
+            finish(current, fleet::task_ended, reason, now);
+        }
+    }
+    std::erase_if(past_runs_, [now](const auto& past) {
+        return past.second.second < now - past_run_retention;
+    });
+}
+
+void worker_ledger::on_lapse(std::string_view reason)
+{
+    for (auto record = records_.begin(); record != records_.end();) {
+        const auto current = record++;
+        if (current->second.phase != task_phase::waiting) {
+            finish(current, fleet::task_ended, reason, current->second.ordered_at);
+        }
+    }
+}
+
+const task_record* worker_ledger::find(record_number number) const
+{
+    const auto found = records_.find(number);
+    return found == records_.end() ? nullptr : &found->second;
+}
+
+resource_amounts worker_ledger::free_room() const
+{
+    if (!worker_) {
+        return {};
+    }
+    resource_amounts room = worker_->capacity;
+    for (const auto& [number, record] : records_) {
+        if (record.phase != task_phase::waiting) {
+            room -= record.demand;
+        }
+    }
+    return room;
+}
+
+double worker_ledger::waiting_core_ms() const
+{
+    double sum = 0;
+    for (const auto& [number, record] : records_) {
+        if (record.phase == task_phase::waiting) {
+            sum += static_cast<double>(record.demand.cpu_millicores) *
+                   record.order.expected_run_ms() / 1000;
+        }
+    }
+    return sum;
+}
+
+std::size_t worker_ledger::waiting() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(records_.begin(), records_.end(), [](const auto& entry) {
+            return entry.second.phase == task_phase::waiting;
+        }));
+}
+
+std::size_t worker_ledger::on_worker() const
+{
+    return records_.size() - waiting();
+}
+
+} // namespace carobfall
--- /dev/null
+++ b/src/libs/carobfall/jobs/worker_ledger.h
@@ -0,0 +1,131 @@
+#pragma once
+
+#include "carobfall/fleet/fleet.pb.h"
+#include "carobfall/jobs/run_queue.h"
+#include "carobfall/jobs/worker_orders.h"
+#include "carobfall/jobs/worker_speed.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace carobfall {
+
+/// Identifies a connection to an entry. 0: none; the run is left over from an earlier agent.
+using session_number = std::uint64_t;
+
+enum class task_phase {
+    waiting,
+    starting, ///< the order is under way
+    running,
+    stopping, ///< must end; stop orders are sent until one is answered
+};
+
+struct task_record {
+    session_number session{0};
+    fleet::task_order order;
+    std::uint32_t run{0};
+    resource_amounts demand;
+    task_phase phase{task_phase::waiting};
+    absl::Time received;
+    absl::Time start_by;
+    absl::Time give_up;
+    absl::Time not_before{absl::InfinitePast()}; ///< after a refusal for want of room
+    absl::Time ordered_at;
+    /// Time of the worker's latest answer to an order; a report asked for later shows its effect.
+    absl::Time answered_at{absl::InfiniteFuture()};
+    bool stop_under_way{false};
+    std::string stop_reason;
+};
+
+struct session_event {
+    session_number session{0};
+    fleet::task_event event;
+};
+
+/// The agent's record of every task that it has been given and every run on its worker. The agent is
+/// the only one that gives orders to the worker, so that this is the whole truth about its room.
+///
+/// A task is reported as ended or not run only when no run of it is left on the worker and none can
+/// appear: an order without an answer may be carried out seconds later.
+class worker_ledger {
+public:
+    using record_number = std::uint64_t;
+
+    /// Takes over what the worker says of itself. Runs of an earlier incarnation have ended with it.
+    /// False if the announcement is older than what is known.
+    bool announce(const worker_announcement& worker, absl::Time now);
+    /// The worker has left: its runs have ended.
+    void remove_worker(std::string_view id, absl::Time now);
+
+    void add(session_number session, const fleet::task_order& order, absl::Time now);
+    void request_stop(session_number session, const fleet::task_stop& stop);
+    /// The entry is gone or silent: nothing of it may go on.
+    void drop_session(session_number session);
+    /// Returns all waiting tasks to their entries.
+    void hand_back(std::string_view reason);
+    /// Returns waiting tasks whose caller no longer waits.
+    void expire(absl::Time now);
+
+    /// Moves the next task that fits to `starting`. `may_run` tells whether a session still permits
+    /// starts.
+    std::optional<record_number> begin_next(absl::Time now,
+                                            const std::function<bool(session_number)>& may_run);
+    void on_start_reply(record_number number, const start_reply& reply, absl::Time now);
+    /// Moves the next record that needs a stop order; it is tried again after `on_stop_reply`.
+    std::optional<record_number> begin_stop();
+    void on_stop_reply(record_number number, bool answered, absl::Time now);
+    /// `asked_at`: when the report was asked for.
+    void on_report(const worker_report& report, absl::Time asked_at, absl::Time now);
+    /// Every lease that was ever given has ended.
+    void on_lapse(std::string_view reason);
+
+    [[nodiscard]] const task_record* find(record_number number) const;
+    [[nodiscard]] const std::optional<worker_announcement>& worker() const { return worker_; }
+    [[nodiscard]] std::uint64_t acknowledged_end() const { return acknowledged_end_; }
+    [[nodiscard]] resource_amounts free_room() const;
+    [[nodiscard]] double waiting_core_ms() const;
+    [[nodiscard]] std::size_t waiting() const;
+    /// Runs that are on the worker or may be.
+    [[nodiscard]] std::size_t on_worker() const;
+    [[nodiscard]] double slowness(absl::Time now) const { return speed_.slowness(now); }
+    [[nodiscard]] std::vector<session_event> take_events() { return std::exchange(events_, {}); }
+    [[nodiscard]] bool has_events() const { return !events_.empty(); }
+
+private:
+    using record_map = std::map<record_number, task_record>;
+    using task_key = std::pair<std::string, std::uint32_t>;
+
+    record_map::iterator find_run(const task_run& run);
+    void finish(record_map::iterator record, fleet::task_event_kind kind, std::string_view reason,
+                absl::Time now);
+    void begin_stopping(task_record& record, std::string_view reason);
+    void apply_end(const run_end& end, absl::Time now);
+    void stop_unknown_runs(const worker_report& report);
+    [[nodiscard]] bool has_run_elsewhere(record_number number, const task_record& record) const;
+    [[nodiscard]] std::uint32_t next_run(const task_record& record) const;
+    void remember_run(const task_run& run, absl::Time now);
+
+    std::optional<worker_announcement> worker_;
+    std::int64_t left_started_unix_ms_{0}; ///< incarnation that has left
+    std::string left_id_;
+    record_map records_;
+    record_number last_number_{0};
+    std::uint64_t acknowledged_end_{0};
+    // Highest run of tasks that ran here, so that a later order gets a higher one.
+    std::map<task_key, std::pair<std::uint32_t, absl::Time>> past_runs_;
+    worker_speed speed_;
+    std::vector<session_event> events_;
+};
+
+[[nodiscard]] task_run run_of(const task_record& record);
+
+} // namespace carobfall
--- /dev/null
+++ b/src/libs/carobfall/jobs/worker_speed.cpp
@@ -0,0 +1,33 @@
+#include "carobfall/jobs/worker_speed.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace carobfall {
+namespace {
+
+// Weight of one run: about 20 runs, half a second of a busy worker, decide.
+constexpr double run_weight = 0.05;
+// Time after which half of a deviation is forgotten without new runs.
+constexpr absl::Duration half_life = absl::Seconds(2);
+constexpr double max_ratio = 10;
+
+} // namespace
+
+double worker_speed::slowness(absl::Time now) const
+{
+    const double half_lives = absl::FDivDuration(now - recorded_at_, half_life);
+    return 1 + (average_ - 1) * std::exp2(-std::max(half_lives, 0.0));
+}
+
+void worker_speed::record(absl::Duration run, absl::Duration expected, absl::Time now)
+{
+    if (expected <= absl::ZeroDuration()) {
+        return;
+    }
+    const double ratio = std::min(absl::FDivDuration(run, expected), max_ratio);
+    average_ = slowness(now) * (1 - run_weight) + ratio * run_weight;
+    recorded_at_ = now;
+}
+
+} // namespace carobfall
