--- a/src/libs/carobfall/jobs/entry_service.cpp
+++ b/src/libs/carobfall/jobs/entry_service.cpp
@@ -23,6 +23,8 @@
 // An agent without a frame for this long is lost; agents send one each 100 ms.
 constexpr absl::Duration agent_silence_limit = absl::Milliseconds(500);
 constexpr absl::Duration watch_interval = absl::Milliseconds(25);
+// Kinds of workers differ by up to 1.3 in speed, and run times of jobs average out.
+constexpr double slow_worker = 2;
 constexpr int listen_backlog = 256;
 
 resource_amounts amounts_of(const fleet::room& room)
@@ -203,6 +205,13 @@
         views_.begin(), views_.end(), [](const agent_view& view) { return view.usable; }));
 }
 
+bool entry_service::is_slow(const std::string& agent) const
+{
+    return std::any_of(views_.begin(), views_.end(), [&](const agent_view& view) {
+        return view.name == agent && view.slowness > slow_worker;
+    });
+}
+
 void entry_service::lose(const std::string& agent, const std::string& reason)
 {
     const auto found = agents_.find(agent);
--- a/src/libs/carobfall/jobs/job_dispatcher.cpp
+++ b/src/libs/carobfall/jobs/job_dispatcher.cpp
@@ -10,7 +10,6 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace carobfall {
@@ -19,7 +18,6 @@
 
 namespace {
 
-constexpr std::size_t max_measured_routes = 1000;
 // Orders for one task over its life: refusals for want of room are repeated elsewhere, but not
 // without end.
 constexpr std::uint32_t max_orders_per_task = 10;
@@ -76,8 +74,7 @@
 
 job_dispatcher::job_dispatcher(const asio::any_io_executor& executor, entry_service& agents,
                                event_log& log, metrics_registry& metrics)
-    : executor_(executor), agents_(agents), log_(log), metrics_(metrics),
-      run_times_(max_measured_routes)
+    : executor_(executor), agents_(agents), log_(log), metrics_(metrics)
 {
     entry_service::hooks hooks;
     hooks.on_event = [this](const std::string& agent, const fleet::task_event& event) {
@@ -95,12 +92,8 @@
 {
     auto job = std::make_shared<active_job>(executor_, std::move(request));
     job->arrival = boot_now();
-    const absl::Duration declared = job->request.declared_run_time;
-    const run_estimate measured = run_times_.expected(job->request.service, job->request.route,
-                                                      declared, job->arrival);
-    // Declared and measured times are off in different ways: one differs by job, the other by kind.
-    job->expected_run = absl::Seconds(
-        std::sqrt(absl::ToDoubleSeconds(declared) * absl::ToDoubleSeconds(measured.run)));
+    job->expected_run =
+        run_times_.expected(job->request.route, job->request.declared_run_time);
     job->timing = timing_of(job->request, job->expected_run, job->arrival);
     job->tasks.resize(job->request.task_count);
     return job;
@@ -163,8 +156,16 @@
         if (job->too_many_failures) {
             co_return co_await end(job, job_outcome::failed, "too_many_failures");
         }
-        if (now >= job->timing.give_up) {
-            co_return co_await end(job, job_outcome::failed, "time_over");
+        if (job->too_many_orders) {
+            co_return co_await end(job, job_outcome::unknown, "too_many_orders");
+        }
+        if (job->too_long) {
+            co_return co_await end(job, job_outcome::unknown, "tasks_too_long");
+        }
+        const bool too_late_to_start =
+            any_unplaced(*job) && !can_still_end(job->expected_run, now, job->timing.give_up);
+        if (now >= job->timing.give_up || too_late_to_start) {
+            co_return co_await end(job, job_outcome::unknown, "time_over");
         }
         const bool hopeless = std::any_of(
             job->tasks.begin(), job->tasks.end(), [&](const job_task& task) {
@@ -259,8 +260,8 @@
     switch (event.kind()) {
     case fleet::task_done:
         task.phase = job_task_phase::done;
-        run_times_.record(job.request.service, job.request.route, job.request.declared_run_time,
-                          absl::Milliseconds(event.run_ms()), boot_now());
+        run_times_.record(job.request.route, job.request.declared_run_time,
+                          absl::Milliseconds(event.run_ms()));
         break;
     case fleet::task_failed:
         task.phase = job_task_phase::unplaced;
@@ -268,11 +269,13 @@
         job.too_many_failures = ++task.failures >= job.request.max_attempts;
         break;
     case fleet::task_ended:
+        if (event.run_ms() > 0 && !agents_.is_slow(agent)) {
+            job.too_long = true;
+        }
+        [[fallthrough]];
     case fleet::task_not_run:
         task.phase = job_task_phase::unplaced;
-        if (task.attempt >= max_orders_per_task) {
-            job.too_many_failures = true;
-        }
+        job.too_many_orders = task.attempt >= max_orders_per_task;
         break;
     default:
         return;
@@ -409,6 +412,7 @@
                    .add("declared_ms", absl::ToInt64Milliseconds(job.request.declared_run_time))
                    .add("expected_ms", absl::ToInt64Milliseconds(job.expected_run))
                    .add("objective_ms", absl::ToInt64Milliseconds(job.timing.objective))
+                   .add("limit_ms", absl::ToInt64Milliseconds(job.request.time_limit))
                    .add("took_ms", absl::ToInt64Milliseconds(now - job.arrival))
                    .add("retry_after_ms", absl::ToInt64Milliseconds(answer.retry_after)),
                now);
--- a/src/libs/carobfall/jobs/job_dispatcher.h
+++ b/src/libs/carobfall/jobs/job_dispatcher.h
@@ -3,10 +3,10 @@
 #include "carobfall/base/async_event.h"
 #include "carobfall/base/event_log.h"
 #include "carobfall/base/histogram.h"
-#include "carobfall/dispatch/run_times.h"
 #include "carobfall/jobs/entry_service.h"
 #include "carobfall/jobs/job_request.h"
 #include "carobfall/jobs/job_timing.h"
+#include "carobfall/jobs/run_time_estimator.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/time/time.h>
@@ -53,6 +53,8 @@
     bool may_have_run{false};      ///< an order was not returned as not run
     bool caller_gone{false};
     bool too_many_failures{false};
+    bool too_many_orders{false};
+    bool too_long{false}; ///< a sound worker could not end a task in time
     absl::Time place_after{absl::InfinitePast()};
     async_event changed;
     async_event settled;
@@ -97,7 +99,7 @@
     entry_service& agents_;
     event_log& log_;
     metrics_registry& metrics_;
-    run_times run_times_;
+    run_time_estimator run_times_;
     absl::flat_hash_map<std::string, std::shared_ptr<active_job>> jobs_;
     std::mt19937_64 generator_{std::random_device{}()};
     std::uniform_real_distribution<double> distribution_{0.0, 1.0};
--- a/src/libs/carobfall/jobs/job_request.h
+++ b/src/libs/carobfall/jobs/job_request.h
@@ -57,9 +57,9 @@
 
 enum class job_outcome {
     succeeded,
-    failed,  ///< a task failed too often, or the time was over after tasks had begun
+    failed,  ///< a task failed as often as the route allows
     not_run, ///< nothing has run and nothing will
-    unknown, ///< tasks may have run; the caller should send the job again
+    unknown, ///< tasks may have run and were stopped; the caller may send the job again
 };
 
 struct job_answer {
--- a/src/libs/carobfall/jobs/job_timing.h
+++ b/src/libs/carobfall/jobs/job_timing.h
@@ -17,6 +17,10 @@
 [[nodiscard]] job_timing timing_of(const job_request& request, absl::Duration expected_run,
                                    absl::Time arrival);
 
+/// Whether a task that begins at `start` may end before `give_up`, if its run time is not longer than
+/// the shortest that the expected one stands for.
+[[nodiscard]] bool can_still_end(absl::Duration expected_run, absl::Time start, absl::Time give_up);
+
 /// What is decided on a job before any of its tasks is ordered.
 struct admission_decision {
     bool admitted{true};
--- /dev/null
+++ b/src/libs/carobfall/jobs/run_time_estimator.cpp
@@ -0,0 +1,50 @@
+#include "carobfall/jobs/run_time_estimator.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace carobfall {
+namespace {
+
+// About the runs of a second on a busy route; later runs have this weight.
+constexpr double min_weight = 0.02;
+constexpr std::size_t enough_runs = 10;
+// Both sources are off by about the same factor.
+constexpr double declared_weight = 0.5;
+// Removed routes leave their averages behind; a configuration has far fewer routes.
+constexpr std::size_t max_routes = 10000;
+constexpr absl::Duration shortest = absl::Milliseconds(1);
+
+double log_seconds(absl::Duration duration)
+{
+    return std::log(absl::ToDoubleSeconds(std::max(duration, shortest)));
+}
+
+} // namespace
+
+void run_time_estimator::record(const std::string& route, absl::Duration declared,
+                                absl::Duration run)
+{
+    if (routes_.size() >= max_routes && !routes_.contains(route)) {
+        routes_.clear();
+    }
+    averages& kept = routes_[route];
+    ++kept.runs;
+    const double weight = std::max(min_weight, 1 / static_cast<double>(kept.runs));
+    kept.log_run += weight * (log_seconds(run) - kept.log_run);
+    kept.log_correction +=
+        weight * (log_seconds(run) - log_seconds(declared) - kept.log_correction);
+}
+
+absl::Duration run_time_estimator::expected(const std::string& route, absl::Duration declared) const
+{
+    const auto found = routes_.find(route);
+    if (found == routes_.end() || found->second.runs < enough_runs) {
+        return declared;
+    }
+    const double corrected = log_seconds(declared) + found->second.log_correction;
+    return absl::Seconds(std::exp(declared_weight * corrected +
+                                  (1 - declared_weight) * found->second.log_run));
+}
+
+} // namespace carobfall
--- a/src/libs/carobfall/jobs/worker_ledger.cpp
+++ b/src/libs/carobfall/jobs/worker_ledger.cpp
@@ -1,5 +1,8 @@
 #include "carobfall/jobs/worker_ledger.h"
 
+#include "carobfall/jobs/job_timing.h"
+#include "carobfall/jobs/run_progress.h"
+
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
@@ -168,7 +171,10 @@
 {
     for (auto record = records_.begin(); record != records_.end();) {
         const auto current = record++;
-        if (current->second.phase == task_phase::waiting && current->second.give_up <= now) {
+        const absl::Duration expected =
+            absl::Milliseconds(current->second.order.expected_run_ms());
+        if (current->second.phase == task_phase::waiting &&
+            !can_still_end(expected, now, current->second.give_up)) {
             finish(current, fleet::task_not_run, "time_over", now);
         }
     }
@@ -189,8 +195,9 @@
         event.event.set_attempt(task.order.attempt());
         event.event.set_kind(kind);
         event.event.set_reason(std::string(reason));
-        if (kind == fleet::task_done) {
-            const absl::Duration run = now - task.ordered_at;
+        if (kind == fleet::task_done || task.predicted_run > absl::ZeroDuration()) {
+            const absl::Duration run =
+                kind == fleet::task_done ? now - task.ordered_at : task.predicted_run;
             event.event.set_run_ms(
                 static_cast<std::uint32_t>(std::max<std::int64_t>(absl::ToInt64Milliseconds(run), 0)));
         }
@@ -364,6 +371,25 @@
     }
 }
 
+void worker_ledger::check_progress(const worker_report& report, absl::Time now)
+{
+    for (const active_run& active : report.active) {
+        const auto found = find_run(active.task);
+        if (found == records_.end() || found->second.phase != task_phase::running) {
+            continue;
+        }
+        task_record& record = found->second;
+        const absl::Duration expected = absl::Milliseconds(record.order.expected_run_ms());
+        const run_progress progress{record.ordered_at, expected, record.give_up,
+                                    active.percent_done};
+        if (ends_too_late(progress, now)) {
+            record.predicted_run = *predicted_run(progress, now);
+            speed_.record(record.predicted_run, expected, now);
+            begin_stopping(record, "too_late");
+        }
+    }
+}
+
 void worker_ledger::on_report(const worker_report& report, absl::Time asked_at, absl::Time now)
 {
     for (const run_end& end : report.ends) {
@@ -373,6 +399,7 @@
         }
     }
     stop_unknown_runs(report);
+    check_progress(report, now);
     if (report.ends_cut) {
         return;
     }
--- a/src/libs/carobfall/jobs/worker_ledger.h
+++ b/src/libs/carobfall/jobs/worker_ledger.h
@@ -44,6 +44,7 @@
     absl::Time answered_at{absl::InfiniteFuture()};
     bool stop_under_way{false};
     std::string stop_reason;
+    absl::Duration predicted_run; ///< of a run that is stopped because it would end too late
 };
 
 struct session_event {
@@ -109,6 +110,7 @@
                 absl::Time now);
     void begin_stopping(task_record& record, std::string_view reason);
     void apply_end(const run_end& end, absl::Time now);
+    void check_progress(const worker_report& report, absl::Time now);
     void stop_unknown_runs(const worker_report& report);
     [[nodiscard]] bool has_run_elsewhere(record_number number, const task_record& record) const;
     [[nodiscard]] std::uint32_t next_run(const task_record& record) const;
