Jobs: Refuse by the time left to start and avoid failing workers

Change: a job is refused at once when the work before it leaves no time to start; a waiting task is returned once its late answer is of no use; agents report the share of failed runs, which counts against them.

--- a/src/libs/carobfall/jobs/agent_choice.cpp
+++ b/src/libs/carobfall/jobs/agent_choice.cpp
@@ -10,6 +10,8 @@
 constexpr double remote_data_factor = 1.5;
 // Scores that differ by less are the same within what is known of run times.
 constexpr double score_tolerance = 0.05;
+// Extra time counted for a worker that fails all runs; a worker with some failures gets less work.
+constexpr absl::Duration failing_penalty = absl::Seconds(1);
 // Extra time counted for a worker on which a task of the job has failed already.
 constexpr absl::Duration failed_before_penalty = absl::Seconds(2);
 
@@ -61,6 +63,7 @@
         const bool remote = !request.data_rack.empty() && agent.rack != request.data_rack;
         absl::Duration time = expected_wait(agent, request.demand) +
                               expected_run * agent.slowness * (remote ? remote_data_factor : 1.0);
+        time += failing_penalty * agent.failure_share;
         if (agent.avoided) {
             time += failed_before_penalty;
         }
--- a/src/libs/carobfall/jobs/agent_choice.h
+++ b/src/libs/carobfall/jobs/agent_choice.h
@@ -25,6 +25,8 @@
     resource_amounts capacity;
     resource_amounts free;      ///< negative with work that waits
     double waiting_core_ms{0};  ///< work of the orders that wait
+    double urgent_core_ms{0};   ///< part of it that has to start within 100 ms
+    double failure_share{0};    ///< of the latest runs
     double slowness{1};         ///< measured run time against the expected one
     std::uint32_t tasks_of_job{0};
     bool avoided{false};        ///< a task of this job has failed there
--- a/src/libs/carobfall/jobs/agent_service.cpp
+++ b/src/libs/carobfall/jobs/agent_service.cpp
@@ -412,6 +412,8 @@
     status.set_accepting(accepts_orders());
     status.set_orders_received(link.orders_received());
     status.set_waiting_core_ms(static_cast<std::uint64_t>(ledger_.waiting_core_ms()));
+    status.set_urgent_core_ms(static_cast<std::uint64_t>(ledger_.urgent_core_ms(now)));
+    status.set_failure_percent(static_cast<std::uint32_t>(ledger_.failure_share(now) * 100));
     status.set_slowness_percent(static_cast<std::uint32_t>(ledger_.slowness(now) * 100));
     if (!ledger_.worker()) {
         return;
--- a/src/libs/carobfall/jobs/entry_service.cpp
+++ b/src/libs/carobfall/jobs/entry_service.cpp
@@ -186,6 +186,8 @@
     view->capacity = amounts_of(status.capacity());
     view->free = amounts_of(status.free());
     view->waiting_core_ms = static_cast<double>(status.waiting_core_ms());
+    view->urgent_core_ms = static_cast<double>(status.urgent_core_ms());
+    view->failure_share = static_cast<double>(status.failure_percent()) / 100;
     view->slowness = std::max<double>(status.slowness_percent(), 1) / 100;
     for (const sent_order& order : peer.unreported) {
         count_order(*view, order.demand, order.core_ms);
--- a/src/libs/carobfall/jobs/job_dispatcher.cpp
+++ b/src/libs/carobfall/jobs/job_dispatcher.cpp
@@ -28,6 +28,8 @@
 constexpr absl::Duration predecessor_poll = absl::Milliseconds(10);
 // Longest pause of a job between two looks at the time.
 constexpr absl::Duration max_pause = absl::Milliseconds(250);
+// Jobs that have to start within this time wait only for work that agents report as urgent.
+constexpr absl::Duration urgent_start = absl::Milliseconds(150);
 // Agents connect within this time after a restart of the entry.
 constexpr absl::Duration retry_without_agents = absl::Seconds(1);
 
@@ -120,12 +122,21 @@
     return answer;
 }
 
+absl::Duration job_dispatcher::wait_of(const active_job& job, agent_view agent) const
+{
+    // Tasks with less time go first, so that an urgent job waits only for urgent work.
+    if (job.timing.start_by - job.arrival <= urgent_start) {
+        agent.waiting_core_ms = agent.urgent_core_ms;
+    }
+    return expected_wait(agent, job.request.demand);
+}
+
 absl::Duration job_dispatcher::least_wait(const active_job& job)
 {
     absl::Duration least = absl::InfiniteDuration();
     for (const agent_view& agent : agents_.agents()) {
         if (agent.usable && agent.service == job.request.service) {
-            least = std::min(least, expected_wait(agent, job.request.demand));
+            least = std::min(least, wait_of(job, agent));
         }
     }
     return least;
@@ -240,6 +251,8 @@
         static_cast<std::uint32_t>(absl::ToInt64Milliseconds(job.expected_run)));
     order.set_start_by_ms(
         static_cast<std::int32_t>(absl::ToInt64Milliseconds(job.timing.start_by - now)));
+    order.set_late_start_by_ms(
+        static_cast<std::int32_t>(absl::ToInt64Milliseconds(job.timing.late_start_by - now)));
     order.set_give_up_ms(
         static_cast<std::int32_t>(absl::ToInt64Milliseconds(job.timing.give_up - now)));
     return agents_.order(task.agent, std::move(order));
--- a/src/libs/carobfall/jobs/job_timing.h
+++ b/src/libs/carobfall/jobs/job_timing.h
@@ -10,6 +10,7 @@
 struct job_timing {
     absl::Duration objective; ///< response time objective
     absl::Time start_by;      ///< latest start of a task that meets the objective
+    absl::Time late_start_by; ///< latest start of a task whose late answer is of some use
     absl::Time give_up;       ///< after this nobody waits for the answer
 };
 
--- a/src/libs/carobfall/jobs/worker_ledger.cpp
+++ b/src/libs/carobfall/jobs/worker_ledger.cpp
@@ -13,6 +13,8 @@
 // Longer than an order without an answer can be on its way, so that run numbers keep rising.
 constexpr absl::Duration past_run_retention = absl::Seconds(30);
 // Pause after a refusal for want of room, about the time in which a run ends.
+// The kind of job with the least time to wait begins within this time.
+constexpr absl::Duration urgent_within = absl::Milliseconds(100);
 constexpr absl::Duration room_pause = absl::Milliseconds(20);
 
 resource_amounts demand_of(const fleet::task_order& order)
@@ -74,6 +76,7 @@
         acknowledged_end_ = 0;
         past_runs_.clear();
         speed_ = worker_speed();
+        failures_ = failure_rate();
     }
     worker_ = worker;
     if (worker.state == worker_state::draining) {
@@ -103,6 +106,7 @@
     record.demand = demand_of(order);
     record.received = now;
     record.start_by = now + absl::Milliseconds(order.start_by_ms());
+    record.late_start_by = now + absl::Milliseconds(order.late_start_by_ms());
     record.give_up = now + absl::Milliseconds(order.give_up_ms());
     const auto added = records_.emplace(++last_number_, std::move(record)).first;
     if (!worker_ || worker_->state != worker_state::ready) {
@@ -174,7 +178,8 @@
         const absl::Duration expected =
             absl::Milliseconds(current->second.order.expected_run_ms());
         if (current->second.phase == task_phase::waiting &&
-            !can_still_end(expected, now, current->second.give_up)) {
+            (current->second.late_start_by <= now ||
+             !can_still_end(expected, now, current->second.give_up))) {
             finish(current, fleet::task_not_run, "time_over", now);
         }
     }
@@ -348,6 +353,9 @@
         return;
     }
     const task_record& record = found->second;
+    if (end.kind == run_end_kind::done || end.kind == run_end_kind::failed) {
+        failures_.record(end.kind == run_end_kind::failed, now);
+    }
     if (end.kind == run_end_kind::done) {
         speed_.record(now - record.ordered_at,
                       absl::Milliseconds(record.order.expected_run_ms()), now);
@@ -453,10 +461,15 @@
 }
 
 double worker_ledger::waiting_core_ms() const
+{
+    return urgent_core_ms(absl::InfiniteFuture());
+}
+
+double worker_ledger::urgent_core_ms(absl::Time now) const
 {
     double sum = 0;
     for (const auto& [number, record] : records_) {
-        if (record.phase == task_phase::waiting) {
+        if (record.phase == task_phase::waiting && record.start_by < now + urgent_within) {
             sum += static_cast<double>(record.demand.cpu_millicores) *
                    record.order.expected_run_ms() / 1000;
         }
--- a/src/libs/carobfall/jobs/worker_ledger.h
+++ b/src/libs/carobfall/jobs/worker_ledger.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "carobfall/fleet/fleet.pb.h"
+#include "carobfall/jobs/failure_rate.h"
 #include "carobfall/jobs/run_queue.h"
 #include "carobfall/jobs/worker_orders.h"
 #include "carobfall/jobs/worker_speed.h"
@@ -37,6 +38,7 @@
     task_phase phase{task_phase::waiting};
     absl::Time received;
     absl::Time start_by;
+    absl::Time late_start_by;
     absl::Time give_up;
     absl::Time not_before{absl::InfinitePast()}; ///< after a refusal for want of room
     absl::Time ordered_at;
@@ -94,10 +96,13 @@
     [[nodiscard]] std::uint64_t acknowledged_end() const { return acknowledged_end_; }
     [[nodiscard]] resource_amounts free_room() const;
     [[nodiscard]] double waiting_core_ms() const;
+    /// Part of it that has to start within `urgent_within`.
+    [[nodiscard]] double urgent_core_ms(absl::Time now) const;
     [[nodiscard]] std::size_t waiting() const;
     /// Runs that are on the worker or may be.
     [[nodiscard]] std::size_t on_worker() const;
     [[nodiscard]] double slowness(absl::Time now) const { return speed_.slowness(now); }
+    [[nodiscard]] double failure_share(absl::Time now) const { return failures_.share(now); }
     [[nodiscard]] std::vector<session_event> take_events() { return std::exchange(events_, {}); }
     [[nodiscard]] bool has_events() const { return !events_.empty(); }
 
@@ -125,6 +130,7 @@
     // Highest run of tasks that ran here, so that a later order gets a higher one.
     std::map<task_key, std::pair<std::uint32_t, absl::Time>> past_runs_;
     worker_speed speed_;
+    failure_rate failures_;
     std::vector<session_event> events_;
 };
 
