Jobs: Place tasks where they are least late, not where they end first

Load pattern: workers of one kind take 1.35 times as long.

Change: delays within the slack of a task count as none; among agents where it is on time the one with most room gets it. Tasks of a higher priority go 100 ms before equally urgent ones of the next, and a job whose task has no useful start ends.

--- a/src/libs/carobfall/jobs/agent_choice.cpp
+++ b/src/libs/carobfall/jobs/agent_choice.cpp
@@ -8,6 +8,9 @@
 // Run time on a rack without the data of the task, against one with it; the platform's figure for
 // today's deployments, used only to compare workers.
 constexpr double remote_data_factor = 1.5;
+// A delay within this share of the slack is on time also if waits and speeds are a little worse than
+// known.
+constexpr double safe_share_of_slack = 0.6;
 // Scores that differ by less are the same within what is known of run times.
 constexpr double score_tolerance = 0.05;
 // Extra time counted for a worker that fails all runs; a worker with some failures gets less work.
@@ -49,7 +52,7 @@
 }
 
 std::optional<std::size_t> choose_agent(std::span<const agent_view> agents,
-                                        const job_request& request, absl::Duration expected_run,
+                                        const job_request& request, const task_time& time,
                                         const std::function<double()>& random)
 {
     std::optional<std::size_t> best;
@@ -61,14 +64,16 @@
             continue;
         }
         const bool remote = !request.data_rack.empty() && agent.rack != request.data_rack;
-        absl::Duration time = expected_wait(agent, request.demand) +
-                              expected_run * agent.slowness * (remote ? remote_data_factor : 1.0);
-        time += failing_penalty * agent.failure_share;
+        const double slowness = agent.slowness * (remote ? remote_data_factor : 1.0);
+        absl::Duration delay = expected_wait(agent, request.demand) +
+                               time.expected_run * (slowness - 1) +
+                               failing_penalty * agent.failure_share;
         if (agent.avoided) {
-            time += failed_before_penalty;
+            delay += failed_before_penalty;
         }
-        const double score = absl::ToDoubleMilliseconds(time);
-        const double room = free_share(agent) * (0.8 + 0.4 * random());
+        const double score = absl::ToDoubleMilliseconds(
+            std::max(delay - safe_share_of_slack * time.slack, absl::ZeroDuration()));
+        const double room = free_share(agent) * (0.8 + 0.4 * random()) / slowness;
         const bool clearly_better = score < best_score * (1 - score_tolerance);
         const bool as_good = score <= best_score * (1 + score_tolerance);
         if (!best || clearly_better || (as_good && room > best_room)) {
--- a/src/libs/carobfall/jobs/agent_choice.h
+++ b/src/libs/carobfall/jobs/agent_choice.h
@@ -35,12 +35,20 @@
 /// Wait until a task could start at the agent. 0 if there is room now.
 [[nodiscard]] absl::Duration expected_wait(const agent_view& agent, const resource_amounts& demand);
 
-/// The agent where the task is expected to end first; among equals the one with most room. Answers
-/// load that is known late and placed by several entries at once: `random` (0 to 1 at each call)
-/// makes entries with the same knowledge choose differently. Nothing if no agent can take the task.
+/// What placing needs to know of the time of a task.
+struct task_time {
+    absl::Duration expected_run;
+    absl::Duration slack; ///< the task may start this much later and still meet its objective
+};
+
+/// The agent where the task is expected to be least late; among those where it is on time, the one
+/// with most room, so that slower workers take their share while that harms nobody and the fast
+/// ones keep room for urgent tasks. Answers load that is known late and placed by several entries at
+/// once: `random` (0 to 1 at each call) makes entries with the same knowledge choose differently.
+/// Nothing if no agent can take the task.
 [[nodiscard]] std::optional<std::size_t> choose_agent(std::span<const agent_view> agents,
                                                       const job_request& request,
-                                                      absl::Duration expected_run,
+                                                      const task_time& time,
                                                       const std::function<double()>& random);
 
 } // namespace carobfall
--- a/src/libs/carobfall/jobs/job_dispatcher.cpp
+++ b/src/libs/carobfall/jobs/job_dispatcher.cpp
@@ -174,7 +174,9 @@
             co_return co_await end(job, job_outcome::unknown, "tasks_too_long");
         }
         const bool too_late_to_start =
-            any_unplaced(*job) && !can_still_end(job->expected_run, now, job->timing.give_up);
+            any_unplaced(*job) &&
+            (now >= job->timing.late_start_by ||
+             !can_still_end(job->expected_run, now, job->timing.give_up));
         if (now >= job->timing.give_up || too_late_to_start) {
             co_return co_await end(job, job_outcome::unknown, "time_over");
         }
@@ -230,7 +232,8 @@
         }
     }
     const std::optional<std::size_t> chosen =
-        choose_agent(agents, job.request, job.expected_run, [this] { return random(); });
+        choose_agent(agents, job.request, {job.expected_run, job.timing.start_by - now},
+                     [this] { return random(); });
     if (!chosen) {
         return false;
     }
--- a/src/libs/carobfall/jobs/run_queue.cpp
+++ b/src/libs/carobfall/jobs/run_queue.cpp
@@ -5,6 +5,9 @@
 namespace carobfall {
 namespace {
 
+// Time by which tasks of one priority go before equally urgent ones of the next.
+constexpr absl::Duration priority_head_start = absl::Milliseconds(100);
+
 bool goes_before(const waiting_task& left, const waiting_task& right, absl::Time now)
 {
     const bool left_late = left.start_by < now;
@@ -15,7 +18,8 @@
     if (left_late) {
         return std::tie(left.priority, left.received) < std::tie(right.priority, right.received);
     }
-    return left.start_by < right.start_by;
+    return left.start_by + left.priority * priority_head_start <
+           right.start_by + right.priority * priority_head_start;
 }
 
 } // namespace
