Jobs: Let smaller tasks pass one that does not fit

Load pattern: a full worker has room in pieces; the first of the queue held back tasks that would have fitted.

--- a/src/libs/carobfall/jobs/run_queue.h
+++ b/src/libs/carobfall/jobs/run_queue.h
@@ -23,8 +23,8 @@
 ///
 /// Answers short overloads: tasks that can still meet their objective go first, the most urgent one
 /// before the others, so that a kind with a long objective yields to one with a short one without
-/// being starved. Tasks that are late already follow by the operators' priority. A task that doesn't
-/// fit holds back those behind it, so that large tasks are not passed over for ever.
+/// being starved. Tasks that are late already follow by the operators' priority. Smaller
+/// tasks may pass one that doesn't fit, because the room of a full worker is in small pieces.
 [[nodiscard]] std::optional<std::size_t> next_task(std::span<const waiting_task> waiting,
                                                    const resource_amounts& room, absl::Time now);
 
