Agent: Recall the worker from the store after a restart

Load pattern: all processes are killed, callers go on. A restarted agent waited up to 1.5 s for its worker's heartbeat before it took orders.

Change: the agent keeps what its worker announced in the store, before it acknowledges a change, and uses it until the next heartbeat if the worker says that it is the same.

--- a/src/libs/carobfall/base/async_http_client.h
+++ b/src/libs/carobfall/base/async_http_client.h
@@ -20,7 +20,7 @@
     boost::beast::http::verb method{boost::beast::http::verb::get};
     std::string target;
     std::vector<std::pair<std::string, std::string>> headers;
-    std::string body; ///< JSON; empty: none
+    std::string body;     ///< JSON; empty: none
     absl::Duration limit; ///< for the whole call
 };
 
--- a/src/libs/carobfall/base/async_http_server.cpp
+++ b/src/libs/carobfall/base/async_http_server.cpp
@@ -117,8 +117,8 @@
 {
     while (true) {
         boost::system::error_code error;
-        asio::ip::tcp::socket socket = co_await acceptor.async_accept(
-            asio::redirect_error(asio::use_awaitable, error));
+        asio::ip::tcp::socket socket =
+            co_await acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
         if (error) {
             // Without free descriptors the same error would come back at once.
             asio::steady_timer pause(executor_, timer_duration(accept_retry_pause));
--- a/src/libs/carobfall/base/event_log.cpp
+++ b/src/libs/carobfall/base/event_log.cpp
@@ -24,8 +24,8 @@
 } // namespace
 
 event_log::event_log(std::string_view process, std::string_view data_centre)
-    : suffix_(absl::StrCat(" process=", to_absl(process), " data_centre=",
-                           to_absl(data_centre), "\n"))
+    : suffix_(
+          absl::StrCat(" process=", to_absl(process), " data_centre=", to_absl(data_centre), "\n"))
 {}
 
 void event_log::write(const log_fields& fields, absl::Time now)
--- a/src/libs/carobfall/fleet/endpoint.cpp
+++ b/src/libs/carobfall/fleet/endpoint.cpp
@@ -13,8 +13,9 @@
 {
     const std::size_t colon = text.rfind(':');
     std::uint32_t port = 0;
-    if (colon == std::string_view::npos || !absl::SimpleAtoi(to_absl(text.substr(colon + 1)), &port) ||
-        port == 0 || port > std::numeric_limits<std::uint16_t>::max()) {
+    if (colon == std::string_view::npos ||
+        !absl::SimpleAtoi(to_absl(text.substr(colon + 1)), &port) || port == 0 ||
+        port > std::numeric_limits<std::uint16_t>::max()) {
         return std::nullopt;
     }
     boost::system::error_code error;
--- a/src/libs/carobfall/fleet/frame_channel.cpp
+++ b/src/libs/carobfall/fleet/frame_channel.cpp
@@ -94,8 +94,7 @@
 {
     boost::system::error_code ignored; // the options only speed up the detection of lost peers
     socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-    using user_timeout =
-        asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+    using user_timeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
     socket.set_option(user_timeout(unacknowledged_limit_ms), ignored);
 }
 
--- a/src/libs/carobfall/jobs/agent_choice.cpp
+++ b/src/libs/carobfall/jobs/agent_choice.cpp
@@ -8,8 +8,8 @@
 // Run time on a rack without the data of the task, against one with it; the platform's figure for
 // today's deployments, used only to compare workers.
 constexpr double remote_data_factor = 1.5;
-// A delay within this share of the slack is on time also if waits and speeds are a little worse than
-// known.
+// A delay within this share of the slack is on time also if waits and speeds are a little worse
+// than known.
 constexpr double safe_share_of_slack = 0.6;
 // Scores that differ by less are the same within what is known of run times.
 constexpr double score_tolerance = 0.05;
--- a/src/libs/carobfall/jobs/agent_service.cpp
+++ b/src/libs/carobfall/jobs/agent_service.cpp
@@ -39,8 +39,13 @@
 agent_service::agent_service(const asio::any_io_executor& executor, process_identity identity,
                              worker_orders& orders, operator_view& operators, event_log& log,
                              metrics_registry& metrics)
-    : executor_(executor), identity_(std::move(identity)), orders_(orders), operators_(operators),
-      log_(log), metrics_(metrics), worker_known_(executor)
+    : executor_(executor),
+      identity_(std::move(identity)),
+      orders_(orders),
+      operators_(operators),
+      log_(log),
+      metrics_(metrics),
+      worker_known_(executor)
 {
     operators_.on_change([this] {
         const absl::Time now = boot_now();
@@ -65,22 +70,23 @@
         executor_, [this]() -> asio::awaitable<void> { co_await watch_time(); }, asio::detached);
 }
 
-bool agent_service::announce(const worker_announcement& worker)
+announcement_effect agent_service::announce(const worker_announcement& worker)
 {
     const absl::Time now = boot_now();
     const std::optional<worker_announcement> before = ledger_.worker();
     if (!ledger_.announce(worker, now)) {
-        return false;
+        return announcement_effect::ignored;
     }
-    const bool restarted = !before || before->id != worker.id ||
-                           before->started_unix_ms != worker.started_unix_ms;
+    const bool restarted =
+        !before || before->id != worker.id || before->started_unix_ms != worker.started_unix_ms;
     if (restarted) {
         orders_.set_target(worker);
         fencing_token_.reset();
         settled_ = false;
         worker_known_.notify();
     }
-    if (restarted || before->state != worker.state) {
+    const bool changed = restarted || before->state != worker.state;
+    if (changed) {
         log_.write(log_fields("worker_announced")
                        .add("worker", worker.id)
                        .add("service", worker.service)
@@ -91,7 +97,15 @@
         status_changed_ = true;
     }
     advance(now);
-    return true;
+    return changed ? announcement_effect::changed : announcement_effect::repeated;
+}
+
+void agent_service::recall(const worker_announcement& worker)
+{
+    // The next heartbeat is later than what was kept.
+    if (!ledger_.worker() && announce(worker) == announcement_effect::changed) {
+        log_.write(log_fields("worker_recalled").add("worker", worker.id), boot_now());
+    }
 }
 
 void agent_service::worker_left(std::string_view id)
@@ -256,6 +270,11 @@
         note_clock(reply.clock, now);
         const bool same_worker = ledger_.worker() && ledger_.worker()->id == worker &&
                                  ledger_.worker()->started_unix_ms == started;
+        if (reply.outcome == renewal_outcome::renewed && same_worker &&
+            reply.report.started_unix_ms != 0 && reply.report.started_unix_ms != started) {
+            forget_worker(worker, now);
+            continue;
+        }
         if (reply.outcome == renewal_outcome::renewed && same_worker) {
             ledger_.on_report(reply.report, asked_at, now);
             status_changed_ = status_changed_ || !settled_ || !worker_reachable_;
@@ -269,17 +288,29 @@
         if (reply.outcome == renewal_outcome::fenced) {
             fencing_token_.reset();
         }
+        if (reply.outcome == renewal_outcome::other_incarnation && same_worker) {
+            forget_worker(worker, now);
+            continue;
+        }
         check_lapse(now);
         asio::steady_timer pause(executor_, timer_duration(renewal_retry_pause));
         co_await pause.async_wait(asio::use_awaitable);
     }
 }
 
+void agent_service::forget_worker(const std::string& id, absl::Time now)
+{
+    // Its runs have ended with it; the worker that is there announces itself.
+    log_.write(log_fields("worker_replaced").add("worker", id), now);
+    ledger_.remove_worker(id, now);
+    status_changed_ = true;
+    advance(now);
+}
+
 void agent_service::check_lapse(absl::Time now)
 {
     constexpr double clock_rate_margin = 1.02;
-    const absl::Time lapsed =
-        lease_until_ + worker_lease * (clock_rate_margin - 1) + lapse_margin;
+    const absl::Time lapsed = lease_until_ + worker_lease * (clock_rate_margin - 1) + lapse_margin;
     if (now < lapsed || !worker_reachable_) {
         return;
     }
--- a/src/libs/carobfall/jobs/agent_service.h
+++ b/src/libs/carobfall/jobs/agent_service.h
@@ -27,6 +27,12 @@
     std::string data_centre;
 };
 
+enum class announcement_effect {
+    ignored, ///< late, or of a worker that has left
+    repeated,
+    changed, ///< another worker, or another state of it
+};
+
 /// The process beside one worker: takes orders of entries, gives orders to the worker and keeps its
 /// lease alive. All tasks run on one thread.
 class agent_service {
@@ -37,8 +43,11 @@
 
     /// Starts the tasks that renew the lease and watch the time.
     void start();
-    /// The worker's heartbeat. False if it says nothing new, for example because it is late.
-    bool announce(const worker_announcement& worker);
+    /// The worker's heartbeat.
+    announcement_effect announce(const worker_announcement& worker);
+    /// What an earlier agent knew of the worker. Counts until a heartbeat comes, and only if the
+    /// worker is still the same one.
+    void recall(const worker_announcement& worker);
     void worker_left(std::string_view id);
     /// Connects to entries that were not known.
     void learn_entries(const std::vector<std::string>& addresses);
@@ -65,6 +74,7 @@
     void fill_status(fleet::agent_status& status, const entry_link& link, absl::Time now) const;
     void note_clock(const std::optional<worker_time>& clock, absl::Time now);
     void check_lapse(absl::Time now);
+    void forget_worker(const std::string& id, absl::Time now);
     [[nodiscard]] worker_time lease_end(absl::Time now) const;
     [[nodiscard]] bool accepts_orders() const;
     [[nodiscard]] entry_link* link_of(session_number session) const;
@@ -83,7 +93,7 @@
     async_event worker_known_;
 
     std::optional<std::int64_t> fencing_token_;
-    std::int64_t worker_clock_offset_ms_{0}; ///< worker's clock less ours
+    std::int64_t worker_clock_offset_ms_{0};       ///< worker's clock less ours
     absl::Time lease_until_{absl::InfinitePast()}; ///< end of the last lease that was asked for
     bool settled_{false}; ///< a report has shown that nothing of an earlier agent runs
     bool worker_reachable_{true};
--- a/src/libs/carobfall/jobs/entry_link.cpp
+++ b/src/libs/carobfall/jobs/entry_link.cpp
@@ -51,8 +51,8 @@
     const std::shared_ptr<frame_channel> channel = channel_;
     fleet::entry_frame frame;
     while (co_await channel->read(frame)) {
-        permitted_until_ = std::max(permitted_until_,
-                                    absl::FromUnixMicros(frame.echo_us()) + entry_permission);
+        permitted_until_ =
+            std::max(permitted_until_, absl::FromUnixMicros(frame.echo_us()) + entry_permission);
         entry_name_ = frame.entry();
         orders_received_ += static_cast<std::uint64_t>(frame.orders_size());
         operator_version_ = std::max(operator_version_, frame.operator_version());
--- a/src/libs/carobfall/jobs/entry_link.h
+++ b/src/libs/carobfall/jobs/entry_link.h
@@ -17,8 +17,8 @@
 namespace carobfall {
 
 /// Longest time without a frame from an entry for which the agent goes on with its tasks. Callers
-/// send a job again 1.3 s after they have lost their entry; until then the runs have to be gone, the
-/// time for stop orders and for an ended worker lease included.
+/// send a job again 1.3 s after they have lost their entry; until then the runs have to be gone,
+/// the time for stop orders and for an ended worker lease included.
 inline constexpr absl::Duration entry_permission = absl::Milliseconds(500);
 
 /// Connection of the agent to one entry, made again whenever it ends.
@@ -39,9 +39,9 @@
     void send(fleet::agent_frame& frame, absl::Time now);
     void close();
 
-    /// Whether the entry has been heard recently enough to start its tasks. The time counts from the
-    /// sending of the frame that the entry has echoed, so that frames that were held up on their way
-    /// don't prolong it.
+    /// Whether the entry has been heard recently enough to start its tasks. The time counts from
+    /// the sending of the frame that the entry has echoed, so that frames that were held up on
+    /// their way don't prolong it.
     [[nodiscard]] bool permits_starts(absl::Time now) const
     {
         return is_open() && now < permitted_until_;
--- a/src/libs/carobfall/jobs/entry_service.cpp
+++ b/src/libs/carobfall/jobs/entry_service.cpp
@@ -46,8 +46,12 @@
 entry_service::entry_service(const asio::any_io_executor& executor, std::string name,
                              std::string address, operator_view& operators, event_log& log,
                              metrics_registry& metrics)
-    : executor_(executor), name_(std::move(name)), operators_(operators), log_(log),
-      metrics_(metrics), entries_{std::move(address)}
+    : executor_(executor),
+      name_(std::move(name)),
+      operators_(operators),
+      log_(log),
+      metrics_(metrics),
+      entries_{std::move(address)}
 {
     operators_.on_change([this] {
         refresh_usable();
@@ -78,8 +82,8 @@
     acceptor.listen(listen_backlog);
     while (true) {
         boost::system::error_code error;
-        asio::ip::tcp::socket socket = co_await acceptor.async_accept(
-            asio::redirect_error(asio::use_awaitable, error));
+        asio::ip::tcp::socket socket =
+            co_await acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
         if (error) {
             // Without free descriptors the same error would come back at once.
             log_.write(log_fields("accept_failed").add("error", error.message()), boot_now());
--- a/src/libs/carobfall/jobs/job_dispatcher.cpp
+++ b/src/libs/carobfall/jobs/job_dispatcher.cpp
@@ -45,16 +45,14 @@
 
 bool all_done(const active_job& job)
 {
-    return std::all_of(job.tasks.begin(), job.tasks.end(), [](const job_task& task) {
-        return task.phase == job_task_phase::done;
-    });
+    return std::all_of(job.tasks.begin(), job.tasks.end(),
+                       [](const job_task& task) { return task.phase == job_task_phase::done; });
 }
 
 bool any_unplaced(const active_job& job)
 {
-    return std::any_of(job.tasks.begin(), job.tasks.end(), [](const job_task& task) {
-        return task.phase == job_task_phase::unplaced;
-    });
+    return std::any_of(job.tasks.begin(), job.tasks.end(),
+                       [](const job_task& task) { return task.phase == job_task_phase::unplaced; });
 }
 
 std::string_view name_of(job_outcome outcome)
@@ -94,8 +92,7 @@
 {
     auto job = std::make_shared<active_job>(executor_, std::move(request));
     job->arrival = boot_now();
-    job->expected_run =
-        run_times_.expected(job->request.route, job->request.declared_run_time);
+    job->expected_run = run_times_.expected(job->request.route, job->request.declared_run_time);
     job->timing = timing_of(job->request, job->expected_run, job->arrival);
     job->tasks.resize(job->request.task_count);
     return job;
@@ -106,8 +103,8 @@
     asio::steady_timer timer(executor_);
     for (auto found = jobs_.find(job.request.id); found != jobs_.end();
          found = jobs_.find(job.request.id)) {
-        // The caller has sent the job again: it no longer waits for the earlier answer, and two runs
-        // of a task must not overlap.
+        // The caller has sent the job again: it no longer waits for the earlier answer, and two
+        // runs of a task must not overlap.
         abandon(*found->second);
         timer.expires_after(timer_duration(predecessor_poll));
         co_await timer.async_wait(asio::use_awaitable);
@@ -174,14 +171,13 @@
             co_return co_await end(job, job_outcome::unknown, "tasks_too_long");
         }
         const bool too_late_to_start =
-            any_unplaced(*job) &&
-            (now >= job->timing.late_start_by ||
-             !can_still_end(job->expected_run, now, job->timing.give_up));
+            any_unplaced(*job) && (now >= job->timing.late_start_by ||
+                                   !can_still_end(job->expected_run, now, job->timing.give_up));
         if (now >= job->timing.give_up || too_late_to_start) {
             co_return co_await end(job, job_outcome::unknown, "time_over");
         }
-        const bool hopeless = std::any_of(
-            job->tasks.begin(), job->tasks.end(), [&](const job_task& task) {
+        const bool hopeless =
+            std::any_of(job->tasks.begin(), job->tasks.end(), [&](const job_task& task) {
                 return task.phase == job_task_phase::lost && task.gone_at > job->timing.give_up;
             });
         if (hopeless) {
@@ -395,8 +391,7 @@
             executor_,
             [this, job]() -> asio::awaitable<void> {
                 while (has_open_tasks(*job)) {
-                    co_await job->changed.wait_for(
-                        timer_duration(next_check(*job) - boot_now()));
+                    co_await job->changed.wait_for(timer_duration(next_check(*job) - boot_now()));
                     release_lost_tasks(*job, boot_now());
                 }
                 settle(job->request.id);
@@ -432,8 +427,8 @@
                    .add("took_ms", absl::ToInt64Milliseconds(now - job.arrival))
                    .add("retry_after_ms", absl::ToInt64Milliseconds(answer.retry_after)),
                now);
-    metrics_.add(absl::StrCat("jobs_total{outcome=\"", to_absl(name_of(answer.outcome)), "\",reason=\"",
-                              answer.reason, "\"}"));
+    metrics_.add(absl::StrCat("jobs_total{outcome=\"", to_absl(name_of(answer.outcome)),
+                              "\",reason=\"", answer.reason, "\"}"));
     metrics_.distribution("job_seconds").record(absl::ToDoubleSeconds(now - job.arrival));
 }
 
--- a/src/libs/carobfall/jobs/job_dispatcher.h
+++ b/src/libs/carobfall/jobs/job_dispatcher.h
@@ -60,8 +60,8 @@
     async_event settled;
 };
 
-/// Runs jobs: places their tasks on agents, places them again when an agent returns them or is lost,
-/// and ends the job when its answer is known or nobody waits for it any more.
+/// Runs jobs: places their tasks on agents, places them again when an agent returns them or is
+/// lost, and ends the job when its answer is known or nobody waits for it any more.
 class job_dispatcher {
 public:
     job_dispatcher(const boost::asio::any_io_executor& executor, entry_service& agents,
--- a/src/libs/carobfall/jobs/job_timing.cpp
+++ b/src/libs/carobfall/jobs/job_timing.cpp
@@ -24,8 +24,8 @@
     job_timing timing;
     timing.objective = request.slack_factor * expected_run + request.target;
     timing.give_up = arrival + request.time_limit;
-    timing.start_by = std::min(arrival + timing.objective, timing.give_up) - expected_run -
-                      answer_overhead;
+    timing.start_by =
+        std::min(arrival + timing.objective, timing.give_up) - expected_run - answer_overhead;
     timing.late_start_by =
         std::min(arrival + late_factor * timing.objective, timing.give_up) - expected_run;
     return timing;
--- a/src/libs/carobfall/jobs/job_timing.h
+++ b/src/libs/carobfall/jobs/job_timing.h
@@ -18,8 +18,8 @@
 [[nodiscard]] job_timing timing_of(const job_request& request, absl::Duration expected_run,
                                    absl::Time arrival);
 
-/// Whether a task that begins at `start` may end before `give_up`, if its run time is not longer than
-/// the shortest that the expected one stands for.
+/// Whether a task that begins at `start` may end before `give_up`, if its run time is not longer
+/// than the shortest that the expected one stands for.
 [[nodiscard]] bool can_still_end(absl::Duration expected_run, absl::Time start, absl::Time give_up);
 
 /// What is decided on a job before any of its tasks is ordered.
@@ -30,8 +30,8 @@
 
 /// Answers load beyond the room of all workers: a job whose tasks can't begin early enough to be
 /// answered within the caller's time is refused before it takes room from others. The time to come
-/// back covers the work that waits, and is spread by `random` (0 to 1) so that refused callers don't
-/// return together.
+/// back covers the work that waits, and is spread by `random` (0 to 1) so that refused callers
+/// don't return together.
 [[nodiscard]] admission_decision admit(const job_timing& timing, absl::Duration expected_run,
                                        absl::Duration expected_wait, absl::Time now, double random);
 
--- a/src/libs/carobfall/jobs/operator_view.h
+++ b/src/libs/carobfall/jobs/operator_view.h
@@ -27,7 +27,8 @@
     [[nodiscard]] bool has_configuration() const { return state_.configuration_version() > 0; }
     [[nodiscard]] bool is_out(std::string_view data_centre) const;
     /// The route with the longest prefix that `path` begins with. Null if there is none.
-    [[nodiscard]] const fleet::route* find_route(std::string_view host, std::string_view path) const;
+    [[nodiscard]] const fleet::route* find_route(std::string_view host,
+                                                 std::string_view path) const;
 
 private:
     void index_routes();
--- a/src/libs/carobfall/jobs/run_progress.cpp
+++ b/src/libs/carobfall/jobs/run_progress.cpp
@@ -31,8 +31,7 @@
 bool ends_too_late(const run_progress& run, absl::Time now)
 {
     const std::optional<absl::Duration> predicted = predicted_run(run, now);
-    return predicted &&
-           run.ordered_at + *predicted * (1 - prediction_tolerance) > run.give_up;
+    return predicted && run.ordered_at + *predicted * (1 - prediction_tolerance) > run.give_up;
 }
 
 } // namespace carobfall
--- a/src/libs/carobfall/jobs/run_progress.h
+++ b/src/libs/carobfall/jobs/run_progress.h
@@ -17,9 +17,9 @@
 /// The whole run time if the run goes on as before. Nothing as long as too little is seen.
 [[nodiscard]] std::optional<absl::Duration> predicted_run(const run_progress& run, absl::Time now);
 
-/// Whether the run should be stopped because it would end after its caller has left. Answers workers
-/// that hang or have turned slow, where another worker may still end the task in time, and tasks
-/// that are far longer than declared, whose caller is told at once.
+/// Whether the run should be stopped because it would end after its caller has left. Answers
+/// workers that hang or have turned slow, where another worker may still end the task in time, and
+/// tasks that are far longer than declared, whose caller is told at once.
 [[nodiscard]] bool ends_too_late(const run_progress& run, absl::Time now);
 
 } // namespace carobfall
--- a/src/libs/carobfall/jobs/run_queue.cpp
+++ b/src/libs/carobfall/jobs/run_queue.cpp
@@ -29,7 +29,8 @@
 {
     std::optional<std::size_t> first;
     for (std::size_t i = 0; i < waiting.size(); ++i) {
-        if (waiting[i].startable && waiting[i].demand.fits_into(room) && (!first || goes_before(waiting[i], waiting[*first], now))) {
+        if (waiting[i].startable && waiting[i].demand.fits_into(room) &&
+            (!first || goes_before(waiting[i], waiting[*first], now))) {
             first = i;
         }
     }
--- a/src/libs/carobfall/jobs/run_time_estimator.cpp
+++ b/src/libs/carobfall/jobs/run_time_estimator.cpp
@@ -43,8 +43,8 @@
         return declared;
     }
     const double corrected = log_seconds(declared) + found->second.log_correction;
-    return absl::Seconds(std::exp(declared_weight * corrected +
-                                  (1 - declared_weight) * found->second.log_run));
+    return absl::Seconds(
+        std::exp(declared_weight * corrected + (1 - declared_weight) * found->second.log_run));
 }
 
 } // namespace carobfall
--- a/src/libs/carobfall/jobs/worker_ledger.cpp
+++ b/src/libs/carobfall/jobs/worker_ledger.cpp
@@ -63,8 +63,8 @@
     if (worker.id == left_id_ && worker.started_unix_ms <= left_started_unix_ms_) {
         return false;
     }
-    const bool same = worker_ && worker_->id == worker.id &&
-                      worker_->started_unix_ms == worker.started_unix_ms;
+    const bool same =
+        worker_ && worker_->id == worker.id && worker_->started_unix_ms == worker.started_unix_ms;
     if (same && worker.sequence <= worker_->sequence) {
         return false;
     }
@@ -175,8 +175,7 @@
 {
     for (auto record = records_.begin(); record != records_.end();) {
         const auto current = record++;
-        const absl::Duration expected =
-            absl::Milliseconds(current->second.order.expected_run_ms());
+        const absl::Duration expected = absl::Milliseconds(current->second.order.expected_run_ms());
         if (current->second.phase == task_phase::waiting &&
             (current->second.late_start_by <= now ||
              !can_still_end(expected, now, current->second.give_up))) {
@@ -203,8 +202,8 @@
         if (kind == fleet::task_done || task.predicted_run > absl::ZeroDuration()) {
             const absl::Duration run =
                 kind == fleet::task_done ? now - task.ordered_at : task.predicted_run;
-            event.event.set_run_ms(
-                static_cast<std::uint32_t>(std::max<std::int64_t>(absl::ToInt64Milliseconds(run), 0)));
+            event.event.set_run_ms(static_cast<std::uint32_t>(
+                std::max<std::int64_t>(absl::ToInt64Milliseconds(run), 0)));
         }
         events_.push_back(std::move(event));
     }
@@ -357,8 +356,8 @@
         failures_.record(end.kind == run_end_kind::failed, now);
     }
     if (end.kind == run_end_kind::done) {
-        speed_.record(now - record.ordered_at,
-                      absl::Milliseconds(record.order.expected_run_ms()), now);
+        speed_.record(now - record.ordered_at, absl::Milliseconds(record.order.expected_run_ms()),
+                      now);
     }
     finish(found, event_kind_of(end.kind), reason_of(end.kind), now);
 }
@@ -414,9 +413,9 @@
     for (auto record = records_.begin(); record != records_.end();) {
         const auto current = record++;
         const task_record& task = current->second;
-        const bool settled = (task.phase == task_phase::running ||
-                              task.phase == task_phase::stopping) &&
-                             task.answered_at < asked_at;
+        const bool settled =
+            (task.phase == task_phase::running || task.phase == task_phase::stopping) &&
+            task.answered_at < asked_at;
         const bool active =
             std::any_of(report.active.begin(), report.active.end(),
                         [&](const active_run& run) { return run.task == run_of(task); });
@@ -480,9 +479,8 @@
 std::size_t worker_ledger::waiting() const
 {
     return static_cast<std::size_t>(
-        std::count_if(records_.begin(), records_.end(), [](const auto& entry) {
-            return entry.second.phase == task_phase::waiting;
-        }));
+        std::count_if(records_.begin(), records_.end(),
+                      [](const auto& entry) { return entry.second.phase == task_phase::waiting; }));
 }
 
 std::size_t worker_ledger::on_worker() const
--- a/src/libs/carobfall/jobs/worker_ledger.h
+++ b/src/libs/carobfall/jobs/worker_ledger.h
@@ -54,8 +54,8 @@
     fleet::task_event event;
 };
 
-/// The agent's record of every task that it has been given and every run on its worker. The agent is
-/// the only one that gives orders to the worker, so that this is the whole truth about its room.
+/// The agent's record of every task that it has been given and every run on its worker. The agent
+/// is the only one that gives orders to the worker, so that this is the whole truth about its room.
 ///
 /// A task is reported as ended or not run only when no run of it is left on the worker and none can
 /// appear: an order without an answer may be carried out seconds later.
@@ -63,8 +63,8 @@
 public:
     using record_number = std::uint64_t;
 
-    /// Takes over what the worker says of itself. Runs of an earlier incarnation have ended with it.
-    /// False if the announcement is older than what is known.
+    /// Takes over what the worker says of itself. Runs of an earlier incarnation have ended with
+    /// it. False if the announcement is older than what is known.
     bool announce(const worker_announcement& worker, absl::Time now);
     /// The worker has left: its runs have ended.
     void remove_worker(std::string_view id, absl::Time now);
