--- /dev/null
+++ b/tests/auto/adapter/tst_platform_settings.cpp
@@ -0,0 +1,76 @@
+#include "platform/platform_settings.h"
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+#include <rapidcheck.h>
+
+#include <string>
+
+using namespace carobfall;
+using namespace carobfall::platform;
+using nlohmann::json;
+
+namespace {
+
+json entry_settings_document()
+{
+    return {
+        {"node_name", "edge-1"},
+        {"ip", "10.1.0.13"},
+        {"zone", "mapo"},
+        {"listen_addrs",
+         {{"front", "10.1.0.13:8161"}, {"ready", "10.1.0.13:8167"}, {"control", "10.1.0.13:8166"}}},
+        {"internal_port_range", {7720, 7735}},
+        {"seeds", {"10.1.0.13:8166", "10.2.0.30:8166"}},
+        {"limits", {{"max_fds", 4100}}},
+        {"platform", {{"address", "10.200.1.7:8169"}}}};
+}
+
+} // namespace
+
+TEST_CASE("the settings of an entry are decoded")
+{
+    const auto settings = parse_settings(entry_settings_document().dump(), process_role::entry);
+    REQUIRE(settings);
+    CHECK(settings.value().name == "edge-1");
+    CHECK(settings.value().link_port == 7720);
+    CHECK(settings.value().metrics_port == 7721);
+    CHECK(settings.value().callers->port() == 8161);
+    CHECK(settings.value().store.port() == 8169);
+    CHECK(settings.value().entry_ips == std::vector<std::string>{"10.1.0.13", "10.2.0.30"});
+}
+
+TEST_CASE("the settings of an agent name its worker")
+{
+    json document = entry_settings_document();
+    document["listen_addrs"] = {{"control", "10.1.0.14:8166"}};
+    CHECK_FALSE(parse_settings(document.dump(), process_role::agent));
+    document["app"] = "10.1.0.14:8165";
+    const auto settings = parse_settings(document.dump(), process_role::agent);
+    REQUIRE(settings);
+    CHECK(settings.value().worker->port() == 8165);
+    CHECK(settings.value().announcements->port() == 8166);
+}
+
+// Guards against a process that runs with half of its settings.
+TEST_CASE("settings without a needed field are refused with the remedy")
+{
+    for (const char* field :
+         {"node_name", "ip", "zone", "listen_addrs", "internal_port_range", "platform"}) {
+        json document = entry_settings_document();
+        document.erase(field);
+        const auto settings = parse_settings(document.dump(), process_role::entry);
+        REQUIRE_FALSE(settings);
+        CHECK(settings.error().message.find(field) != std::string::npos);
+        CHECK_FALSE(settings.error().remedy.empty());
+        document[field] = 5;
+        CHECK_FALSE(parse_settings(document.dump(), process_role::entry));
+    }
+}
+
+TEST_CASE("any bytes are refused without a crash")
+{
+    CHECK(rc::check([](const std::string& text) {
+        static_cast<void>(parse_settings(text, process_role::agent));
+    }));
+}
--- /dev/null
+++ b/tests/auto/adapter/tst_worker_messages.cpp
@@ -0,0 +1,107 @@
+#include "platform/worker_client.h"
+#include "platform/worker_listener.h"
+#include "platform/worker_memory.h"
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+#include <rapidcheck.h>
+
+#include <string>
+
+using namespace carobfall;
+using namespace carobfall::platform;
+using nlohmann::json;
+
+namespace {
+
+json heartbeat()
+{
+    return {{"service", "s1"},
+            {"address", "10.128.0.9:8080"},
+            {"zone", "mapo"},
+            {"version", "v1"},
+            {"slots", 8},
+            {"state", "ready"},
+            {"capacity", {{"cpu", 64000}, {"mem_mb", 262144}, {"gpu", 0}}},
+            {"labels", {"a", "r1-3"}},
+            {"born", 1784783156666},
+            {"sequence", 4}};
+}
+
+} // namespace
+
+TEST_CASE("a heartbeat tells what the worker is")
+{
+    const auto worker = decode_heartbeat("i-1", heartbeat().dump());
+    REQUIRE(worker);
+    CHECK(worker->id == "i-1");
+    CHECK(worker->capacity.cpu_millicores == 64000);
+    CHECK(worker->rack == "r1-3");
+    CHECK(worker->started_unix_ms == 1784783156666);
+    CHECK(worker->state == worker_state::ready);
+}
+
+// Guards against a worker that is used on the word of another writer.
+TEST_CASE("a heartbeat with missing, mistyped or unknown fields names no worker")
+{
+    for (const char* field : {"service", "zone", "state", "capacity", "sequence"}) {
+        json document = heartbeat();
+        document.erase(field);
+        CHECK_FALSE(decode_heartbeat("i-1", document.dump()));
+        document[field] = json::array({1});
+        CHECK_FALSE(decode_heartbeat("i-1", document.dump()));
+    }
+    json document = heartbeat();
+    document["state"] = "resting";
+    CHECK_FALSE(decode_heartbeat("i-1", document.dump()));
+    CHECK_FALSE(decode_heartbeat("", heartbeat().dump()));
+}
+
+TEST_CASE("names of tasks are read back")
+{
+    const task_run run{"00000000000000aa", 17, 3};
+    CHECK(task_name(run) == "00000000000000aa.0.0.17");
+    CHECK(parse_task_name(task_name(run), 3) == run);
+    CHECK_FALSE(parse_task_name("00000000000000aa.0.17", 3));
+    CHECK_FALSE(parse_task_name("00000000000000aa.0.0.x", 3));
+    CHECK_FALSE(parse_task_name(task_name(run), -1));
+}
+
+TEST_CASE("the lists of a lease renewal are decoded and bad rows left out")
+{
+    const worker_report report = decode_report(
+        R"({"clock_ms":482113,"born":12,"active":[["5c0e7a21d94b36f8.0.0.17",2,"",41],["x",1]],
+            "finished":[[58,"5c0e7a21d94b36f8.0.0.9",1,"done",""],[59,"5c0e7a21d94b36f8.0.0.8",1],
+                        [60,"5c0e7a21d94b36f8.0.0.7",1,"lapsed",""]]})");
+    CHECK(report.clock == 482113);
+    CHECK(report.started_unix_ms == 12);
+    REQUIRE(report.active.size() == 1);
+    CHECK(report.active[0].percent_done == 41);
+    REQUIRE(report.ends.size() == 2);
+    CHECK(report.ends[0].kind == run_end_kind::done);
+    CHECK(report.ends[1].kind == run_end_kind::lapsed);
+    CHECK_FALSE(report.ends_cut);
+}
+
+TEST_CASE("what is kept of a worker is read back")
+{
+    worker_announcement worker = *decode_heartbeat("i-1", heartbeat().dump());
+    worker.state = worker_state::draining;
+    const auto read = decode_worker(encode_worker(worker));
+    REQUIRE(read);
+    CHECK(read->id == worker.id);
+    CHECK(read->state == worker_state::draining);
+    CHECK(read->rack == worker.rack);
+    CHECK(read->started_unix_ms == worker.started_unix_ms);
+    CHECK(read->capacity.cpu_millicores == worker.capacity.cpu_millicores);
+    CHECK_FALSE(decode_worker("{}"));
+}
+
+TEST_CASE("any bytes can be decoded")
+{
+    CHECK(rc::check([](const std::string& text) {
+        static_cast<void>(decode_report(text));
+        static_cast<void>(decode_heartbeat("i-1", text));
+        static_cast<void>(parse_task_name(text, 1));
+    }));
+}
--- /dev/null
+++ b/tests/auto/jobs/tst_entry_and_agent.cpp
@@ -0,0 +1,363 @@
+#include "carobfall/base/boot_clock.h"
+#include "carobfall/jobs/agent_service.h"
+#include "carobfall/jobs/entry_service.h"
+#include "carobfall/jobs/job_dispatcher.h"
+
+#include <absl/strings/str_cat.h>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+using namespace carobfall;
+namespace asio = boost::asio;
+
+namespace {
+
+asio::ip::tcp::endpoint free_endpoint(asio::io_context& context)
+{
+    asio::ip::tcp::acceptor acceptor(context, {asio::ip::make_address_v4("127.0.0.1"), 0});
+    return acceptor.local_endpoint();
+}
+
+/// Worker in memory. Each run takes `run_time` and then ends as `end_kind`.
+class memory_worker : public worker_orders {
+public:
+    explicit memory_worker(asio::io_context& context) : context_(context) {}
+
+    asio::awaitable<start_reply> start(const start_order& order) override
+    {
+        if (unreachable) {
+            co_return start_reply{start_outcome::no_answer, std::nullopt};
+        }
+        ++starts;
+        active_[order.task.index] = order.task;
+        most_at_once = std::max(most_at_once, active_.size());
+        asio::co_spawn(context_, finish(order.task), asio::detached);
+        co_return start_reply{start_outcome::started, clock()};
+    }
+    asio::awaitable<bool> stop(const task_run& task, std::int64_t) override
+    {
+        ++stops;
+        end(task, run_end_kind::stopped);
+        co_return true;
+    }
+    asio::awaitable<renewal_reply> renew(const renewal_order& order) override
+    {
+        asio::steady_timer pause(context_, timer_duration(absl::Milliseconds(5)));
+        co_await pause.async_wait(asio::use_awaitable);
+        renewal_reply reply;
+        if (unreachable) {
+            co_return reply;
+        }
+        reply.outcome = renewal_outcome::renewed;
+        reply.clock = clock();
+        reply.report.started_unix_ms = 1;
+        for (const auto& [index, run] : active_) {
+            reply.report.active.push_back({run, 50});
+        }
+        for (const run_end& end : ends_) {
+            if (end.number > order.acknowledged_end) {
+                reply.report.ends.push_back(end);
+            }
+        }
+        co_return reply;
+    }
+    void set_target(const worker_announcement&) override {}
+
+    [[nodiscard]] std::size_t active() const { return active_.size(); }
+
+    absl::Duration run_time{absl::Milliseconds(30)};
+    run_end_kind end_kind{run_end_kind::done};
+    bool unreachable{false};
+    std::size_t starts{0};
+    std::size_t stops{0};
+    std::size_t most_at_once{0};
+
+private:
+    worker_time clock() const { return absl::ToUnixMillis(boot_now()); }
+
+    asio::awaitable<void> finish(task_run run)
+    {
+        asio::steady_timer timer(context_, timer_duration(run_time));
+        co_await timer.async_wait(asio::use_awaitable);
+        end(run, end_kind);
+    }
+    void end(const task_run& run, run_end_kind kind)
+    {
+        const auto found = active_.find(run.index);
+        if (found != active_.end() && found->second == run) {
+            active_.erase(found);
+            ends_.push_back({ends_.size() + 1, run, kind});
+        }
+    }
+
+    asio::io_context& context_;
+    std::map<std::uint32_t, task_run> active_;
+    std::vector<run_end> ends_;
+};
+
+/// One agent with its worker.
+struct agent_fixture {
+    agent_fixture(asio::io_context& context, const std::string& name, std::string incarnation,
+                  const std::string& entry)
+        : worker(context),
+          log(name, "mapo"),
+          service(context.get_executor(), {name, std::move(incarnation), "mapo"}, worker, operators,
+                  log, metrics)
+    {
+        service.start();
+        worker_announcement announcement;
+        announcement.id = "i-" + name;
+        announcement.service = "adviser";
+        announcement.capacity = {64000, 262144, 0};
+        announcement.started_unix_ms = 1;
+        announcement.sequence = 1;
+        service.announce(announcement);
+        service.learn_entries({entry});
+    }
+
+    memory_worker worker;
+    operator_view operators;
+    event_log log;
+    metrics_registry metrics;
+    agent_service service;
+};
+
+struct region {
+    region()
+        : endpoint(free_endpoint(context)),
+          address(absl::StrCat("127.0.0.1:", endpoint.port())),
+          log("entry", "mapo"),
+          entry(context.get_executor(), "entry", address, operators, log, metrics),
+          dispatcher(context.get_executor(), entry, log, metrics)
+    {
+        entry.start(endpoint);
+    }
+
+    agent_fixture& add_agent(const std::string& name)
+    {
+        agents.push_back(std::make_unique<agent_fixture>(context, name, "1", address));
+        return *agents.back();
+    }
+
+    /// Runs the loop until the condition holds. False after `limit`.
+    bool run_until(const std::function<bool()>& condition, absl::Duration limit = absl::Seconds(10))
+    {
+        const absl::Time end = boot_now() + limit;
+        while (!condition() && boot_now() < end) {
+            context.run_for(std::chrono::milliseconds(2));
+        }
+        return condition();
+    }
+
+    std::shared_ptr<active_job> submit(const std::string& id, std::uint32_t tasks,
+                                       std::optional<job_answer>& answer,
+                                       absl::Duration limit = absl::Seconds(5))
+    {
+        job_request request;
+        request.id = id;
+        request.task_count = tasks;
+        request.demand = {6200, 64, 0};
+        request.declared_run_time = absl::Milliseconds(30);
+        request.route = "check";
+        request.service = "adviser";
+        request.slack_factor = 10;
+        request.target = absl::Seconds(1);
+        request.max_attempts = 3;
+        request.time_limit = limit;
+        const std::shared_ptr<active_job> job = dispatcher.create(std::move(request));
+        asio::co_spawn(
+            context,
+            [this, job, &answer]() -> asio::awaitable<void> {
+                answer = co_await dispatcher.run(job);
+            },
+            asio::detached);
+        return job;
+    }
+
+    asio::io_context context{1};
+    asio::ip::tcp::endpoint endpoint;
+    std::string address;
+    operator_view operators;
+    event_log log;
+    metrics_registry metrics;
+    entry_service entry;
+    job_dispatcher dispatcher;
+    std::vector<std::unique_ptr<agent_fixture>> agents;
+};
+
+} // namespace
+
+TEST_CASE("a job of many tasks is answered when all have ended")
+{
+    region test;
+    agent_fixture& first = test.add_agent("a");
+    agent_fixture& second = test.add_agent("b");
+    REQUIRE(test.run_until([&] { return test.entry.usable_agents() == 2; }));
+    std::optional<job_answer> answer;
+    test.submit("00000000000000aa", 24, answer);
+    REQUIRE(test.run_until([&] { return answer.has_value(); }));
+    CHECK(answer->outcome == job_outcome::succeeded);
+    CHECK(first.worker.starts + second.worker.starts == 24);
+    // Guards against an agent that starts more than fits: 10 tasks of 6.2 cores on 64.
+    CHECK(first.worker.most_at_once <= 10);
+    CHECK(second.worker.most_at_once <= 10);
+}
+
+TEST_CASE("without agents a job is refused at once as not run")
+{
+    region test;
+    std::optional<job_answer> answer;
+    test.submit("00000000000000aa", 1, answer);
+    REQUIRE(test.run_until([&] { return answer.has_value(); }, absl::Seconds(1)));
+    CHECK(answer->outcome == job_outcome::not_run);
+    CHECK(answer->retry_after >= absl::Seconds(1));
+}
+
+TEST_CASE("a task that fails everywhere fails the job after the allowed attempts")
+{
+    region test;
+    agent_fixture& agent = test.add_agent("a");
+    agent.worker.end_kind = run_end_kind::failed;
+    REQUIRE(test.run_until([&] { return test.entry.usable_agents() == 1; }));
+    std::optional<job_answer> answer;
+    test.submit("00000000000000aa", 1, answer);
+    REQUIRE(test.run_until([&] { return answer.has_value(); }));
+    CHECK(answer->outcome == job_outcome::failed);
+    CHECK(agent.worker.starts == 3);
+}
+
+// Guards against runs that go on for a caller that has left.
+TEST_CASE("the runs of an abandoned job are stopped")
+{
+    region test;
+    agent_fixture& agent = test.add_agent("a");
+    agent.worker.run_time = absl::Seconds(30);
+    REQUIRE(test.run_until([&] { return test.entry.usable_agents() == 1; }));
+    std::optional<job_answer> answer;
+    const auto job = test.submit("00000000000000aa", 3, answer);
+    REQUIRE(test.run_until([&] { return agent.worker.active() == 3; }));
+    test.dispatcher.abandon(*job);
+    REQUIRE(test.run_until([&] { return answer.has_value() && agent.worker.active() == 0; }));
+    CHECK(answer->outcome == job_outcome::unknown);
+    CHECK(test.run_until([&] { return test.dispatcher.active_jobs() == 0; }));
+}
+
+// Guards against two runs of a task at once when the caller sends the job again.
+TEST_CASE("a job that is sent again starts after the runs of the first one are gone")
+{
+    region test;
+    agent_fixture& agent = test.add_agent("a");
+    agent.worker.run_time = absl::Milliseconds(300);
+    REQUIRE(test.run_until([&] { return test.entry.usable_agents() == 1; }));
+    std::optional<job_answer> first;
+    std::optional<job_answer> second;
+    test.submit("00000000000000aa", 1, first);
+    REQUIRE(test.run_until([&] { return agent.worker.active() == 1; }));
+    test.submit("00000000000000aa", 1, second);
+    REQUIRE(test.run_until([&] { return first.has_value() && second.has_value(); }));
+    CHECK(first->outcome == job_outcome::unknown);
+    CHECK(second->outcome == job_outcome::succeeded);
+    CHECK(agent.worker.stops == 1);
+    CHECK(agent.worker.most_at_once == 1);
+}
+
+// Guards against an agent that goes on with the tasks of an entry that is frozen: its sockets stay
+// open and nothing comes.
+TEST_CASE("the runs of a silent entry are stopped within its permission")
+{
+    asio::io_context context{1};
+    asio::ip::tcp::acceptor silent(context, {asio::ip::make_address_v4("127.0.0.1"), 0});
+    const std::string address = absl::StrCat("127.0.0.1:", silent.local_endpoint().port());
+    agent_fixture agent(context, "a", "1", address);
+    agent.worker.run_time = absl::Seconds(30);
+    asio::ip::tcp::socket socket(context);
+    silent.async_accept(socket, [](const boost::system::error_code&) {});
+    context.run_for(std::chrono::milliseconds(100));
+    REQUIRE(socket.is_open());
+    frame_channel channel(std::move(socket));
+    fleet::entry_frame frame;
+    frame.set_echo_us(absl::ToUnixMicros(boot_now()));
+    fleet::task_order* order = frame.add_orders();
+    order->set_job_id("00000000000000aa");
+    order->set_cpu_millicores(6200);
+    order->set_expected_run_ms(100);
+    order->set_start_by_ms(1000);
+    order->set_late_start_by_ms(1000);
+    order->set_give_up_ms(60000);
+    order->set_service("adviser");
+    channel.send(frame);
+    asio::co_spawn(
+        context, [&]() -> asio::awaitable<void> { co_await channel.write_all(); }, asio::detached);
+    context.run_for(std::chrono::milliseconds(200));
+    CHECK(agent.worker.active() == 1);
+    context.run_for(std::chrono::milliseconds(500));
+    CHECK(agent.worker.active() == 0);
+    CHECK(agent.worker.stops >= 1);
+}
+
+// Guards against answers that say "not run" of a job whose tasks have begun.
+TEST_CASE("a job whose time is over after its tasks began is not called not run")
+{
+    region test;
+    agent_fixture& agent = test.add_agent("a");
+    agent.worker.run_time = absl::Seconds(30);
+    REQUIRE(test.run_until([&] { return test.entry.usable_agents() == 1; }));
+    std::optional<job_answer> answer;
+    test.submit("00000000000000aa", 2, answer, absl::Milliseconds(300));
+    REQUIRE(test.run_until([&] { return answer.has_value(); }));
+    CHECK(answer->outcome == job_outcome::unknown);
+    CHECK(test.run_until([&] { return agent.worker.active() == 0; }));
+}
+
+// Guards against two runs at once on two workers: the agent is silent, its worker may go on.
+TEST_CASE("a task of a lost agent is placed again only when its run is gone")
+{
+    region test;
+    agent_fixture& first = test.add_agent("a");
+    first.worker.run_time = absl::Seconds(30);
+    REQUIRE(test.run_until([&] { return test.entry.usable_agents() == 1; }));
+    std::optional<job_answer> answer;
+    test.submit("00000000000000aa", 1, answer);
+    REQUIRE(test.run_until([&] { return first.worker.active() == 1; }));
+    agent_fixture& second = test.add_agent("b");
+    REQUIRE(test.run_until([&] { return test.entry.usable_agents() == 2; }));
+    // The worker no longer answers: the agent reports the run as lost when its lease has ended.
+    first.worker.unreachable = true;
+    const absl::Time cut = boot_now();
+    REQUIRE(test.run_until([&] { return second.worker.starts == 1; }));
+    CHECK(boot_now() - cut >= absl::Milliseconds(700));
+    REQUIRE(test.run_until([&] { return answer.has_value(); }));
+    CHECK(answer->outcome == job_outcome::succeeded);
+}
+
+// Guards against tasks that start in a data centre that is out, while the entry does not know it.
+TEST_CASE("an agent that knows its data centre is out starts nothing and tells the entry")
+{
+    region test;
+    agent_fixture& agent = test.add_agent("a");
+    REQUIRE(test.run_until([&] { return test.entry.usable_agents() == 1; }));
+    fleet::operator_state state;
+    state.set_version(9);
+    state.set_configuration_version(3);
+    state.add_data_centres_out("mapo");
+    REQUIRE(agent.operators.adopt(state));
+    REQUIRE(test.run_until([&] { return test.operators.version() == 9; }));
+    CHECK(test.entry.usable_agents() == 0);
+    std::optional<job_answer> answer;
+    test.submit("00000000000000aa", 1, answer);
+    REQUIRE(test.run_until([&] { return answer.has_value(); }));
+    CHECK(answer->outcome == job_outcome::not_run);
+    CHECK(agent.worker.starts == 0);
+}
--- /dev/null
+++ b/tests/auto/jobs/tst_job_timing.cpp
@@ -0,0 +1,70 @@
+#include "carobfall/jobs/job_timing.h"
+
+#include <doctest/doctest.h>
+
+using namespace carobfall;
+
+namespace {
+
+const absl::Time arrival = absl::FromUnixSeconds(1000);
+
+job_request request(absl::Duration limit = absl::Seconds(2))
+{
+    job_request job;
+    job.slack_factor = 1.6;
+    job.target = absl::Milliseconds(60);
+    job.time_limit = limit;
+    return job;
+}
+
+} // namespace
+
+TEST_CASE("the latest start leaves time for the run and the ways")
+{
+    const job_timing timing = timing_of(request(), absl::Milliseconds(200), arrival);
+    CHECK(timing.objective == absl::Milliseconds(380));
+    CHECK(timing.start_by == arrival + absl::Milliseconds(165));
+    CHECK(timing.give_up == arrival + absl::Seconds(2));
+}
+
+// Guards against tasks that start by their objective although the caller has left by then.
+TEST_CASE("a caller that waits less than the objective moves the latest start")
+{
+    const job_timing timing =
+        timing_of(request(absl::Milliseconds(300)), absl::Milliseconds(200), arrival);
+    CHECK(timing.start_by == arrival + absl::Milliseconds(85));
+    CHECK(timing.late_start_by == arrival + absl::Milliseconds(100));
+}
+
+// Load pattern: many users come at once. Guards against jobs that wait up to their caller's limit
+// and are then given up: 452 on one day of high load.
+TEST_CASE("a job that can't start in time is refused at once")
+{
+    const absl::Duration run = absl::Milliseconds(200);
+    const job_timing timing = timing_of(request(), run, arrival);
+    CHECK(admit(timing, run, absl::Milliseconds(100), arrival, 0).admitted);
+    const admission_decision refused = admit(timing, run, absl::Milliseconds(400), arrival, 0);
+    CHECK_FALSE(refused.admitted);
+    CHECK(refused.retry_after == absl::Seconds(1));
+}
+
+// Guards against refusals by a declared run time that is far off, with workers free: 17 on the calm
+// day.
+TEST_CASE("a job that can start at once is never refused by its expected run time")
+{
+    const absl::Duration run = absl::Seconds(9);
+    const job_timing timing = timing_of(request(), run, arrival);
+    CHECK(admit(timing, run, absl::ZeroDuration(), arrival, 0).admitted);
+}
+
+// Guards against callers that are refused together and return together.
+TEST_CASE("the time to come back is spread and bounded")
+{
+    const absl::Duration run = absl::Milliseconds(200);
+    const job_timing timing = timing_of(request(), run, arrival);
+    const auto first = admit(timing, run, absl::Seconds(3), arrival, 0).retry_after;
+    const auto last = admit(timing, run, absl::Seconds(3), arrival, 1).retry_after;
+    CHECK(first == absl::Seconds(3));
+    CHECK(last == absl::Seconds(6));
+    CHECK(admit(timing, run, absl::Hours(1), arrival, 0).retry_after <= absl::Seconds(8));
+}
--- /dev/null
+++ b/tests/auto/jobs/tst_worker_ledger.cpp
@@ -0,0 +1,295 @@
+#include "carobfall/jobs/worker_ledger.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <utility>
+#include <vector>
+
+using namespace carobfall;
+
+namespace {
+
+const absl::Time now = absl::FromUnixSeconds(1000);
+const std::string job_id = "00000000000000aa";
+
+absl::Time after(int milliseconds)
+{
+    return now + absl::Milliseconds(milliseconds);
+}
+
+worker_announcement worker(std::int64_t started = 1, std::int64_t sequence = 1)
+{
+    worker_announcement announcement;
+    announcement.id = "i-1";
+    announcement.service = "adviser";
+    announcement.capacity = {64000, 262144, 0};
+    announcement.started_unix_ms = started;
+    announcement.sequence = sequence;
+    return announcement;
+}
+
+fleet::task_order order(std::uint32_t index, std::uint32_t attempt = 1)
+{
+    fleet::task_order task;
+    task.set_job_id(job_id);
+    task.set_index(index);
+    task.set_attempt(attempt);
+    task.set_cpu_millicores(6200);
+    task.set_memory_mib(64);
+    task.set_expected_run_ms(100);
+    task.set_start_by_ms(200);
+    task.set_late_start_by_ms(600);
+    task.set_give_up_ms(1500);
+    task.set_service("adviser");
+    return task;
+}
+
+bool permitted(session_number)
+{
+    return true;
+}
+
+struct started_ledger {
+    worker_ledger ledger;
+    worker_ledger::record_number number{0};
+
+    explicit started_ledger(start_outcome outcome = start_outcome::started)
+    {
+        ledger.announce(worker(), now);
+        ledger.add(1, order(0), now);
+        number = ledger.begin_next(now, permitted).value();
+        ledger.on_start_reply(number, {outcome, std::nullopt}, after(2));
+    }
+
+    std::vector<std::pair<fleet::task_event_kind, std::string>> events()
+    {
+        std::vector<std::pair<fleet::task_event_kind, std::string>> kinds;
+        for (const session_event& event : ledger.take_events()) {
+            kinds.emplace_back(event.event.kind(), event.event.reason());
+        }
+        return kinds;
+    }
+};
+
+using event_list = std::vector<std::pair<fleet::task_event_kind, std::string>>;
+
+worker_report report_with_end(std::uint64_t number, run_end_kind kind, std::uint32_t run = 1)
+{
+    worker_report report;
+    report.ends.push_back({number, {job_id, 0, run}, kind});
+    return report;
+}
+
+} // namespace
+
+TEST_CASE("a run that ends is reported once and frees its room")
+{
+    started_ledger test;
+    CHECK(test.ledger.free_room().cpu_millicores == 57800);
+    test.ledger.on_report(report_with_end(1, run_end_kind::done), after(5), after(100));
+    CHECK(test.events() == event_list{{fleet::task_done, "done"}});
+    CHECK(test.ledger.free_room().cpu_millicores == 64000);
+    CHECK(test.ledger.acknowledged_end() == 1);
+    test.ledger.on_report(report_with_end(1, run_end_kind::done), after(5), after(110));
+    CHECK(test.events().empty());
+}
+
+// Guards against two runs at once: an order without an answer may be carried out seconds later.
+TEST_CASE("an order without an answer is returned only after a stop was answered")
+{
+    started_ledger test(start_outcome::no_answer);
+    test.ledger.on_report({}, after(10), after(20));
+    CHECK(test.events().empty());
+    REQUIRE(test.ledger.begin_stop() == test.number);
+    CHECK(test.ledger.begin_stop() == std::nullopt);
+    test.ledger.on_stop_reply(test.number, false, after(30));
+    REQUIRE(test.ledger.begin_stop() == test.number);
+    test.ledger.on_stop_reply(test.number, true, after(40));
+    test.ledger.on_report({}, after(35), after(45));
+    CHECK(test.events().empty());
+    test.ledger.on_report({}, after(41), after(46));
+    CHECK(test.events() == event_list{{fleet::task_ended, "order_unanswered"}});
+}
+
+// Guards against a report that was asked for before the start and so doesn't show the run.
+TEST_CASE("an earlier report does not end a run")
+{
+    started_ledger test;
+    test.ledger.on_report({}, after(1), after(10));
+    CHECK(test.events().empty());
+    test.ledger.on_report({}, after(3), after(12));
+    CHECK(test.events() == event_list{{fleet::task_ended, "run_gone"}});
+}
+
+TEST_CASE("a short run whose end arrives before the answer to its start is reported once")
+{
+    worker_ledger ledger;
+    ledger.announce(worker(), now);
+    ledger.add(1, order(0), now);
+    const auto number = ledger.begin_next(now, permitted);
+    REQUIRE(number);
+    ledger.on_report(report_with_end(1, run_end_kind::done), after(1), after(5));
+    CHECK(ledger.take_events().size() == 1);
+    ledger.on_start_reply(*number, {start_outcome::started, std::nullopt}, after(6));
+    CHECK(ledger.take_events().empty());
+    CHECK(ledger.on_worker() == 0);
+}
+
+// Guards against runs of an entry that has died beside those of the entry that got the job again.
+TEST_CASE("the runs of a lost entry are stopped and its waiting tasks dropped")
+{
+    started_ledger test;
+    test.ledger.add(1, order(1), now);
+    test.ledger.drop_session(1);
+    CHECK(test.ledger.waiting() == 0);
+    CHECK(test.ledger.begin_stop() == test.number);
+}
+
+// Guards against two runs at once on one worker after the caller has sent the job again.
+TEST_CASE("a task waits while an earlier run of it is left")
+{
+    started_ledger test;
+    test.ledger.drop_session(1);
+    test.ledger.add(2, order(0), after(3));
+    CHECK(test.ledger.begin_next(after(3), permitted) == std::nullopt);
+    test.ledger.begin_stop();
+    test.ledger.on_stop_reply(test.number, true, after(5));
+    test.ledger.on_report({}, after(6), after(8));
+    const auto next = test.ledger.begin_next(after(8), permitted);
+    REQUIRE(next);
+    CHECK(test.ledger.find(*next)->run == 2);
+}
+
+// Guards against an order for a run number that the worker refuses as old.
+TEST_CASE("a refused run number is raised")
+{
+    started_ledger test(start_outcome::superseded);
+    const auto next = test.ledger.begin_next(after(4), permitted);
+    REQUIRE(next);
+    CHECK(test.ledger.find(*next)->run == 2);
+}
+
+TEST_CASE("an order that was refused as not carried out is returned as not run")
+{
+    for (const start_outcome outcome : {start_outcome::unhealthy, start_outcome::not_sent,
+                                        start_outcome::other_incarnation, start_outcome::invalid}) {
+        started_ledger test(outcome);
+        const event_list events = test.events();
+        REQUIRE(events.size() == 1);
+        CHECK(events[0].first == fleet::task_not_run);
+    }
+}
+
+// Guards against room that is counted wrong after a restart of the agent.
+TEST_CASE("runs of an earlier agent are stopped before anything starts")
+{
+    worker_ledger ledger;
+    ledger.announce(worker(), now);
+    worker_report report;
+    report.active.push_back({{"00000000000000bb", 3, 4}, 50});
+    ledger.on_report(report, now, after(2));
+    ledger.add(1, order(0), after(2));
+    CHECK(ledger.begin_next(after(2), permitted) == std::nullopt);
+    const auto stop = ledger.begin_stop();
+    REQUIRE(stop);
+    CHECK(run_of(*ledger.find(*stop)) == task_run{"00000000000000bb", 3, 4});
+    ledger.on_stop_reply(*stop, true, after(4));
+    ledger.on_report({}, after(5), after(6));
+    CHECK(ledger.take_events().empty());
+    CHECK(ledger.begin_next(after(6), permitted));
+}
+
+// Guards against a heartbeat that was held up and arrives after the worker's restart.
+TEST_CASE("late announcements and those of workers that have left say nothing")
+{
+    worker_ledger ledger;
+    CHECK(ledger.announce(worker(5, 3), now));
+    CHECK_FALSE(ledger.announce(worker(5, 2), now));
+    CHECK_FALSE(ledger.announce(worker(4, 9), now));
+    ledger.remove_worker("i-1", now);
+    CHECK_FALSE(ledger.announce(worker(5, 4), now));
+    CHECK(ledger.announce(worker(6, 1), now));
+}
+
+TEST_CASE("a restarted worker has lost its runs")
+{
+    started_ledger test;
+    REQUIRE(test.ledger.announce(worker(2, 1), after(50)));
+    CHECK(test.events() == event_list{{fleet::task_ended, "worker_restarted"}});
+    CHECK(test.ledger.acknowledged_end() == 0);
+}
+
+// Guards against starts on a worker that is leaving.
+TEST_CASE("a draining worker gets nothing new and its waiting tasks are returned")
+{
+    started_ledger test;
+    test.ledger.add(1, order(1), after(3));
+    worker_announcement draining = worker(1, 2);
+    draining.state = worker_state::draining;
+    REQUIRE(test.ledger.announce(draining, after(4)));
+    CHECK(test.events() == event_list{{fleet::task_not_run, "worker_draining"}});
+    test.ledger.add(1, order(2), after(5));
+    CHECK(test.events() == event_list{{fleet::task_not_run, "worker_draining"}});
+    CHECK(test.ledger.on_worker() == 1);
+}
+
+// Guards against callers that wait for a task whose answer is of no use any more.
+TEST_CASE("a waiting task is returned when its answer is of no use")
+{
+    worker_ledger ledger;
+    ledger.announce(worker(), now);
+    ledger.add(1, order(0), now);
+    ledger.expire(after(599));
+    CHECK_FALSE(ledger.has_events());
+    ledger.expire(after(601));
+    REQUIRE(ledger.has_events());
+    CHECK(ledger.take_events()[0].event.kind() == fleet::task_not_run);
+}
+
+// Load pattern: a worker has turned ten times slower.
+TEST_CASE("a run that would end too late is stopped with its predicted time")
+{
+    started_ledger test;
+    worker_report report;
+    report.active.push_back({{job_id, 0, 1}, 5});
+    test.ledger.on_report(report, after(3), after(100));
+    REQUIRE(test.ledger.begin_stop() == test.number);
+    test.ledger.on_stop_reply(test.number, true, after(102));
+    test.ledger.on_report(report_with_end(1, run_end_kind::stopped), after(103), after(110));
+    const auto events = test.ledger.take_events();
+    REQUIRE(events.size() == 1);
+    CHECK(events[0].event.kind() == fleet::task_ended);
+    CHECK(events[0].event.run_ms() == 2000);
+}
+
+TEST_CASE("a stop request for a waiting task says that it has not run")
+{
+    worker_ledger ledger;
+    ledger.announce(worker(), now);
+    ledger.add(1, order(0), now);
+    fleet::task_stop stop;
+    stop.set_job_id(job_id);
+    stop.set_index(0);
+    stop.set_attempt(1);
+    ledger.request_stop(2, stop);
+    CHECK_FALSE(ledger.has_events());
+    ledger.request_stop(1, stop);
+    CHECK(ledger.take_events()[0].event.kind() == fleet::task_not_run);
+}
+
+TEST_CASE("a stop request while the start is under way stops the run afterwards")
+{
+    worker_ledger ledger;
+    ledger.announce(worker(), now);
+    ledger.add(1, order(0), now);
+    const auto number = ledger.begin_next(now, permitted);
+    REQUIRE(number);
+    fleet::task_stop stop;
+    stop.set_job_id(job_id);
+    stop.set_attempt(1);
+    ledger.request_stop(1, stop);
+    CHECK(ledger.begin_stop() == std::nullopt);
+    ledger.on_start_reply(*number, {start_outcome::started, std::nullopt}, after(3));
+    CHECK(ledger.begin_stop() == number);
+}
