Agent: Let the lease of a silent worker end

Change: after 450 ms without an answer renewals no longer extend the lease and nothing starts; a refused connection ends the runs at once, because nothing listens there.

The random test of the ledger no longer counts events for an entry that is gone, which nobody hears.

--- a/src/libs/carobfall/jobs/agent_service.cpp
+++ b/src/libs/carobfall/jobs/agent_service.cpp
@@ -26,6 +26,8 @@
 // A renewal waits this long for the end of a run, so that two lost answers in a row don't end the
 // lease.
 constexpr absl::Duration renewal_wait = absl::Milliseconds(150);
+// Without an answer for this long, two renewals in a row were lost.
+constexpr absl::Duration worker_silence_limit = absl::Milliseconds(450);
 constexpr absl::Duration renewal_retry_pause = absl::Milliseconds(20);
 constexpr absl::Duration watch_interval = absl::Milliseconds(25);
 // Longest pause between frames to an entry; its answers renew the permission to run.
@@ -243,6 +245,36 @@
     }
 }
 
+bool agent_service::hears_worker(absl::Time now) const
+{
+    return now - worker_heard_ < worker_silence_limit;
+}
+
+asio::awaitable<renewal_reply> agent_service::renew_lease(absl::Time now)
+{
+    if (!fencing_token_) {
+        co_return renewal_reply{};
+    }
+    renewal_order order;
+    order.fencing_token = *fencing_token_;
+    order.acknowledged_end = ledger_.acknowledged_end();
+    order.wait = settled_ ? renewal_wait : absl::ZeroDuration();
+    const absl::Time lease_before = lease_until_;
+    // The lease of a worker that does not answer has to end, so that its tasks can run elsewhere.
+    if (hears_worker(now) || ledger_.on_worker() == 0) {
+        order.lease_end = lease_end(now);
+        lease_until_ = now + worker_lease;
+    }
+    renewal_reply reply = co_await orders_.renew(order);
+    if (reply.outcome == renewal_outcome::renewed) {
+        worker_heard_ = boot_now();
+    } else if (reply.outcome == renewal_outcome::unreachable ||
+               reply.outcome == renewal_outcome::gone) {
+        lease_until_ = lease_before;
+    }
+    co_return reply;
+}
+
 asio::awaitable<void> agent_service::renew_leases()
 {
     while (true) {
@@ -256,16 +288,7 @@
         const absl::Time asked_at = boot_now();
         const std::string worker = ledger_.worker() ? ledger_.worker()->id : "";
         const std::int64_t started = ledger_.worker() ? ledger_.worker()->started_unix_ms : 0;
-        renewal_reply reply;
-        if (fencing_token_) {
-            renewal_order order;
-            order.fencing_token = *fencing_token_;
-            order.acknowledged_end = ledger_.acknowledged_end();
-            order.lease_end = lease_end(asked_at);
-            order.wait = settled_ ? renewal_wait : absl::ZeroDuration();
-            lease_until_ = asked_at + worker_lease;
-            reply = co_await orders_.renew(order);
-        }
+        const renewal_reply reply = co_await renew_lease(asked_at);
         const absl::Time now = boot_now();
         note_clock(reply.clock, now);
         const bool same_worker = ledger_.worker() && ledger_.worker()->id == worker &&
@@ -292,6 +315,9 @@
             forget_worker(worker, now);
             continue;
         }
+        if (reply.outcome == renewal_outcome::gone) {
+            lapse("worker_gone", now);
+        }
         check_lapse(now);
         asio::steady_timer pause(executor_, timer_duration(renewal_retry_pause));
         co_await pause.async_wait(asio::use_awaitable);
@@ -311,14 +337,25 @@
 {
     constexpr double clock_rate_margin = 1.02;
     const absl::Time lapsed = lease_until_ + worker_lease * (clock_rate_margin - 1) + lapse_margin;
-    if (now < lapsed || !worker_reachable_) {
+    if (lease_until_ != absl::InfinitePast() && now >= lapsed) {
+        lapse("lease_lapsed", now);
+    }
+}
+
+void agent_service::lapse(const std::string& reason, absl::Time now)
+{
+    if (!worker_reachable_) {
         return;
     }
     worker_reachable_ = false;
     status_changed_ = true;
     fencing_token_.reset();
-    log_.write(log_fields("worker_unreachable").add("runs", ledger_.on_worker()), now);
-    ledger_.on_lapse("lease_lapsed");
+    log_.write(log_fields("worker_unreachable")
+                   .add("reason", reason)
+                   .add("heard_ms_ago", absl::ToInt64Milliseconds(now - worker_heard_))
+                   .add("runs", ledger_.on_worker()),
+               now);
+    ledger_.on_lapse(reason);
     ledger_.hand_back("worker_unreachable");
     advance(now);
 }
@@ -335,6 +372,7 @@
     order.spec = record->order.spec();
     order.lease_end = lease_end(boot_now());
     order.fencing_token = *fencing_token_;
+    lease_until_ = std::max(lease_until_, boot_now() + worker_lease);
     const start_reply reply = co_await orders_.start(order);
     const absl::Time now = boot_now();
     note_clock(reply.clock, now);
@@ -406,7 +444,8 @@
         const entry_link* link = link_of(session);
         return link != nullptr && link->permits_starts(now);
     };
-    const bool in_service = settled_ && !operators_.is_out(identity_.data_centre);
+    const bool in_service = settled_ && worker_reachable_ && hears_worker(now) &&
+                            !operators_.is_out(identity_.data_centre);
     while (in_service) {
         const auto next = ledger_.begin_next(now, may_run);
         if (!next) {
--- a/src/libs/carobfall/jobs/agent_service.h
+++ b/src/libs/carobfall/jobs/agent_service.h
@@ -73,6 +73,10 @@
     void send_status(entry_link& link, fleet::agent_frame& frame, absl::Time now);
     void fill_status(fleet::agent_status& status, const entry_link& link, absl::Time now) const;
     void note_clock(const std::optional<worker_time>& clock, absl::Time now);
+    boost::asio::awaitable<renewal_reply> renew_lease(absl::Time now);
+    /// Nothing of the worker's runs is left.
+    void lapse(const std::string& reason, absl::Time now);
+    [[nodiscard]] bool hears_worker(absl::Time now) const;
     void check_lapse(absl::Time now);
     void forget_worker(const std::string& id, absl::Time now);
     [[nodiscard]] worker_time lease_end(absl::Time now) const;
@@ -96,6 +100,7 @@
     std::int64_t worker_clock_offset_ms_{0};       ///< worker's clock less ours
     absl::Time lease_until_{absl::InfinitePast()}; ///< end of the last lease that was asked for
     bool settled_{false}; ///< a report has shown that nothing of an earlier agent runs
+    absl::Time worker_heard_{absl::InfinitePast()}; ///< latest answered renewal
     bool worker_reachable_{true};
     bool draining_{false};
     bool advance_posted_{false};
--- a/src/libs/carobfall/jobs/worker_orders.h
+++ b/src/libs/carobfall/jobs/worker_orders.h
@@ -87,7 +87,15 @@
     bool ends_cut{false};      ///< there are more ends than one answer holds
 };
 
-enum class renewal_outcome { renewed, fenced, other_incarnation, refused, unreachable, no_answer };
+enum class renewal_outcome {
+    renewed,
+    fenced,
+    other_incarnation,
+    refused,
+    gone,        ///< nothing listens: the worker has ended and its runs with it
+    unreachable, ///< not sent
+    no_answer,   ///< may have extended the lease
+};
 
 struct renewal_reply {
     renewal_outcome outcome{renewal_outcome::no_answer};
--- a/tests/auto/jobs/tst_worker_ledger_random.cpp
+++ b/tests/auto/jobs/tst_worker_ledger_random.cpp
@@ -215,6 +215,10 @@
     void check_events()
     {
         for (const session_event& event : ledger.take_events()) {
+            // Nobody hears what concerns an entry that is gone.
+            if (event.session != session) {
+                continue;
+            }
             const std::uint32_t index = event.event.index();
             RC_ASSERT(open.contains(index));
             RC_ASSERT(open[index] == event.event.attempt());
