--- a/src/libs/carobfall/base/event_log.cpp
+++ b/src/libs/carobfall/base/event_log.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 // Holds the lines of about a second of a process that writes 1,000 lines a second.
-constexpr std::size_t max_buffered_bytes = 256 * 1024;
+constexpr std::size_t max_buffered_bytes = 256U << 10U;
 
 bool takes_output()
 {
