Jobs: Log placements, orders and refusals with what decided them

Cause: from a failed request's id one could not see where its tasks went, how long they waited, nor on what knowledge a job was refused.

Change: tasks_placed, start_ordered and job_refused lines with the age of the knowledge; operator states from peers name their source; outcomes have names.

--- a/src/libs/carobfall/jobs/agent_service.cpp
+++ b/src/libs/carobfall/jobs/agent_service.cpp
@@ -1,6 +1,7 @@
 #include "carobfall/jobs/agent_service.h"
 
 #include "carobfall/base/boot_clock.h"
+#include "carobfall/base/strings.h"
 
 #include <absl/strings/str_cat.h>
 #include <boost/asio/co_spawn.hpp>
@@ -190,8 +191,8 @@
 void agent_service::on_frame(entry_link& link, fleet::entry_frame& frame)
 {
     const absl::Time now = boot_now();
-    if (frame.has_state()) {
-        operators_.adopt(std::move(*frame.mutable_state()));
+    if (frame.has_state() && operators_.adopt(std::move(*frame.mutable_state()))) {
+        log_.write(operators_.adopted_from(link.entry_name()), now);
     }
     if (frame.entries_size() > 0) {
         learn_entries({frame.entries().begin(), frame.entries().end()});
@@ -367,6 +368,8 @@
         ledger_.on_start_reply(number, {start_outcome::not_sent, std::nullopt}, boot_now());
         co_return;
     }
+    const absl::Time received = record->received;
+    const absl::Time ordered_at = record->ordered_at;
     start_order order;
     order.task = run_of(*record);
     order.spec = record->order.spec();
@@ -379,15 +382,17 @@
     if (reply.outcome == start_outcome::fenced) {
         fencing_token_.reset();
     }
-    if (reply.outcome != start_outcome::started) {
-        log_.write(log_fields("start_refused")
-                       .add("job", order.task.job_id)
-                       .add("task", order.task.index)
-                       .add("run", order.task.run)
-                       .add("outcome", static_cast<int>(reply.outcome)),
-                   now);
-    }
-    metrics_.add(absl::StrCat("orders_total{outcome=\"", static_cast<int>(reply.outcome), "\"}"));
+    log_.write(log_fields("start_ordered")
+                   .add("job", order.task.job_id)
+                   .add("task", order.task.index)
+                   .add("run", order.task.run)
+                   .add("waited_ms", absl::ToInt64Milliseconds(ordered_at - received))
+                   .add("answer_ms", absl::ToInt64Milliseconds(now - ordered_at))
+                   .add("outcome", name_of(reply.outcome)),
+               now);
+    metrics_.add(absl::StrCat("orders_total{outcome=\"", to_absl(name_of(reply.outcome)), "\"}"));
+    metrics_.distribution("order_wait_seconds")
+        .record(absl::ToDoubleSeconds(ordered_at - received));
     ledger_.on_start_reply(number, reply, now);
     advance(now);
 }
--- a/src/libs/carobfall/jobs/entry_service.cpp
+++ b/src/libs/carobfall/jobs/entry_service.cpp
@@ -126,8 +126,8 @@
     peer->last_heard = now;
     peer->echo_us = std::max(peer->echo_us, frame.sent_us());
     peer->operator_version = std::max(peer->operator_version, frame.operator_version());
-    if (frame.has_state()) {
-        operators_.adopt(std::move(*frame.mutable_state()));
+    if (frame.has_state() && operators_.adopt(std::move(*frame.mutable_state()))) {
+        log_.write(operators_.adopted_from(peer->status.name()), now);
     }
     for (const std::string& address : frame.entries()) {
         entries_.insert(address);
@@ -211,6 +211,15 @@
         views_.begin(), views_.end(), [](const agent_view& view) { return view.usable; }));
 }
 
+absl::Duration entry_service::oldest_report(absl::Time now) const
+{
+    absl::Duration oldest;
+    for (const auto& [name, peer] : agents_) {
+        oldest = std::max(oldest, now - peer->last_heard);
+    }
+    return oldest;
+}
+
 bool entry_service::is_slow(const std::string& agent) const
 {
     return std::any_of(views_.begin(), views_.end(), [&](const agent_view& view) {
--- a/src/libs/carobfall/jobs/entry_service.h
+++ b/src/libs/carobfall/jobs/entry_service.h
@@ -57,6 +57,8 @@
     bool order(const std::string& agent, fleet::task_order task);
     void stop(const std::string& agent, fleet::task_stop task);
     [[nodiscard]] std::size_t usable_agents() const;
+    /// Age of the oldest word of an agent.
+    [[nodiscard]] absl::Duration oldest_report(absl::Time now) const;
     /// Whether runs at the agent take clearly longer than expected.
     [[nodiscard]] bool is_slow(const std::string& agent) const;
 
--- a/src/libs/carobfall/jobs/job_dispatcher.cpp
+++ b/src/libs/carobfall/jobs/job_dispatcher.cpp
@@ -4,12 +4,14 @@
 #include "carobfall/base/strings.h"
 
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <map>
 #include <utility>
 
 namespace carobfall {
@@ -149,6 +151,13 @@
     }
     const admission_decision decision = admit(job->timing, job->expected_run, wait, now, random());
     if (!decision.admitted) {
+        log_.write(log_fields("job_refused")
+                       .add("job", job->request.id)
+                       .add("wait_ms", absl::ToInt64Milliseconds(wait))
+                       .add("slack_ms", absl::ToInt64Milliseconds(job->timing.start_by - now))
+                       .add("usable_agents", agents_.usable_agents())
+                       .add("knowledge_ms", absl::ToInt64Milliseconds(agents_.oldest_report(now))),
+                   now);
         co_return refuse(*job, "overloaded", decision.retry_after);
     }
     jobs_[job->request.id] = job;
@@ -205,12 +214,30 @@
 
 void job_dispatcher::place(active_job& job, absl::Time now)
 {
+    std::map<std::string, std::size_t> placed;
     for (std::uint32_t index = 0; index < job.tasks.size(); ++index) {
-        if (job.tasks[index].phase == job_task_phase::unplaced && !place_task(job, index, now)) {
+        if (job.tasks[index].phase != job_task_phase::unplaced) {
+            continue;
+        }
+        if (!place_task(job, index, now)) {
             job.place_after = now + placing_pause;
-            return;
+            break;
         }
+        ++placed[job.tasks[index].agent];
+    }
+    if (placed.empty()) {
+        return;
     }
+    const auto agent_and_count = [](std::string* text, const auto& entry) {
+        absl::StrAppend(text, entry.first, ":", entry.second);
+    };
+    log_.write(log_fields("tasks_placed")
+                   .add("job", job.request.id)
+                   .add("agents", absl::StrJoin(placed, ",", agent_and_count))
+                   .add("slack_ms", absl::ToInt64Milliseconds(job.timing.start_by - now))
+                   .add("usable_agents", agents_.usable_agents())
+                   .add("knowledge_ms", absl::ToInt64Milliseconds(agents_.oldest_report(now))),
+               now);
 }
 
 bool job_dispatcher::place_task(active_job& job, std::uint32_t index, absl::Time now)
--- a/src/libs/carobfall/jobs/operator_view.cpp
+++ b/src/libs/carobfall/jobs/operator_view.cpp
@@ -20,6 +20,17 @@
     return true;
 }
 
+log_fields operator_view::adopted_from(std::string_view source) const
+{
+    log_fields fields("operator_state");
+    fields.add("source", source)
+        .add("version", state_.version())
+        .add("configuration", state_.configuration_version())
+        .add("routes", state_.routes_size())
+        .add("data_centres_out", state_.data_centres_out_size());
+    return fields;
+}
+
 void operator_view::index_routes()
 {
     routes_by_host_.clear();
--- a/src/libs/carobfall/jobs/operator_view.h
+++ b/src/libs/carobfall/jobs/operator_view.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "carobfall/base/log_fields.h"
 #include "carobfall/fleet/fleet.pb.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -20,6 +21,8 @@
 
     /// False if `state` is no later than the one held.
     bool adopt(fleet::operator_state state);
+    /// Log line on the state that was adopted last.
+    [[nodiscard]] log_fields adopted_from(std::string_view source) const;
     void on_change(listener changed) { listeners_.push_back(std::move(changed)); }
 
     [[nodiscard]] const fleet::operator_state& state() const { return state_; }
--- a/src/libs/carobfall/jobs/worker_ledger.cpp
+++ b/src/libs/carobfall/jobs/worker_ledger.cpp
@@ -1,5 +1,6 @@
 #include "carobfall/jobs/worker_ledger.h"
 
+#include "carobfall/base/strings.h"
 #include "carobfall/jobs/job_timing.h"
 #include "carobfall/jobs/run_progress.h"
 
@@ -309,8 +310,8 @@
     case start_outcome::not_sent:
         break;
     }
-    finish(found, fleet::task_not_run,
-           absl::StrCat("order_refused_", static_cast<int>(reply.outcome)), now);
+    finish(found, fleet::task_not_run, absl::StrCat("order_", to_absl(name_of(reply.outcome))),
+           now);
 }
 
 std::optional<worker_ledger::record_number> worker_ledger::begin_stop()
--- a/src/libs/carobfall/jobs/worker_orders.h
+++ b/src/libs/carobfall/jobs/worker_orders.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace carobfall {
@@ -60,6 +61,9 @@
     no_answer, ///< may have been carried out, or may be so seconds later
 };
 
+/// Name used in logs and metrics, for example "no_room".
+[[nodiscard]] std::string_view name_of(start_outcome outcome);
+
 struct start_reply {
     start_outcome outcome{start_outcome::no_answer};
     std::optional<worker_time> clock;
