--- a/src/tools/carobfall/command_line.cpp
+++ b/src/tools/carobfall/command_line.cpp
@@ -46,7 +46,7 @@
         "submit, status, cancel and load need the token of the client account, all others an "
         "operator's\ntoken, in the environment variable CAROBFALL_TOKEN or in --token-file.\n"
         "Exit codes: 0 ok, 1 failed answer, 2 usage or invalid input, 3 refused and nothing "
-        "ran,\n4 outcome unknown, 5 no entry could be reached. See docs/operations.md.");
+        "ran,\n4 outcome unknown, 5 no entry could be reached. See docs/OPERATIONS.md.");
     add_common_options();
     add_submission_commands();
     add_template_commands();
--- a/src/tools/carobfall/exit_code.h
+++ b/src/tools/carobfall/exit_code.h
@@ -6,7 +6,7 @@
 
 namespace carobfall::tool {
 
-/// Exit codes of the command line (docs/operations.md).
+/// Exit codes of the command line (docs/OPERATIONS.md).
 enum class exit_code {
     ok = 0,
     failed_answer = 1,   ///< the submission has failed; some tasks ran or may have run
--- a/src/tools/carobfall/load_statistics.h
+++ b/src/tools/carobfall/load_statistics.h
@@ -56,7 +56,7 @@
     /// Sorted response time / ideal of the complete submissions.
     [[nodiscard]] std::vector<double> relative_responses() const;
 
-    /// The figures of docs/operations.md as one document.
+    /// The figures of docs/OPERATIONS.md as one document.
     [[nodiscard]] nlohmann::json to_json() const;
 
 private:
