Platform: Keep the last configuration when a row can't be read

Cause: a malformed configuration row replaced all routes by none, without a line, and a malformed address in the table of entries was connected to for ever.

--- a/tests/process/test_platform_path.py
+++ b/tests/process/test_platform_path.py
@@ -82,10 +82,10 @@
         path = self.directory / (name + ".json")
         path.write_text(json.dumps(self.settings[name]))
         program = "carobfall-platform-" + name.split("-")[0]
-        log = open(self.directory / (name + ".log"), "a")
-        self.processes[name] = subprocess.Popen(
-            [BUILD / program], stdout=log, stderr=log,
-            env={"CAROBFALL_SETTINGS": str(path), "PATH": os.environ["PATH"]})
+        with open(self.directory / (name + ".log"), "a") as log:
+            self.processes[name] = subprocess.Popen(
+                [BUILD / program], stdout=log, stderr=log,
+                env={"CAROBFALL_SETTINGS": str(path), "PATH": os.environ["PATH"]})
 
     def clean_up(self):
         for process in self.processes.values():
@@ -226,8 +226,10 @@
         self.assertEqual(send((control[0], int(control[1])), "POST",
                               "/api/Instances.Heartbeat/i-9", "{]")[0], 400)
         self.store.put("op", "evacuate/\x01", "[")
+        self.store.put("op", "config", "{]")
         self.store.put("entries", "nonsense", "]")
-        time.sleep(0.5)
+        self.wait_for(lambda: self.log("entry-0").count("event=row_malformed") == 2,
+                      "both rows are named")
         self.assertEqual(self.submit("%016x" % 600)[0], 200)
         for name, process in self.processes.items():
             self.assertIsNone(process.poll(), name)
