Agent: Move lease and fencing token into a class of their own

Links to entries that were away for 30 s are tried every 2 s instead of every 150 ms, because addresses of replaced entries stay in the directory.

--- a/src/libs/carobfall/jobs/agent_service.cpp
+++ b/src/libs/carobfall/jobs/agent_service.cpp
@@ -19,16 +19,9 @@
 
 namespace {
 
-// Lease that a renewal asks for. Shorter than the worker's longest one, so that the runs of a lost
-// agent are gone before callers of its entries send their jobs again.
-constexpr absl::Duration worker_lease = absl::Milliseconds(800);
-// The worker's clock may be 2% slow; the rest covers the way of the order.
-constexpr absl::Duration lapse_margin = absl::Milliseconds(100);
 // A renewal waits this long for the end of a run, so that two lost answers in a row don't end the
 // lease.
 constexpr absl::Duration renewal_wait = absl::Milliseconds(150);
-// Without an answer for this long, two renewals in a row were lost.
-constexpr absl::Duration worker_silence_limit = absl::Milliseconds(450);
 constexpr absl::Duration renewal_retry_pause = absl::Milliseconds(20);
 constexpr absl::Duration watch_interval = absl::Milliseconds(25);
 // Longest pause between frames to an entry; its answers renew the permission to run.
@@ -48,6 +41,7 @@
       operators_(operators),
       log_(log),
       metrics_(metrics),
+      lease_(orders, log),
       worker_known_(executor)
 {
     operators_.on_change([this] {
@@ -84,7 +78,7 @@
         !before || before->id != worker.id || before->started_unix_ms != worker.started_unix_ms;
     if (restarted) {
         orders_.set_target(worker);
-        fencing_token_.reset();
+        lease_.drop_token();
         settled_ = false;
         worker_known_.notify();
     }
@@ -220,62 +214,6 @@
 
 // -------------------------------------------------------------------- worker
 
-void agent_service::note_clock(const std::optional<worker_time>& clock, absl::Time now)
-{
-    if (clock) {
-        worker_clock_offset_ms_ = *clock - absl::ToUnixMillis(now);
-    }
-}
-
-worker_time agent_service::lease_end(absl::Time now) const
-{
-    return absl::ToUnixMillis(now + worker_lease) + worker_clock_offset_ms_;
-}
-
-asio::awaitable<void> agent_service::acquire_token()
-{
-    // The worker's clock rises for as long as the worker remembers tokens, so that a time on it is
-    // higher than the token of every earlier agent.
-    renewal_order order;
-    order.acknowledged_end = ledger_.acknowledged_end();
-    const renewal_reply reply = co_await orders_.renew(order);
-    note_clock(reply.clock, boot_now());
-    if (reply.clock) {
-        fencing_token_ = std::max<std::int64_t>(*reply.clock, 1);
-        log_.write(log_fields("fencing_token").add("token", *fencing_token_), boot_now());
-    }
-}
-
-bool agent_service::hears_worker(absl::Time now) const
-{
-    return now - worker_heard_ < worker_silence_limit;
-}
-
-asio::awaitable<renewal_reply> agent_service::renew_lease(absl::Time now)
-{
-    if (!fencing_token_) {
-        co_return renewal_reply{};
-    }
-    renewal_order order;
-    order.fencing_token = *fencing_token_;
-    order.acknowledged_end = ledger_.acknowledged_end();
-    order.wait = settled_ ? renewal_wait : absl::ZeroDuration();
-    const absl::Time lease_before = lease_until_;
-    // The lease of a worker that does not answer has to end, so that its tasks can run elsewhere.
-    if (hears_worker(now) || ledger_.on_worker() == 0) {
-        order.lease_end = lease_end(now);
-        lease_until_ = now + worker_lease;
-    }
-    renewal_reply reply = co_await orders_.renew(order);
-    if (reply.outcome == renewal_outcome::renewed) {
-        worker_heard_ = boot_now();
-    } else if (reply.outcome == renewal_outcome::unreachable ||
-               reply.outcome == renewal_outcome::gone) {
-        lease_until_ = lease_before;
-    }
-    co_return reply;
-}
-
 asio::awaitable<void> agent_service::renew_leases()
 {
     while (true) {
@@ -283,15 +221,13 @@
             co_await worker_known_.wait();
             continue;
         }
-        if (!fencing_token_) {
-            co_await acquire_token();
-        }
         const absl::Time asked_at = boot_now();
-        const std::string worker = ledger_.worker() ? ledger_.worker()->id : "";
-        const std::int64_t started = ledger_.worker() ? ledger_.worker()->started_unix_ms : 0;
-        const renewal_reply reply = co_await renew_lease(asked_at);
+        const std::string worker = ledger_.worker()->id;
+        const std::int64_t started = ledger_.worker()->started_unix_ms;
+        const renewal_reply reply =
+            co_await lease_.renew(ledger_.acknowledged_end(), ledger_.on_worker() > 0,
+                                  settled_ ? renewal_wait : absl::ZeroDuration());
         const absl::Time now = boot_now();
-        note_clock(reply.clock, now);
         const bool same_worker = ledger_.worker() && ledger_.worker()->id == worker &&
                                  ledger_.worker()->started_unix_ms == started;
         if (reply.outcome == renewal_outcome::renewed && same_worker &&
@@ -309,9 +245,6 @@
             advance(now);
             continue;
         }
-        if (reply.outcome == renewal_outcome::fenced) {
-            fencing_token_.reset();
-        }
         if (reply.outcome == renewal_outcome::other_incarnation && same_worker) {
             forget_worker(worker, now);
             continue;
@@ -336,9 +269,7 @@
 
 void agent_service::check_lapse(absl::Time now)
 {
-    constexpr double clock_rate_margin = 1.02;
-    const absl::Time lapsed = lease_until_ + worker_lease * (clock_rate_margin - 1) + lapse_margin;
-    if (lease_until_ != absl::InfinitePast() && now >= lapsed) {
+    if (lease_.has_lapsed(now)) {
         lapse("lease_lapsed", now);
     }
 }
@@ -350,10 +281,10 @@
     }
     worker_reachable_ = false;
     status_changed_ = true;
-    fencing_token_.reset();
+    lease_.drop_token();
     log_.write(log_fields("worker_unreachable")
                    .add("reason", reason)
-                   .add("heard_ms_ago", absl::ToInt64Milliseconds(now - worker_heard_))
+                   .add("heard_ms_ago", absl::ToInt64Milliseconds(now - lease_.heard_at()))
                    .add("runs", ledger_.on_worker()),
                now);
     ledger_.on_lapse(reason);
@@ -364,7 +295,7 @@
 asio::awaitable<void> agent_service::start_task(worker_ledger::record_number number)
 {
     const task_record* record = ledger_.find(number);
-    if (record == nullptr || !fencing_token_) {
+    if (record == nullptr || !lease_.fencing_token()) {
         ledger_.on_start_reply(number, {start_outcome::not_sent, std::nullopt}, boot_now());
         co_return;
     }
@@ -373,14 +304,13 @@
     start_order order;
     order.task = run_of(*record);
     order.spec = record->order.spec();
-    order.lease_end = lease_end(boot_now());
-    order.fencing_token = *fencing_token_;
-    lease_until_ = std::max(lease_until_, boot_now() + worker_lease);
+    order.lease_end = lease_.extend_with_order(boot_now());
+    order.fencing_token = *lease_.fencing_token();
     const start_reply reply = co_await orders_.start(order);
     const absl::Time now = boot_now();
-    note_clock(reply.clock, now);
+    lease_.note_clock(reply.clock, now);
     if (reply.outcome == start_outcome::fenced) {
-        fencing_token_.reset();
+        lease_.drop_token();
     }
     log_.write(log_fields("start_ordered")
                    .add("job", order.task.job_id)
@@ -401,7 +331,7 @@
 {
     const task_record* record = ledger_.find(number);
     bool answered = false;
-    if (record != nullptr && fencing_token_) {
+    if (record != nullptr && lease_.fencing_token()) {
         const task_run task = run_of(*record);
         log_.write(log_fields("stop_ordered")
                        .add("job", task.job_id)
@@ -409,7 +339,7 @@
                        .add("run", task.run)
                        .add("reason", record->stop_reason),
                    boot_now());
-        answered = co_await orders_.stop(task, *fencing_token_);
+        answered = co_await orders_.stop(task, *lease_.fencing_token());
     }
     if (!answered) {
         asio::steady_timer pause(executor_, timer_duration(stop_retry_pause));
@@ -449,7 +379,7 @@
         const entry_link* link = link_of(session);
         return link != nullptr && link->permits_starts(now);
     };
-    const bool in_service = settled_ && worker_reachable_ && hears_worker(now) &&
+    const bool in_service = settled_ && worker_reachable_ && lease_.hears_worker(now) &&
                             !operators_.is_out(identity_.data_centre);
     while (in_service) {
         const auto next = ledger_.begin_next(now, may_run);
--- a/src/libs/carobfall/jobs/agent_service.h
+++ b/src/libs/carobfall/jobs/agent_service.h
@@ -5,6 +5,7 @@
 #include "carobfall/base/histogram.h"
 #include "carobfall/jobs/entry_link.h"
 #include "carobfall/jobs/operator_view.h"
+#include "carobfall/jobs/worker_lease.h"
 #include "carobfall/jobs/worker_ledger.h"
 #include "carobfall/jobs/worker_orders.h"
 
@@ -62,7 +63,6 @@
     boost::asio::awaitable<void> watch_time();
     boost::asio::awaitable<void> start_task(worker_ledger::record_number number);
     boost::asio::awaitable<void> stop_task(worker_ledger::record_number number);
-    boost::asio::awaitable<void> acquire_token();
 
     void on_open(entry_link& link);
     void on_frame(entry_link& link, fleet::entry_frame& frame);
@@ -72,14 +72,10 @@
     void send_events(absl::Time now);
     void send_status(entry_link& link, fleet::agent_frame& frame, absl::Time now);
     void fill_status(fleet::agent_status& status, const entry_link& link, absl::Time now) const;
-    void note_clock(const std::optional<worker_time>& clock, absl::Time now);
-    boost::asio::awaitable<renewal_reply> renew_lease(absl::Time now);
     /// Nothing of the worker's runs is left.
     void lapse(const std::string& reason, absl::Time now);
-    [[nodiscard]] bool hears_worker(absl::Time now) const;
     void check_lapse(absl::Time now);
     void forget_worker(const std::string& id, absl::Time now);
-    [[nodiscard]] worker_time lease_end(absl::Time now) const;
     [[nodiscard]] bool accepts_orders() const;
     [[nodiscard]] entry_link* link_of(session_number session) const;
     void log_event(const session_event& event, absl::Time now);
@@ -92,15 +88,12 @@
     metrics_registry& metrics_;
 
     worker_ledger ledger_;
+    worker_lease lease_;
     std::map<std::string, std::shared_ptr<entry_link>> links_; ///< by address
     session_number last_session_{0};
     async_event worker_known_;
 
-    std::optional<std::int64_t> fencing_token_;
-    std::int64_t worker_clock_offset_ms_{0};       ///< worker's clock less ours
-    absl::Time lease_until_{absl::InfinitePast()}; ///< end of the last lease that was asked for
     bool settled_{false}; ///< a report has shown that nothing of an earlier agent runs
-    absl::Time worker_heard_{absl::InfinitePast()}; ///< latest answered renewal
     bool worker_reachable_{true};
     bool draining_{false};
     bool advance_posted_{false};
--- a/src/libs/carobfall/jobs/entry_link.cpp
+++ b/src/libs/carobfall/jobs/entry_link.cpp
@@ -20,6 +20,9 @@
 constexpr absl::Duration connect_limit = absl::Milliseconds(400);
 // A restarted entry listens again within some hundred milliseconds.
 constexpr absl::Duration reconnect_pause = absl::Milliseconds(150);
+// An entry that was away for long has probably been replaced at another address.
+constexpr absl::Duration long_absence = absl::Seconds(30);
+constexpr absl::Duration long_reconnect_pause = absl::Seconds(2);
 
 } // namespace
 
@@ -63,6 +66,7 @@
 asio::awaitable<void> entry_link::run()
 {
     const std::shared_ptr<entry_link> self = shared_from_this();
+    const absl::Time begun = boot_now();
     while (!stopped_) {
         asio::ip::tcp::socket socket(executor_);
         if (co_await connect(socket)) {
@@ -81,12 +85,15 @@
             hooks_.on_open(*this);
             co_await read_frames();
             channel_->close();
+            last_connected_ = boot_now();
             hooks_.on_closed(std::exchange(session_, 0));
         }
         if (stopped_) {
             break;
         }
-        asio::steady_timer pause(executor_, timer_duration(reconnect_pause));
+        const bool long_away = boot_now() - std::max(last_connected_, begun) > long_absence;
+        asio::steady_timer pause(
+            executor_, timer_duration(long_away ? long_reconnect_pause : reconnect_pause));
         co_await pause.async_wait(asio::use_awaitable);
     }
 }
--- a/src/libs/carobfall/jobs/entry_link.h
+++ b/src/libs/carobfall/jobs/entry_link.h
@@ -53,7 +53,6 @@
     [[nodiscard]] std::uint64_t orders_received() const { return orders_received_; }
     [[nodiscard]] absl::Time last_sent() const { return last_sent_; }
     [[nodiscard]] std::uint64_t known_operator_version() const { return operator_version_; }
-    [[nodiscard]] absl::Time last_connected() const { return last_connected_; }
 
 private:
     boost::asio::awaitable<bool> connect(boost::asio::ip::tcp::socket& socket);
--- /dev/null
+++ b/src/libs/carobfall/jobs/worker_lease.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "carobfall/base/event_log.h"
+#include "carobfall/jobs/worker_orders.h"
+
+#include <absl/time/time.h>
+#include <boost/asio/awaitable.hpp>
+
+#include <cstdint>
+#include <optional>
+
+namespace carobfall {
+
+/// The agent's lease of everything that runs on its worker, and the fencing token of its orders.
+class worker_lease {
+public:
+    worker_lease(worker_orders& orders, event_log& log) : orders_(orders), log_(log) {}
+
+    /// Renews the lease and returns the worker's report. Takes a new token first if there is none.
+    /// The lease of a worker that is silent is not extended while it `has_runs`, so that it ends
+    /// and the tasks can run elsewhere. `wait`: the answer may wait this long for the end of a run.
+    boost::asio::awaitable<renewal_reply> renew(std::uint64_t acknowledged_end, bool has_runs,
+                                                absl::Duration wait);
+    /// Lease end for an order that is sent at `now`; the order extends the lease.
+    [[nodiscard]] worker_time extend_with_order(absl::Time now);
+    /// Takes the worker's clock from an answer that arrived at `now`.
+    void note_clock(const std::optional<worker_time>& clock, absl::Time now);
+    /// Orders of the present token must not count any more.
+    void drop_token() { fencing_token_.reset(); }
+
+    [[nodiscard]] const std::optional<std::int64_t>& fencing_token() const
+    {
+        return fencing_token_;
+    }
+    [[nodiscard]] bool hears_worker(absl::Time now) const;
+    [[nodiscard]] absl::Time heard_at() const { return heard_at_; }
+    /// Whether every lease that was asked for has ended on the worker's clock.
+    [[nodiscard]] bool has_lapsed(absl::Time now) const;
+
+private:
+    boost::asio::awaitable<void> acquire_token(std::uint64_t acknowledged_end);
+    [[nodiscard]] worker_time lease_end(absl::Time now) const;
+
+    worker_orders& orders_;
+    event_log& log_;
+    std::optional<std::int64_t> fencing_token_;
+    std::int64_t clock_offset_ms_{0}; ///< worker's clock less ours
+    absl::Time lease_until_{absl::InfinitePast()};
+    absl::Time heard_at_{absl::InfinitePast()}; ///< latest answered renewal
+};
+
+} // namespace carobfall
