--- a/src/libs/carobfall/jobs/agent_service.cpp
+++ b/src/libs/carobfall/jobs/agent_service.cpp
@@ -71,7 +71,7 @@
 {
     const absl::Time now = boot_now();
     const std::optional<worker_announcement> before = ledger_.worker();
-    if (!ledger_.announce(worker, now)) {
+    if (!ledger_.announce(worker)) {
         return announcement_effect::ignored;
     }
     const bool restarted =
@@ -108,7 +108,7 @@
 void agent_service::worker_left(std::string_view id)
 {
     const absl::Time now = boot_now();
-    ledger_.remove_worker(id, now);
+    ledger_.remove_worker(id);
     log_.write(log_fields("worker_left").add("worker", id), now);
     status_changed_ = true;
     advance(now);
@@ -262,7 +262,7 @@
 {
     // Its runs have ended with it; the worker that is there announces itself.
     log_.write(log_fields("worker_replaced").add("worker", id), now);
-    ledger_.remove_worker(id, now);
+    ledger_.remove_worker(id);
     status_changed_ = true;
     advance(now);
 }
--- a/src/libs/carobfall/jobs/entry_service.cpp
+++ b/src/libs/carobfall/jobs/entry_service.cpp
@@ -167,7 +167,6 @@
         log_.write(log_fields("agent_accepts").add("agent", peer.status.name()), boot_now());
         hooks_.on_settled(peer.status.name());
     }
-    hooks_.on_room();
 }
 
 void entry_service::refresh_view(const connection& peer)
--- a/src/libs/carobfall/jobs/entry_service.h
+++ b/src/libs/carobfall/jobs/entry_service.h
@@ -38,7 +38,6 @@
         std::function<void(const std::string& agent, absl::Time last_heard)> on_lost;
         /// A later incarnation of the agent takes orders: no earlier run is left.
         std::function<void(const std::string& agent)> on_settled;
-        std::function<void()> on_room; ///< an agent has reported its room
     };
 
     entry_service(const boost::asio::any_io_executor& executor, std::string name,
--- a/src/libs/carobfall/jobs/job_dispatcher.cpp
+++ b/src/libs/carobfall/jobs/job_dispatcher.cpp
@@ -86,7 +86,6 @@
         on_lost(agent, last_heard);
     };
     hooks.on_settled = [this](const std::string& agent) { on_settled(agent); };
-    hooks.on_room = [] {};
     agents_.set_hooks(std::move(hooks));
 }
 
--- a/src/libs/carobfall/jobs/job_dispatcher.h
+++ b/src/libs/carobfall/jobs/job_dispatcher.h
@@ -41,7 +41,7 @@
 /// A job while its caller waits, and afterwards until none of its runs is left.
 struct active_job {
     active_job(const boost::asio::any_io_executor& executor, job_request job)
-        : request(std::move(job)), changed(executor), settled(executor)
+        : request(std::move(job)), changed(executor)
     {}
 
     job_request request;
@@ -57,7 +57,6 @@
     bool too_long{false}; ///< a sound worker could not end a task in time
     absl::Time place_after{absl::InfinitePast()};
     async_event changed;
-    async_event settled;
 };
 
 /// Runs jobs: places their tasks on agents, places them again when an agent returns them or is
--- a/src/libs/carobfall/jobs/worker_ledger.cpp
+++ b/src/libs/carobfall/jobs/worker_ledger.cpp
@@ -59,7 +59,7 @@
     return {record.order.job_id(), record.order.index(), record.run};
 }
 
-bool worker_ledger::announce(const worker_announcement& worker, absl::Time now)
+bool worker_ledger::announce(const worker_announcement& worker)
 {
     if (worker.id == left_id_ && worker.started_unix_ms <= left_started_unix_ms_) {
         return false;
@@ -83,11 +83,10 @@
     if (worker.state == worker_state::draining) {
         hand_back("worker_draining");
     }
-    static_cast<void>(now);
     return true;
 }
 
-void worker_ledger::remove_worker(std::string_view id, absl::Time)
+void worker_ledger::remove_worker(std::string_view id)
 {
     if (!worker_ || worker_->id != id) {
         return;
--- a/src/libs/carobfall/jobs/worker_ledger.h
+++ b/src/libs/carobfall/jobs/worker_ledger.h
@@ -65,9 +65,9 @@
 
     /// Takes over what the worker says of itself. Runs of an earlier incarnation have ended with
     /// it. False if the announcement is older than what is known.
-    bool announce(const worker_announcement& worker, absl::Time now);
+    bool announce(const worker_announcement& worker);
     /// The worker has left: its runs have ended.
-    void remove_worker(std::string_view id, absl::Time now);
+    void remove_worker(std::string_view id);
 
     void add(session_number session, const fleet::task_order& order, absl::Time now);
     void request_stop(session_number session, const fleet::task_stop& stop);
--- a/tests/auto/jobs/tst_worker_ledger.cpp
+++ b/tests/auto/jobs/tst_worker_ledger.cpp
@@ -56,7 +56,7 @@
 
     explicit started_ledger(start_outcome outcome = start_outcome::started)
     {
-        ledger.announce(worker(), now);
+        ledger.announce(worker());
         ledger.add(1, order(0), now);
         number = ledger.begin_next(now, permitted).value();
         ledger.on_start_reply(number, {outcome, std::nullopt}, after(2));
@@ -125,7 +125,7 @@
 TEST_CASE("a short run whose end arrives before the answer to its start is reported once")
 {
     worker_ledger ledger;
-    ledger.announce(worker(), now);
+    ledger.announce(worker());
     ledger.add(1, order(0), now);
     const auto number = ledger.begin_next(now, permitted);
     REQUIRE(number);
@@ -185,7 +185,7 @@
 TEST_CASE("runs of an earlier agent are stopped before anything starts")
 {
     worker_ledger ledger;
-    ledger.announce(worker(), now);
+    ledger.announce(worker());
     worker_report report;
     report.active.push_back({{"00000000000000bb", 3, 4}, 50});
     ledger.on_report(report, now, after(2));
@@ -204,18 +204,18 @@
 TEST_CASE("late announcements and those of workers that have left say nothing")
 {
     worker_ledger ledger;
-    CHECK(ledger.announce(worker(5, 3), now));
-    CHECK_FALSE(ledger.announce(worker(5, 2), now));
-    CHECK_FALSE(ledger.announce(worker(4, 9), now));
-    ledger.remove_worker("i-1", now);
-    CHECK_FALSE(ledger.announce(worker(5, 4), now));
-    CHECK(ledger.announce(worker(6, 1), now));
+    CHECK(ledger.announce(worker(5, 3)));
+    CHECK_FALSE(ledger.announce(worker(5, 2)));
+    CHECK_FALSE(ledger.announce(worker(4, 9)));
+    ledger.remove_worker("i-1");
+    CHECK_FALSE(ledger.announce(worker(5, 4)));
+    CHECK(ledger.announce(worker(6, 1)));
 }
 
 TEST_CASE("a restarted worker has lost its runs")
 {
     started_ledger test;
-    REQUIRE(test.ledger.announce(worker(2, 1), after(50)));
+    REQUIRE(test.ledger.announce(worker(2, 1)));
     CHECK(test.events() == event_list{{fleet::task_ended, "worker_restarted"}});
     CHECK(test.ledger.acknowledged_end() == 0);
 }
@@ -227,7 +227,7 @@
     test.ledger.add(1, order(1), after(3));
     worker_announcement draining = worker(1, 2);
     draining.state = worker_state::draining;
-    REQUIRE(test.ledger.announce(draining, after(4)));
+    REQUIRE(test.ledger.announce(draining));
     CHECK(test.events() == event_list{{fleet::task_not_run, "worker_draining"}});
     test.ledger.add(1, order(2), after(5));
     CHECK(test.events() == event_list{{fleet::task_not_run, "worker_draining"}});
@@ -238,7 +238,7 @@
 TEST_CASE("a waiting task is returned when its answer is of no use")
 {
     worker_ledger ledger;
-    ledger.announce(worker(), now);
+    ledger.announce(worker());
     ledger.add(1, order(0), now);
     ledger.expire(after(599));
     CHECK_FALSE(ledger.has_events());
@@ -266,7 +266,7 @@
 TEST_CASE("a stop request for a waiting task says that it has not run")
 {
     worker_ledger ledger;
-    ledger.announce(worker(), now);
+    ledger.announce(worker());
     ledger.add(1, order(0), now);
     fleet::task_stop stop;
     stop.set_job_id(job_id);
@@ -281,7 +281,7 @@
 TEST_CASE("a stop request while the start is under way stops the run afterwards")
 {
     worker_ledger ledger;
-    ledger.announce(worker(), now);
+    ledger.announce(worker());
     ledger.add(1, order(0), now);
     const auto number = ledger.begin_next(now, permitted);
     REQUIRE(number);
--- a/tests/auto/jobs/tst_worker_ledger_random.cpp
+++ b/tests/auto/jobs/tst_worker_ledger_random.cpp
@@ -94,7 +94,7 @@
         worker.service = "adviser";
         worker.capacity = {20000, 1000, 0};
         worker.sequence = 1;
-        ledger.announce(worker, now);
+        ledger.announce(worker);
     }
 
     void step(int action, int choice)
