--- a/src/libs/carobfall/base/async_http_server.cpp
+++ b/src/libs/carobfall/base/async_http_server.cpp
@@ -1,11 +1,11 @@
 #include "carobfall/base/async_http_server.h"
 
 #include "carobfall/base/boot_clock.h"
+#include "carobfall/base/tcp_listener.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -28,8 +28,6 @@
 
 namespace {
 
-constexpr int listen_backlog = 1024;
-constexpr absl::Duration accept_retry_pause = absl::Milliseconds(20);
 // Holds most requests of callers whole.
 constexpr std::size_t first_read_bytes = 4096;
 constexpr absl::Duration write_limit = absl::Seconds(5);
@@ -94,46 +92,22 @@
 } // namespace
 
 async_http_server::async_http_server(const asio::any_io_executor& executor,
-                                     async_http_handler handler)
-    : executor_(executor), handler_(std::move(handler))
+                                     async_http_handler handler, event_log& log)
+    : executor_(executor), handler_(std::move(handler)), log_(log)
 {}
 
 void async_http_server::start(const asio::ip::tcp::endpoint& address)
 {
-    asio::ip::tcp::acceptor acceptor(executor_);
-    acceptor.open(address.protocol());
-    acceptor.set_option(asio::socket_base::reuse_address(true));
-    acceptor.bind(address);
-    acceptor.listen(listen_backlog);
-    asio::co_spawn(
-        executor_,
-        [this, listener = std::move(acceptor)]() mutable -> asio::awaitable<void> {
-            co_await accept(std::move(listener));
+    serve_connections(
+        executor_, address,
+        [this](asio::ip::tcp::socket socket) -> asio::awaitable<void> {
+            ++connections_;
+            co_await serve(std::move(socket));
+            --connections_;
         },
-        asio::detached);
-}
-
-asio::awaitable<void> async_http_server::accept(asio::ip::tcp::acceptor acceptor)
-{
-    while (true) {
-        boost::system::error_code error;
-        asio::ip::tcp::socket socket =
-            co_await acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
-        if (error) {
-            // Without free descriptors the same error would come back at once.
-            asio::steady_timer pause(executor_, timer_duration(accept_retry_pause));
-            co_await pause.async_wait(asio::use_awaitable);
-            continue;
-        }
-        asio::co_spawn(
-            executor_,
-            [this, peer = std::move(socket)]() mutable -> asio::awaitable<void> {
-                ++connections_;
-                co_await serve(std::move(peer));
-                --connections_;
-            },
-            asio::detached);
-    }
+        [this](const boost::system::error_code& error) {
+            log_.write(log_fields("accept_failed").add("error", error.message()), boot_now());
+        });
 }
 
 asio::awaitable<void> async_http_server::serve(asio::ip::tcp::socket socket)
--- a/src/libs/carobfall/base/async_http_server.h
+++ b/src/libs/carobfall/base/async_http_server.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "carobfall/base/event_log.h"
+
 #include <absl/time/time.h>
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -44,7 +46,8 @@
 /// answered with 400, 413 or 431; connections beyond the limit with 503.
 class async_http_server {
 public:
-    async_http_server(const boost::asio::any_io_executor& executor, async_http_handler handler);
+    async_http_server(const boost::asio::any_io_executor& executor, async_http_handler handler,
+                      event_log& log);
 
     /// Throws `boost::system::system_error` if it can't listen.
     void start(const boost::asio::ip::tcp::endpoint& address);
@@ -55,11 +58,11 @@
     [[nodiscard]] std::size_t connections() const { return connections_; }
 
 private:
-    boost::asio::awaitable<void> accept(boost::asio::ip::tcp::acceptor acceptor);
     boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
 
     boost::asio::any_io_executor executor_;
     const async_http_handler handler_;
+    event_log& log_;
     async_http_limits limits_;
     std::size_t connections_{0};
     bool draining_{false};
--- /dev/null
+++ b/src/libs/carobfall/base/tcp_listener.cpp
@@ -0,0 +1,58 @@
+#include "carobfall/base/tcp_listener.h"
+
+#include "carobfall/base/boot_clock.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <utility>
+
+namespace carobfall {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// Holds the connections of callers that come at once while the loop is busy.
+constexpr int listen_backlog = 1024;
+// Without free descriptors the same error would come back at once.
+constexpr absl::Duration retry_pause = absl::Milliseconds(20);
+
+asio::awaitable<void> accept_connections(asio::ip::tcp::acceptor acceptor, connection_handler serve,
+                                         accept_error_handler on_error)
+{
+    const asio::any_io_executor executor = acceptor.get_executor();
+    while (true) {
+        boost::system::error_code error;
+        asio::ip::tcp::socket socket =
+            co_await acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
+        if (error) {
+            on_error(error);
+            asio::steady_timer pause(executor, timer_duration(retry_pause));
+            co_await pause.async_wait(asio::use_awaitable);
+            continue;
+        }
+        asio::co_spawn(executor, serve(std::move(socket)), asio::detached);
+    }
+}
+
+} // namespace
+
+void serve_connections(const asio::any_io_executor& executor,
+                       const asio::ip::tcp::endpoint& address, connection_handler serve,
+                       accept_error_handler on_error)
+{
+    asio::ip::tcp::acceptor acceptor(executor);
+    acceptor.open(address.protocol());
+    acceptor.set_option(asio::socket_base::reuse_address(true));
+    acceptor.bind(address);
+    acceptor.listen(listen_backlog);
+    asio::co_spawn(executor,
+                   accept_connections(std::move(acceptor), std::move(serve), std::move(on_error)),
+                   asio::detached);
+}
+
+} // namespace carobfall
--- a/src/libs/carobfall/fleet/frame_channel.cpp
+++ b/src/libs/carobfall/fleet/frame_channel.cpp
@@ -1,6 +1,8 @@
 #include "carobfall/fleet/frame_channel.h"
 
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -90,12 +92,18 @@
     queued_.notify();
 }
 
-void configure_link_socket(asio::ip::tcp::socket& socket)
+std::shared_ptr<frame_channel> open_frame_channel(asio::ip::tcp::socket socket)
 {
     boost::system::error_code ignored; // the options only speed up the detection of lost peers
     socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     using user_timeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
     socket.set_option(user_timeout(unacknowledged_limit_ms), ignored);
+    const asio::any_io_executor executor = socket.get_executor();
+    auto channel = std::make_shared<frame_channel>(std::move(socket));
+    asio::co_spawn(
+        executor, [channel]() -> asio::awaitable<void> { co_await channel->write_all(); },
+        asio::detached);
+    return channel;
 }
 
 } // namespace carobfall
--- a/src/libs/carobfall/fleet/frame_channel.h
+++ b/src/libs/carobfall/fleet/frame_channel.h
@@ -2,11 +2,13 @@
 
 #include "carobfall/base/async_event.h"
 
+#include <absl/time/time.h>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <google/protobuf/message_lite.h>
 
 #include <cstddef>
+#include <memory>
 #include <string>
 
 namespace carobfall {
@@ -34,8 +36,12 @@
     std::string incoming_;
 };
 
-/// Sets the options of a connection between our processes: no delay, and an end to connections
-/// whose peer is gone without a word.
-void configure_link_socket(boost::asio::ip::tcp::socket& socket);
+/// Longest pause between two frames in either direction, so that silence of some hundred
+/// milliseconds means a lost peer.
+inline constexpr absl::Duration link_frame_interval = absl::Milliseconds(100);
+
+/// Channel over a connection between our processes, whose queue is written until the connection
+/// ends. A peer that is gone without a word ends it as well.
+[[nodiscard]] std::shared_ptr<frame_channel> open_frame_channel(boost::asio::ip::tcp::socket socket);
 
 } // namespace carobfall
--- a/src/libs/carobfall/jobs/agent_choice.cpp
+++ b/src/libs/carobfall/jobs/agent_choice.cpp
@@ -40,7 +40,8 @@
 
 } // namespace
 
-absl::Duration expected_wait(const agent_view& agent, const resource_amounts& demand)
+absl::Duration expected_wait(const agent_view& agent, const resource_amounts& demand,
+                             double core_ms_before)
 {
     if (demand.fits_into(agent.free)) {
         return absl::ZeroDuration();
@@ -48,7 +49,7 @@
     const double cores = std::max(static_cast<double>(agent.capacity.cpu_millicores) / 1000, 0.001);
     // At least one of the runs has to end first.
     constexpr absl::Duration min_wait = absl::Milliseconds(20);
-    return min_wait + agent.slowness * absl::Milliseconds(agent.waiting_core_ms / cores);
+    return min_wait + agent.slowness * absl::Milliseconds(core_ms_before / cores);
 }
 
 std::optional<std::size_t> choose_agent(std::span<const agent_view> agents,
@@ -65,7 +66,7 @@
         }
         const bool remote = !request.data_rack.empty() && agent.rack != request.data_rack;
         const double slowness = agent.slowness * (remote ? remote_data_factor : 1.0);
-        absl::Duration delay = expected_wait(agent, request.demand) +
+        absl::Duration delay = expected_wait(agent, request.demand, agent.waiting_core_ms) +
                                time.expected_run * (slowness - 1) +
                                failing_penalty * agent.failure_share;
         if (agent.avoided) {
--- a/src/libs/carobfall/jobs/agent_choice.h
+++ b/src/libs/carobfall/jobs/agent_choice.h
@@ -23,7 +23,7 @@
     std::string service;
     bool usable{false}; ///< connected, takes orders, its data centre is in service
     resource_amounts capacity;
-    resource_amounts free;     ///< negative with work that waits
+    resource_amounts free;     ///< room that no run takes
     double waiting_core_ms{0}; ///< work of the orders that wait
     double urgent_core_ms{0};  ///< part of it that has to start within 100 ms
     double failure_share{0};   ///< of the latest runs
@@ -32,8 +32,10 @@
     bool avoided{false}; ///< a task of this job has failed there
 };
 
-/// Wait until a task could start at the agent. 0 if there is room now.
-[[nodiscard]] absl::Duration expected_wait(const agent_view& agent, const resource_amounts& demand);
+/// Wait until a task could start at the agent. 0 if there is room now. `core_ms_before`: work that
+/// waits and goes before the task.
+[[nodiscard]] absl::Duration expected_wait(const agent_view& agent, const resource_amounts& demand,
+                                           double core_ms_before);
 
 /// What placing needs to know of the time of a task.
 struct task_time {
--- a/src/libs/carobfall/jobs/agent_service.cpp
+++ b/src/libs/carobfall/jobs/agent_service.cpp
@@ -24,8 +24,6 @@
 constexpr absl::Duration renewal_wait = absl::Milliseconds(150);
 constexpr absl::Duration renewal_retry_pause = absl::Milliseconds(20);
 constexpr absl::Duration watch_interval = absl::Milliseconds(25);
-// Longest pause between frames to an entry; its answers renew the permission to run.
-constexpr absl::Duration frame_interval = absl::Milliseconds(100);
 // Entries without events hear of changed room this often.
 constexpr absl::Duration status_interval = absl::Milliseconds(20);
 constexpr absl::Duration stop_retry_pause = absl::Milliseconds(10);
@@ -474,7 +472,7 @@
         const auto frame = frames.find(link->session());
         if (frame != frames.end()) {
             send_status(*link, frame->second, now);
-        } else if (all_due || now - link->last_sent() >= frame_interval) {
+        } else if (all_due || now - link->last_sent() >= link_frame_interval) {
             fleet::agent_frame empty;
             send_status(*link, empty, now);
         }
--- a/src/libs/carobfall/jobs/entry_link.cpp
+++ b/src/libs/carobfall/jobs/entry_link.cpp
@@ -3,8 +3,6 @@
 #include "carobfall/base/boot_clock.h"
 #include "carobfall/fleet/endpoint.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -70,12 +68,7 @@
     while (!stopped_) {
         asio::ip::tcp::socket socket(executor_);
         if (co_await connect(socket)) {
-            configure_link_socket(socket);
-            channel_ = std::make_shared<frame_channel>(std::move(socket));
-            asio::co_spawn(
-                executor_,
-                [channel = channel_]() -> asio::awaitable<void> { co_await channel->write_all(); },
-                asio::detached);
+            channel_ = open_frame_channel(std::move(socket));
             const absl::Time now = boot_now();
             session_ = hooks_.new_session();
             orders_received_ = 0;
--- a/src/libs/carobfall/jobs/entry_service.cpp
+++ b/src/libs/carobfall/jobs/entry_service.cpp
@@ -1,11 +1,11 @@
 #include "carobfall/jobs/entry_service.h"
 
 #include "carobfall/base/boot_clock.h"
+#include "carobfall/base/tcp_listener.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -18,14 +18,11 @@
 
 namespace {
 
-// Agents give up the tasks of an entry that they don't hear for 500 ms.
-constexpr absl::Duration frame_interval = absl::Milliseconds(100);
 // An agent without a frame for this long is lost; agents send one each 100 ms.
 constexpr absl::Duration agent_silence_limit = absl::Milliseconds(500);
 constexpr absl::Duration watch_interval = absl::Milliseconds(25);
 // Kinds of workers differ by up to 1.3 in speed, and run times of jobs average out.
 constexpr double slow_worker = 2;
-constexpr int listen_backlog = 256;
 
 resource_amounts amounts_of(const fleet::room& room)
 {
@@ -61,9 +58,12 @@
 
 void entry_service::start(const asio::ip::tcp::endpoint& address)
 {
-    asio::co_spawn(
-        executor_, [this, address]() -> asio::awaitable<void> { co_await accept(address); },
-        asio::detached);
+    serve_connections(
+        executor_, address,
+        [this](asio::ip::tcp::socket socket) { return serve(std::move(socket)); },
+        [this](const boost::system::error_code& error) {
+            log_.write(log_fields("accept_failed").add("error", error.message()), boot_now());
+        });
     asio::co_spawn(
         executor_, [this]() -> asio::awaitable<void> { co_await watch_time(); }, asio::detached);
 }
@@ -73,42 +73,10 @@
     entries_.insert(addresses.begin(), addresses.end());
 }
 
-asio::awaitable<void> entry_service::accept(asio::ip::tcp::endpoint address)
-{
-    asio::ip::tcp::acceptor acceptor(executor_);
-    acceptor.open(address.protocol());
-    acceptor.set_option(asio::socket_base::reuse_address(true));
-    acceptor.bind(address);
-    acceptor.listen(listen_backlog);
-    while (true) {
-        boost::system::error_code error;
-        asio::ip::tcp::socket socket =
-            co_await acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
-        if (error) {
-            // Without free descriptors the same error would come back at once.
-            log_.write(log_fields("accept_failed").add("error", error.message()), boot_now());
-            asio::steady_timer pause(executor_, timer_duration(watch_interval));
-            co_await pause.async_wait(asio::use_awaitable);
-            continue;
-        }
-        configure_link_socket(socket);
-        asio::co_spawn(
-            executor_,
-            [this, peer = std::move(socket)]() mutable -> asio::awaitable<void> {
-                co_await serve(std::move(peer));
-            },
-            asio::detached);
-    }
-}
-
 asio::awaitable<void> entry_service::serve(asio::ip::tcp::socket socket)
 {
     auto peer = std::make_shared<connection>();
-    peer->channel = std::make_shared<frame_channel>(std::move(socket));
-    asio::co_spawn(
-        executor_,
-        [channel = peer->channel]() -> asio::awaitable<void> { co_await channel->write_all(); },
-        asio::detached);
+    peer->channel = open_frame_channel(std::move(socket));
     fleet::agent_frame frame;
     while (co_await peer->channel->read(frame)) {
         take_frame(peer, frame);
@@ -296,7 +264,7 @@
 {
     for (const auto& [name, peer] : agents_) {
         if (peer->has_pending || peer->operator_version < operators_.version() ||
-            peer->entries_told < entries_.size() || now - peer->last_sent >= frame_interval) {
+            peer->entries_told < entries_.size() || now - peer->last_sent >= link_frame_interval) {
             send(*peer, now);
         }
     }
--- a/src/libs/carobfall/jobs/entry_service.h
+++ b/src/libs/carobfall/jobs/entry_service.h
@@ -81,7 +81,6 @@
         std::size_t entries_told{0};
     };
 
-    boost::asio::awaitable<void> accept(boost::asio::ip::tcp::endpoint address);
     boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
     boost::asio::awaitable<void> watch_time();
     void take_frame(const std::shared_ptr<connection>& peer, fleet::agent_frame& frame);
--- a/src/libs/carobfall/jobs/job_dispatcher.cpp
+++ b/src/libs/carobfall/jobs/job_dispatcher.cpp
@@ -120,21 +120,16 @@
     return answer;
 }
 
-absl::Duration job_dispatcher::wait_of(const active_job& job, agent_view agent) const
-{
-    // Tasks with less time go first, so that an urgent job waits only for urgent work.
-    if (job.timing.start_by - job.arrival <= urgent_start) {
-        agent.waiting_core_ms = agent.urgent_core_ms;
-    }
-    return expected_wait(agent, job.request.demand);
-}
-
 absl::Duration job_dispatcher::least_wait(const active_job& job)
 {
+    // Tasks with less time go first, so that an urgent job waits only for urgent work.
+    const bool urgent = job.timing.start_by - job.arrival <= urgent_start;
     absl::Duration least = absl::InfiniteDuration();
     for (const agent_view& agent : agents_.agents()) {
         if (agent.usable && agent.service == job.request.service) {
-            least = std::min(least, wait_of(job, agent));
+            least = std::min(least,
+                             expected_wait(agent, job.request.demand,
+                                           urgent ? agent.urgent_core_ms : agent.waiting_core_ms));
         }
     }
     return least;
@@ -304,7 +299,7 @@
     case fleet::task_failed:
         task.phase = job_task_phase::unplaced;
         job.avoided.insert(agent);
-        job.too_many_failures = ++task.failures >= job.request.max_attempts;
+        job.too_many_failures |= ++task.failures >= job.request.max_attempts;
         break;
     case fleet::task_ended:
         if (event.run_ms() > 0 && !agents_.is_slow(agent)) {
@@ -313,7 +308,7 @@
         [[fallthrough]];
     case fleet::task_not_run:
         task.phase = job_task_phase::unplaced;
-        job.too_many_orders = task.attempt >= max_orders_per_task;
+        job.too_many_orders |= task.attempt >= max_orders_per_task;
         break;
     default:
         return;
--- a/src/libs/carobfall/jobs/job_dispatcher.h
+++ b/src/libs/carobfall/jobs/job_dispatcher.h
@@ -88,7 +88,6 @@
     void on_settled(const std::string& agent);
     void settle(const std::string& id);
     void release_lost_tasks(active_job& job, absl::Time now);
-    [[nodiscard]] absl::Duration wait_of(const active_job& job, agent_view agent) const;
     [[nodiscard]] absl::Duration least_wait(const active_job& job);
     [[nodiscard]] absl::Time next_check(const active_job& job) const;
     job_answer refuse(const active_job& job, std::string reason, absl::Duration retry_after);
--- a/tests/auto/jobs/tst_entry_and_agent.cpp
+++ b/tests/auto/jobs/tst_entry_and_agent.cpp
@@ -238,6 +238,60 @@
     CHECK(agent.worker.starts == 3);
 }
 
+// Guards against a failure that is forgotten because an event of another task follows in the same
+// frame: the task would get more attempts than the route allows.
+TEST_CASE("a task that has failed too often ends the job whatever follows in the frame")
+{
+    region test;
+    asio::ip::tcp::socket socket(test.context);
+    socket.connect(test.endpoint);
+    frame_channel agent(std::move(socket));
+    std::vector<fleet::task_order> orders;
+    const auto read_orders = [&]() -> asio::awaitable<void> {
+        fleet::entry_frame frame;
+        while (co_await agent.read(frame)) {
+            orders.insert(orders.end(), frame.orders().begin(), frame.orders().end());
+        }
+    };
+    asio::co_spawn(test.context, agent.write_all(), asio::detached);
+    asio::co_spawn(test.context, read_orders(), asio::detached);
+    const auto send = [&](const std::vector<std::pair<std::uint32_t, std::uint32_t>>& failures) {
+        fleet::agent_frame frame;
+        fleet::agent_status& status = *frame.mutable_status();
+        status.set_name("a");
+        status.set_service("adviser");
+        status.set_accepting(true);
+        status.set_slowness_percent(100);
+        status.mutable_capacity()->set_cpu_millicores(64000);
+        status.mutable_capacity()->set_memory_mib(262144);
+        *status.mutable_free() = status.capacity();
+        for (const auto& [index, attempt] : failures) {
+            fleet::task_event& event = *frame.add_events();
+            event.set_job_id("00000000000000aa");
+            event.set_index(index);
+            event.set_attempt(attempt);
+            event.set_kind(fleet::task_failed);
+        }
+        agent.send(frame);
+    };
+    send({});
+    REQUIRE(test.run_until([&] { return test.entry.usable_agents() == 1; }));
+    std::optional<job_answer> answer;
+    test.submit("00000000000000aa", 2, answer);
+    // Each step is shorter than the silence after which the entry gives the agent up.
+    for (std::uint32_t attempt = 1; attempt < 3; ++attempt) {
+        REQUIRE(
+            test.run_until([&] { return orders.size() == 1 + attempt; }, absl::Milliseconds(300)));
+        send({{0, attempt}});
+    }
+    REQUIRE(test.run_until([&] { return orders.size() == 4; }, absl::Milliseconds(300)));
+    send({{0, 3}, {1, 1}});
+    test.run_until([&] { return answer.has_value(); }, absl::Milliseconds(300));
+    REQUIRE(answer.has_value());
+    CHECK(answer->outcome == job_outcome::failed);
+    CHECK(orders.size() == 4);
+}
+
 // Guards against runs that go on for a caller that has left.
 TEST_CASE("the runs of an abandoned job are stopped")
 {
