Jobs: Refuse jobs while the queue is short

Cause: with load at or over the room of the workers nothing was refused: a job was admitted as long as it could start within its slack, so that the queue grew to the slack of each kind and every deviation made a job late.

The load is replayed in virtual time through the decisions of entries and agents (tst_load_replay), which failed before: 0.83, 0.92 and 0.90 on time at 1.0 times the high rate, 0.66, 0.60 and 0.63 at 1.3 times.

The test that a wait of 100 ms is admitted with 165 ms of slack stated the old rule; it now admits 20 ms, and two cases state the new one.

--- a/src/libs/carobfall/jobs/job_dispatcher.cpp
+++ b/src/libs/carobfall/jobs/job_dispatcher.cpp
@@ -129,7 +129,8 @@
         co_return refuse(*job, "no_worker", retry_without_agents);
     }
     const absl::Duration wait = placement.longest_wait;
-    const admission_decision decision = admit(job->timing, job->expected_run, wait, now, random());
+    const admission_decision decision =
+        admit(job->timing, job->request.priority, job->expected_run, wait, now, random());
     if (!decision.admitted) {
         log_.write(log_fields("job_refused")
                        .add("job", job->request.id)
--- a/src/libs/carobfall/jobs/job_timing.cpp
+++ b/src/libs/carobfall/jobs/job_timing.cpp
@@ -11,8 +11,13 @@
 constexpr absl::Duration min_retry_after = absl::Seconds(1);
 // Callers have no use of an answer later than this many times the objective.
 constexpr double late_factor = 3;
-// Waits are expected too long by about this, as runs may end sooner.
-constexpr absl::Duration admission_tolerance = absl::Milliseconds(40);
+// The queue that keeps a worker busy: on the users' sheets a run ends every 10 to 20 ms on a full
+// worker. The replayed load of tst_load_replay.cpp is served best with 10 to 25 ms.
+constexpr absl::Duration busy_queue = absl::Milliseconds(15);
+// A refused long job costs more than its wait; with more than a tenth the short ones turn late.
+constexpr double admitted_share_of_slack = 0.06;
+// Tasks of the first priority pass the others, so that their queue holds little but their own kind.
+constexpr double first_priority_factor = 3;
 // Run times are declared up to this much too long.
 constexpr double optimistic_share = 0.6;
 constexpr absl::Duration max_retry_after = absl::Seconds(8);
@@ -36,12 +41,20 @@
     return start + optimistic_share * expected_run <= give_up;
 }
 
-admission_decision admit(const job_timing& timing, absl::Duration expected_run,
-                         absl::Duration expected_wait, absl::Time now, double random)
+absl::Duration admitted_wait(std::uint32_t priority, absl::Duration slack)
+{
+    const absl::Duration wait =
+        busy_queue + admitted_share_of_slack * std::max(slack, absl::ZeroDuration());
+    return priority == 0 ? first_priority_factor * wait : wait;
+}
+
+admission_decision admit(const job_timing& timing, std::uint32_t priority,
+                         absl::Duration expected_run, absl::Duration expected_wait, absl::Time now,
+                         double random)
 {
     // Expected run times are too rough to refuse a job that could start at once.
     if (expected_wait <= absl::ZeroDuration() ||
-        (now + expected_wait <= timing.start_by + admission_tolerance &&
+        (expected_wait <= admitted_wait(priority, timing.start_by - now) &&
          can_still_end(expected_run, now + expected_wait, timing.give_up))) {
         return {};
     }
--- a/src/libs/carobfall/jobs/job_timing.h
+++ b/src/libs/carobfall/jobs/job_timing.h
@@ -4,6 +4,8 @@
 
 #include <absl/time/time.h>
 
+#include <cstdint>
+
 namespace carobfall {
 
 /// The times that matter to a job, all counted from its arrival.
@@ -28,11 +30,19 @@
     absl::Duration retry_after;
 };
 
-/// Answers load beyond the room of all workers: a job whose tasks can't begin early enough to be
-/// answered within the caller's time is refused before it takes room from others. The time to come
-/// back covers the work that waits, and is spread by `random` (0 to 1) so that refused callers
-/// don't return together.
-[[nodiscard]] admission_decision admit(const job_timing& timing, absl::Duration expected_run,
-                                       absl::Duration expected_wait, absl::Time now, double random);
+/// Longest expected wait with which a job is admitted; `slack`: the time in which its tasks have to
+/// start.
+///
+/// Answers load beyond the room of all workers that lasts longer than the slack of a job. A queue
+/// that is allowed to grow to the slack makes every job wait as long as it can bear, and then those
+/// that are a little longer than expected turn late; a short queue keeps the workers as busy.
+[[nodiscard]] absl::Duration admitted_wait(std::uint32_t priority, absl::Duration slack);
+
+/// Answers the same load: a job whose last task would begin too late is refused before it takes
+/// room from others. The time to come back covers the work that waits, and is spread by `random`
+/// (0 to 1) so that refused callers don't return together.
+[[nodiscard]] admission_decision admit(const job_timing& timing, std::uint32_t priority,
+                                       absl::Duration expected_run, absl::Duration expected_wait,
+                                       absl::Time now, double random);
 
 } // namespace carobfall
--- /dev/null
+++ b/tests/auto/jobs/load_replay.cpp
@@ -0,0 +1,412 @@
+#include "load_replay.h"
+
+#include "carobfall/jobs/agent_table.h"
+#include "carobfall/jobs/job_timing.h"
+#include "carobfall/jobs/run_queue.h"
+#include "carobfall/jobs/run_time_estimator.h"
+#include "carobfall/jobs/worker_ledger.h"
+#include "carobfall/jobs/worker_status.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+
+namespace carobfall {
+namespace {
+
+// The users' sheets: declared times are off by this spread, objectives are 1.6 times the longest
+// task and 60 ms more, callers wait for 1.5 s and about four times the run.
+constexpr double declared_spread = 0.4;
+constexpr double run_spread = 0.4;
+constexpr double task_spread = 0.15;
+constexpr double width_spread = 0.4;
+constexpr double demand_spread = 0.2;
+constexpr double slack_factor = 1.6;
+const absl::Duration target = absl::Milliseconds(60);
+const absl::Duration base_time_limit = absl::Milliseconds(1500);
+constexpr double time_limit_factor = 4;
+const absl::Duration one_way = absl::Milliseconds(2);
+const absl::Duration report_interval = absl::Milliseconds(20);
+const absl::Duration expiry_interval = absl::Milliseconds(25);
+constexpr double wide_share = 0.1;
+
+struct replayed_job {
+    std::size_t kind{0};
+    std::size_t entry{0};
+    job_request request;
+    job_timing timing;
+    absl::Time arrival;
+    std::vector<absl::Duration> work; ///< of each task on a worker of slowness 1
+    std::vector<std::size_t> agents;
+    std::size_t done{0};
+    bool ended{false};
+    bool on_time{false};
+    bool late{false};
+    bool refused{false};
+
+    [[nodiscard]] absl::Duration objective() const
+    {
+        return slack_factor * *std::max_element(work.begin(), work.end()) + target;
+    }
+};
+
+struct replayed_run {
+    task_run task;
+    absl::Time started;
+    absl::Duration work;
+
+    [[nodiscard]] active_run at(absl::Time now) const
+    {
+        const double share = absl::FDivDuration(now - started, work);
+        return {task, static_cast<int>(100 * std::clamp(share, 0.0, 1.0))};
+    }
+};
+
+struct replayed_agent {
+    worker_ledger ledger;
+    std::vector<replayed_run> active;
+    std::uint64_t ends{0};
+    std::vector<std::uint64_t> orders_received; ///< by entry
+};
+
+struct replayed_entry {
+    agent_table table{[](std::string_view) { return false; }};
+    run_time_estimator run_times;
+};
+
+class simulation {
+public:
+    explicit simulation(const load_pattern& load)
+        : load_(load), generator_(load.seed), agents_(load.workers.size()), entries_(load.entries)
+    {}
+
+    std::vector<replayed_result> run()
+    {
+        announce_workers();
+        for (std::size_t kind = 0; kind < load_.kinds.size(); ++kind) {
+            schedule_arrival(kind);
+        }
+        while (!events_.empty()) {
+            const event next = events_.top();
+            events_.pop();
+            now_ = next.at;
+            next.action();
+        }
+        return summarize();
+    }
+
+private:
+    struct event {
+        absl::Time at;
+        std::uint64_t number{0};
+        std::function<void()> action;
+        bool operator<(const event& other) const
+        {
+            return std::tie(other.at, other.number) < std::tie(at, number);
+        }
+    };
+
+    void at(absl::Time time, std::function<void()> action)
+    {
+        events_.push({time, ++events_added_, std::move(action)});
+    }
+    double uniform() { return std::uniform_real_distribution<double>(0, 1)(generator_); }
+    /// Factor with mean 1.
+    double factor(double spread)
+    {
+        return std::lognormal_distribution<double>(-spread * spread / 2, spread)(generator_);
+    }
+    [[nodiscard]] bool traffic_goes_on() const { return now_ < start_ + load_.length; }
+
+    void announce_workers()
+    {
+        for (std::size_t i = 0; i < agents_.size(); ++i) {
+            worker_announcement worker;
+            worker.id = absl::StrCat("i-", i);
+            worker.service = "adviser";
+            worker.capacity = {load_.workers[i].cpu_millicores, 262144, 0};
+            worker.started_unix_ms = 1;
+            worker.sequence = 1;
+            agents_[i].ledger.announce(worker);
+            agents_[i].orders_received.resize(entries_.size());
+            // Reports of agents are not in step with each other.
+            at(start_ + report_interval * uniform() - report_interval, [this, i] { report(i); });
+            at(start_, [this, i] { expire(i); });
+        }
+    }
+
+    void schedule_arrival(std::size_t kind)
+    {
+        const double rate = load_.kinds[kind].jobs_per_s;
+        const absl::Duration pause =
+            absl::Seconds(std::exponential_distribution<double>(rate)(generator_));
+        if (now_ + pause < start_ + load_.length) {
+            at(now_ + pause, [this, kind] {
+                accept(kind);
+                schedule_arrival(kind);
+            });
+        }
+    }
+
+    std::shared_ptr<replayed_job> draw(std::size_t kind)
+    {
+        const replayed_kind& drawn = load_.kinds[kind];
+        auto job = std::make_shared<replayed_job>();
+        job->kind = kind;
+        job->entry = generator_() % entries_.size();
+        job->arrival = now_;
+        const double width = drawn.mean_tasks * factor(width_spread);
+        const auto count =
+            static_cast<std::uint32_t>(std::clamp<double>(std::round(width), 1, drawn.most_tasks));
+        const absl::Duration run = drawn.mean_run * factor(run_spread);
+        for (std::uint32_t i = 0; i < count; ++i) {
+            job->work.push_back(run * factor(task_spread));
+        }
+        job_request& request = job->request;
+        request.id = absl::StrCat(jobs_.size());
+        request.task_count = count;
+        request.demand = {
+            static_cast<std::int64_t>(static_cast<double>(load_.mean_task_millicores) *
+                                      factor(demand_spread)),
+            64, 0};
+        request.declared_run_time = run * factor(declared_spread);
+        request.route = drawn.name;
+        request.service = "adviser";
+        request.priority = drawn.priority;
+        request.slack_factor = slack_factor;
+        request.target = target;
+        request.time_limit = base_time_limit + time_limit_factor * run;
+        jobs_.push_back(job);
+        return job;
+    }
+
+    void accept(std::size_t kind)
+    {
+        const std::shared_ptr<replayed_job> job = draw(kind);
+        replayed_entry& entry = entries_[job->entry];
+        const absl::Duration expected =
+            entry.run_times.expected(job->request.route, job->request.declared_run_time);
+        job->timing = timing_of(job->request, expected, now_);
+        const absl::Duration slack = job->timing.start_by - now_;
+        const task_time time{expected, slack, queue_rank(job->request.priority, slack)};
+        const job_placement placement =
+            place_tasks(entry.table.views(), job->request, time, job->request.task_count, {},
+                        [this] { return uniform(); });
+        job->refused = placement.agents.size() < job->request.task_count ||
+                       !admit(job->timing, job->request.priority, expected, placement.longest_wait,
+                              now_, uniform())
+                            .admitted;
+        if (job->refused) {
+            job->ended = true;
+            return;
+        }
+        for (const std::size_t position : placement.agents) {
+            job->agents.push_back(std::stoul(entry.table.views()[position].name));
+        }
+        for (std::uint32_t index = 0; index < job->request.task_count; ++index) {
+            order(job, index, expected);
+        }
+    }
+
+    void order(const std::shared_ptr<replayed_job>& job, std::uint32_t index,
+               absl::Duration expected)
+    {
+        fleet::task_order order;
+        order.set_job_id(job->request.id);
+        order.set_index(index);
+        order.set_attempt(1);
+        order.set_cpu_millicores(static_cast<std::uint32_t>(job->request.demand.cpu_millicores));
+        order.set_memory_mib(static_cast<std::uint32_t>(job->request.demand.memory_mib));
+        order.set_priority(job->request.priority);
+        order.set_service(job->request.service);
+        order.set_expected_run_ms(static_cast<std::uint32_t>(absl::ToInt64Milliseconds(expected)));
+        const auto from_now = [this](absl::Time time) {
+            return static_cast<std::int32_t>(absl::ToInt64Milliseconds(time - now_));
+        };
+        order.set_start_by_ms(from_now(job->timing.start_by));
+        order.set_late_start_by_ms(from_now(job->timing.late_start_by));
+        order.set_give_up_ms(from_now(job->timing.give_up));
+        const std::size_t agent = job->agents[index];
+        entries_[job->entry].table.add_order(absl::StrCat(agent), order);
+        at(now_ + one_way, [this, agent, job, order] {
+            ++agents_[agent].orders_received[job->entry];
+            agents_[agent].ledger.add(job->entry + 1, order, now_);
+            advance(agent);
+        });
+    }
+
+    void advance(std::size_t agent)
+    {
+        worker_ledger& ledger = agents_[agent].ledger;
+        while (const auto number = ledger.begin_next(now_, [](session_number) { return true; })) {
+            const task_run run = run_of(*ledger.find(*number));
+            const replayed_job& job = *jobs_[std::stoul(run.job_id)];
+            const absl::Duration work = job.work[run.index] * load_.workers[agent].slowness;
+            agents_[agent].active.push_back({run, now_ + one_way, work});
+            at(now_ + one_way, [this, agent, number] {
+                agents_[agent].ledger.on_start_reply(*number,
+                                                     {start_outcome::started, std::nullopt}, now_);
+            });
+            at(now_ + one_way + work,
+               [this, agent, run] { end_run(agent, run, run_end_kind::done); });
+        }
+        while (const auto number = ledger.begin_stop()) {
+            const task_run run = run_of(*ledger.find(*number));
+            at(now_ + one_way, [this, agent, number, run] {
+                agents_[agent].ledger.on_stop_reply(*number, true, now_);
+                end_run(agent, run, run_end_kind::stopped);
+            });
+        }
+        deliver(agent);
+    }
+
+    void end_run(std::size_t agent, const task_run& run, run_end_kind kind)
+    {
+        replayed_agent& worker = agents_[agent];
+        const auto found =
+            std::find_if(worker.active.begin(), worker.active.end(),
+                         [&](const replayed_run& active) { return active.task == run; });
+        if (found == worker.active.end()) {
+            return;
+        }
+        worker.active.erase(found);
+        worker_report report;
+        for (const replayed_run& active : worker.active) {
+            report.active.push_back(active.at(now_));
+        }
+        report.ends.push_back({++worker.ends, run, kind});
+        worker.ledger.on_report(report, now_ - one_way, now_);
+        advance(agent);
+    }
+
+    void deliver(std::size_t agent)
+    {
+        for (const session_event& event : agents_[agent].ledger.take_events()) {
+            at(now_ + one_way, [this, event = event.event] { on_event(event); });
+        }
+    }
+
+    void on_event(const fleet::task_event& event)
+    {
+        replayed_job& job = *jobs_[std::stoul(event.job_id())];
+        if (event.kind() == fleet::task_done) {
+            entries_[job.entry].run_times.record(job.request.route, job.request.declared_run_time,
+                                                 absl::Milliseconds(event.run_ms()));
+        }
+        if (job.ended) {
+            return;
+        }
+        if (event.kind() == fleet::task_done) {
+            job.ended = ++job.done == job.work.size();
+            job.on_time = job.ended && now_ - job.arrival <= job.objective();
+            job.late = job.ended && !job.on_time;
+            return;
+        }
+        give_up(job);
+    }
+
+    void give_up(replayed_job& job)
+    {
+        job.ended = true;
+        for (std::uint32_t index = 0; index < job.agents.size(); ++index) {
+            fleet::task_stop stop;
+            stop.set_job_id(job.request.id);
+            stop.set_index(index);
+            stop.set_attempt(1);
+            const std::size_t agent = job.agents[index];
+            at(now_ + one_way, [this, agent, stop, session = job.entry + 1] {
+                agents_[agent].ledger.request_stop(session, stop);
+                advance(agent);
+            });
+        }
+    }
+
+    void report(std::size_t agent)
+    {
+        for (std::size_t entry = 0; entry < entries_.size(); ++entry) {
+            fleet::agent_status status;
+            status.set_name(absl::StrCat(agent));
+            status.set_accepting(true);
+            status.set_orders_received(agents_[agent].orders_received[entry]);
+            describe_worker(agents_[agent].ledger, now_, status);
+            at(now_ + one_way, [this, entry, status] { entries_[entry].table.report(status); });
+        }
+        if (traffic_goes_on()) {
+            at(now_ + report_interval, [this, agent] { report(agent); });
+        }
+    }
+
+    void expire(std::size_t agent)
+    {
+        agents_[agent].ledger.expire(now_);
+        advance(agent);
+        if (traffic_goes_on()) {
+            at(now_ + expiry_interval, [this, agent] { expire(agent); });
+        }
+    }
+
+    std::vector<replayed_result> summarize()
+    {
+        std::vector<replayed_result> results(load_.kinds.size());
+        std::vector<std::vector<const replayed_job*>> by_kind(load_.kinds.size());
+        for (const auto& job : jobs_) {
+            replayed_result& result = results[job->kind];
+            by_kind[job->kind].push_back(job.get());
+            result.kind = load_.kinds[job->kind].name;
+            ++result.jobs;
+            result.on_time += job->on_time ? 1 : 0;
+            result.late += job->late ? 1 : 0;
+            result.refused += job->refused ? 1 : 0;
+            result.given_up += !job->on_time && !job->late && !job->refused ? 1 : 0;
+        }
+        for (std::size_t kind = 0; kind < by_kind.size(); ++kind) {
+            std::vector<const replayed_job*>& jobs = by_kind[kind];
+            std::stable_sort(jobs.begin(), jobs.end(), [](const auto* left, const auto* right) {
+                return left->work.size() > right->work.size();
+            });
+            jobs.resize(static_cast<std::size_t>(static_cast<double>(jobs.size()) * wide_share));
+            results[kind].wide = jobs.size();
+            results[kind].wide_on_time = static_cast<std::size_t>(std::count_if(
+                jobs.begin(), jobs.end(), [](const auto* job) { return job->on_time; }));
+        }
+        return results;
+    }
+
+    const load_pattern& load_;
+    const absl::Time start_{absl::FromUnixSeconds(1000)};
+    absl::Time now_{start_};
+    std::mt19937_64 generator_;
+    std::vector<replayed_agent> agents_;
+    std::vector<replayed_entry> entries_;
+    std::vector<std::shared_ptr<replayed_job>> jobs_;
+    std::priority_queue<event> events_;
+    std::uint64_t events_added_{0};
+};
+
+} // namespace
+
+replayed_result& replayed_result::operator+=(const replayed_result& other)
+{
+    kind = other.kind;
+    jobs += other.jobs;
+    on_time += other.on_time;
+    late += other.late;
+    refused += other.refused;
+    given_up += other.given_up;
+    wide += other.wide;
+    wide_on_time += other.wide_on_time;
+    return *this;
+}
+
+std::vector<replayed_result> replay(const load_pattern& load)
+{
+    return simulation(load).run();
+}
+
+} // namespace carobfall
--- /dev/null
+++ b/tests/auto/jobs/load_replay.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <absl/time/time.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace carobfall {
+
+/// One kind of job of a load: what callers send, drawn anew for each job.
+struct replayed_kind {
+    std::string name;
+    double jobs_per_s{0};
+    std::uint32_t priority{0};
+    double mean_tasks{1};
+    std::uint32_t most_tasks{1};
+    absl::Duration mean_run; ///< of a job; its tasks differ by a little, its declaration by much
+};
+
+struct replayed_worker {
+    std::int64_t cpu_millicores{64000};
+    double slowness{1}; ///< run time here against the declared kind of worker
+};
+
+/// A load and the workers that face it, in virtual time. Entries place with knowledge that is late
+/// by the interval of reports and the ways.
+struct load_pattern {
+    std::vector<replayed_kind> kinds;
+    std::vector<replayed_worker> workers;
+    std::size_t entries{4};
+    absl::Duration length{absl::Seconds(12)};
+    std::int64_t mean_task_millicores{6200};
+    std::uint64_t seed{1};
+};
+
+struct replayed_result {
+    std::string kind;
+    std::size_t jobs{0};
+    std::size_t on_time{0}; ///< complete within the objective
+    std::size_t late{0};
+    std::size_t refused{0}; ///< before any task was ordered
+    std::size_t given_up{0};
+    std::size_t wide{0}; ///< jobs among the widest tenth
+    std::size_t wide_on_time{0};
+
+    replayed_result& operator+=(const replayed_result& other);
+    [[nodiscard]] double on_time_share() const
+    {
+        return jobs == 0 ? 1 : static_cast<double>(on_time) / static_cast<double>(jobs);
+    }
+    [[nodiscard]] double wide_on_time_share() const
+    {
+        return wide == 0 ? 1 : static_cast<double>(wide_on_time) / static_cast<double>(wide);
+    }
+};
+
+/// Plays the load through the decisions of entries and agents. Every worker is sound: no answer is
+/// lost and nothing fails.
+[[nodiscard]] std::vector<replayed_result> replay(const load_pattern& load);
+
+} // namespace carobfall
--- a/tests/auto/jobs/tst_job_timing.cpp
+++ b/tests/auto/jobs/tst_job_timing.cpp
@@ -42,19 +42,39 @@
 {
     const absl::Duration run = absl::Milliseconds(200);
     const job_timing timing = timing_of(request(), run, arrival);
-    CHECK(admit(timing, run, absl::Milliseconds(100), arrival, 0).admitted);
-    const admission_decision refused = admit(timing, run, absl::Milliseconds(400), arrival, 0);
+    CHECK(admit(timing, 1, run, absl::Milliseconds(20), arrival, 0).admitted);
+    const admission_decision refused = admit(timing, 1, run, absl::Milliseconds(400), arrival, 0);
     CHECK_FALSE(refused.admitted);
     CHECK(refused.retry_after == absl::Seconds(1));
 }
 
+// Load pattern: load beyond the room of all workers for longer than the slack of a job. Guards
+// against a standing queue as long as the slack, behind which a third of the jobs turned late.
+TEST_CASE("a job is refused before the queue has grown to its slack")
+{
+    const absl::Duration run = absl::Milliseconds(200);
+    const job_timing timing = timing_of(request(), run, arrival);
+    const absl::Duration slack = timing.start_by - arrival;
+    CHECK_FALSE(admit(timing, 1, run, slack / 2, arrival, 0).admitted);
+    CHECK(admitted_wait(1, slack) < slack / 2);
+}
+
+// Tasks of the first priority pass the others, so that the same wait says less of the load.
+TEST_CASE("a job of the first priority is admitted with a longer wait than others")
+{
+    const absl::Duration slack = absl::Milliseconds(100);
+    CHECK(admitted_wait(0, slack) > admitted_wait(1, slack));
+    CHECK(admitted_wait(0, slack) < slack);
+    CHECK(admitted_wait(1, slack) == admitted_wait(2, slack));
+}
+
 // Guards against refusals by a declared run time that is far off, with workers free: 17 on the calm
 // day.
 TEST_CASE("a job that can start at once is never refused by its expected run time")
 {
     const absl::Duration run = absl::Seconds(9);
     const job_timing timing = timing_of(request(), run, arrival);
-    CHECK(admit(timing, run, absl::ZeroDuration(), arrival, 0).admitted);
+    CHECK(admit(timing, 1, run, absl::ZeroDuration(), arrival, 0).admitted);
 }
 
 // Guards against callers that are refused together and return together.
@@ -62,9 +82,9 @@
 {
     const absl::Duration run = absl::Milliseconds(200);
     const job_timing timing = timing_of(request(), run, arrival);
-    const auto first = admit(timing, run, absl::Seconds(3), arrival, 0).retry_after;
-    const auto last = admit(timing, run, absl::Seconds(3), arrival, 1).retry_after;
+    const auto first = admit(timing, 1, run, absl::Seconds(3), arrival, 0).retry_after;
+    const auto last = admit(timing, 1, run, absl::Seconds(3), arrival, 1).retry_after;
     CHECK(first == absl::Seconds(3));
     CHECK(last == absl::Seconds(6));
-    CHECK(admit(timing, run, absl::Hours(1), arrival, 0).retry_after <= absl::Seconds(8));
+    CHECK(admit(timing, 1, run, absl::Hours(1), arrival, 0).retry_after <= absl::Seconds(8));
 }
--- /dev/null
+++ b/tests/auto/jobs/tst_load_replay.cpp
@@ -0,0 +1,85 @@
+#include "load_replay.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <utility>
+#include <vector>
+
+using namespace carobfall;
+
+namespace {
+
+/// The users' mix at `factor` times its rate on days of high load, on nine workers: 540 cores of
+/// work times `factor` for 605 cores of usual speed.
+load_pattern high_load(double factor, std::uint64_t seed)
+{
+    load_pattern load;
+    load.kinds = {{"screening", 38 * factor, 0, 8, 32, absl::Milliseconds(60)},
+                  {"payout", 6.9 * factor, 2, 4, 16, absl::Milliseconds(900)},
+                  {"affordability", 110 * factor, 1, 2, 8, absl::Milliseconds(200)}};
+    constexpr std::size_t workers = 9;
+    for (std::size_t i = 0; i < workers; ++i) {
+        const bool large = i % 3 == 2;
+        load.workers.push_back({large ? 96000 : 64000, large ? 1.3 : 1.0});
+    }
+    load.seed = seed;
+    return load;
+}
+
+std::vector<replayed_result> replay_seeds(double factor)
+{
+    std::vector<replayed_result> sum;
+    constexpr std::uint64_t seeds = 3;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        const std::vector<replayed_result> results = replay(high_load(factor, seed));
+        sum.resize(results.size());
+        for (std::size_t i = 0; i < results.size(); ++i) {
+            sum[i] += results[i];
+        }
+    }
+    for (const replayed_result& result : sum) {
+        MESSAGE(result.kind, ": ", result.jobs, " jobs, on time ", result.on_time_share(),
+                ", late ", result.late, ", refused ", result.refused, ", given up ",
+                result.given_up, ", widest tenth on time ", result.wide_on_time_share());
+    }
+    return sum;
+}
+
+} // namespace
+
+// Load pattern: a worker of ten has gone for good and load is near the room of the others. Guards
+// against queues that grow to the slack of each job: 0.83, 0.92 and 0.90 of the kinds were on time
+// with jobs admitted by their slack, and 0.69 of the widest screenings.
+TEST_CASE("with load near the room of all workers nearly every job is on time")
+{
+    for (const replayed_result& result : replay_seeds(1.0)) {
+        CHECK(result.on_time_share() >= 0.9);
+        CHECK(result.given_up <= result.jobs / 100);
+        CHECK(result.wide_on_time_share() >= result.on_time_share() / 2);
+    }
+}
+
+// Load pattern: a little more than the workers can do, for many times the slack of a job. What
+// can't be served has to be refused at once and not given up after its time. Before: 0.71, 0.72 and
+// 0.76 on time, up to 0.17 given up.
+TEST_CASE("load beyond the room of all workers is refused, not made late")
+{
+    for (const replayed_result& result : replay_seeds(1.15)) {
+        CHECK(result.on_time_share() >= 0.8);
+        CHECK(result.given_up <= result.jobs / 50);
+        CHECK(result.wide_on_time_share() >= result.on_time_share() / 2);
+    }
+}
+
+// Load pattern: a sixth more than the workers can do. Guards against one kind that is starved for
+// the others. Before: 0.66, 0.60 and 0.63 on time, up to 0.24 given up.
+TEST_CASE("under a heavy overload no kind is starved and the first priority suffers least")
+{
+    const std::vector<replayed_result> results = replay_seeds(1.3);
+    for (const replayed_result& result : results) {
+        CHECK(result.on_time_share() >= 0.6);
+        CHECK(result.given_up <= result.jobs / 50);
+    }
+    CHECK(results[0].refused * results[2].jobs < results[2].refused * results[0].jobs);
+}
