Agent: Measure only runs that are seen to end

Workers left orders and requests for reports unanswered; after a lost report all runs that had ended meanwhile counted up to the next one (431 ms for tasks of 60 ms), so that the worker looked several times as slow as it was and was avoided until the figure had decayed. The expected run times of the routes went up with it. A lost report kept the agent from seeing free room for up to 350 ms.

Ruled out: room held by unanswered orders (40 of 1105), entries without knowledge of the agents (100 ms old at most), the evacuated data centre.

Change: a run is measured only if its end was listed by a report that was asked for right after the one before and answered in time; otherwise its run time is unknown to the worker's speed and to the route's average.

Test: `a run whose end was listed late does not count as slow` fails before.

--- a/src/libs/carobfall/jobs/agent_service.cpp
+++ b/src/libs/carobfall/jobs/agent_service.cpp
@@ -22,7 +22,7 @@
 
 // A renewal waits this long for the end of a run, so that two lost answers in a row don't end the
 // lease.
-constexpr absl::Duration renewal_wait = absl::Milliseconds(150);
+constexpr absl::Duration renewal_wait = absl::Milliseconds(100);
 constexpr absl::Duration renewal_retry_pause = absl::Milliseconds(20);
 constexpr absl::Duration watch_interval = absl::Milliseconds(25);
 // Entries without events hear of changed room this often.
--- a/src/libs/carobfall/jobs/job_dispatcher.cpp
+++ b/src/libs/carobfall/jobs/job_dispatcher.cpp
@@ -291,8 +291,10 @@
     switch (event.kind()) {
     case fleet::task_done:
         task.phase = job_task_phase::done;
-        run_times_.record(job.request.route, job.request.declared_run_time,
-                          absl::Milliseconds(event.run_ms()));
+        if (event.run_ms() > 0) {
+            run_times_.record(job.request.route, job.request.declared_run_time,
+                              absl::Milliseconds(event.run_ms()));
+        }
         break;
     case fleet::task_failed:
         task.phase = job_task_phase::unplaced;
--- a/src/libs/carobfall/jobs/worker_ledger.cpp
+++ b/src/libs/carobfall/jobs/worker_ledger.cpp
@@ -7,6 +7,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace carobfall {
 namespace {
@@ -16,6 +17,13 @@
 // Slowness is a ratio of measured times; a lower one would be an error of the estimates.
 constexpr double min_slowness = 0.5;
 constexpr double milliseconds_per_second = 1000;
+// Reports are asked for one after the other; a run that ends in between is listed at once by the
+// next one. A longer gap means that a report was lost.
+constexpr absl::Duration max_unwatched = absl::Milliseconds(15);
+// A report that takes longer was held up, or this process was.
+constexpr absl::Duration max_answer_time = absl::Milliseconds(250);
+// A run time of 0 in an event means that it is not known.
+constexpr absl::Duration shortest_run = absl::Milliseconds(1);
 // Pause after a refusal for want of room, about the time in which a run ends.
 constexpr absl::Duration room_pause = absl::Milliseconds(20);
 
@@ -200,12 +208,8 @@
         event.event.set_attempt(task.order.attempt());
         event.event.set_kind(kind);
         event.event.set_reason(std::string(reason));
-        if (kind == fleet::task_done || task.predicted_run > absl::ZeroDuration()) {
-            const absl::Duration run =
-                kind == fleet::task_done ? now - task.ordered_at : task.predicted_run;
-            event.event.set_run_ms(static_cast<std::uint32_t>(
-                std::max<std::int64_t>(absl::ToInt64Milliseconds(run), 0)));
-        }
+        event.event.set_run_ms(
+            static_cast<std::uint32_t>(absl::ToInt64Milliseconds(task.known_run)));
         events_.push_back(std::move(event));
     }
     records_.erase(record);
@@ -345,20 +349,23 @@
     });
 }
 
-void worker_ledger::apply_end(const run_end& end, absl::Time now)
+void worker_ledger::apply_end(const run_end& end, bool exact, absl::Time now)
 {
     const auto found = find_run(end.task);
     if (found == records_.end()) {
         remember_run(end.task, now);
         return;
     }
-    const task_record& record = found->second;
+    task_record& record = found->second;
+    if (end.kind == run_end_kind::done) {
+        record.known_run =
+            exact ? std::max(now - record.ordered_at, shortest_run) : absl::ZeroDuration();
+    }
     if (end.kind == run_end_kind::done || end.kind == run_end_kind::failed) {
         failures_.record(end.kind == run_end_kind::failed, now);
     }
-    if (end.kind == run_end_kind::done) {
-        speed_.record(now - record.ordered_at, absl::Milliseconds(record.order.expected_run_ms()),
-                      now);
+    if (end.kind == run_end_kind::done && exact) {
+        speed_.record(record.known_run, absl::Milliseconds(record.order.expected_run_ms()), now);
     }
     finish(found, event_kind_of(end.kind), reason_of(end.kind), now);
 }
@@ -391,8 +398,8 @@
         const run_progress progress{record.ordered_at, expected, record.give_up,
                                     active.percent_done};
         if (ends_too_late(progress, now)) {
-            record.predicted_run = *predicted_run(progress, now);
-            speed_.record(record.predicted_run, expected, now);
+            record.known_run = *predicted_run(progress, now);
+            speed_.record(record.known_run, expected, now);
             begin_stopping(record, "too_late");
         }
     }
@@ -400,9 +407,11 @@
 
 void worker_ledger::on_report(const worker_report& report, absl::Time asked_at, absl::Time now)
 {
+    const bool exact = asked_at - std::exchange(reported_at_, now) <= max_unwatched &&
+                       now - asked_at <= max_answer_time;
     for (const run_end& end : report.ends) {
         if (end.number > acknowledged_end_) {
-            apply_end(end, now);
+            apply_end(end, exact, now);
             acknowledged_end_ = end.number;
         }
     }
--- a/src/libs/carobfall/jobs/worker_ledger.h
+++ b/src/libs/carobfall/jobs/worker_ledger.h
@@ -47,7 +47,9 @@
     absl::Time answered_at{absl::InfiniteFuture()};
     bool stop_under_way{false};
     std::string stop_reason;
-    absl::Duration predicted_run; ///< of a run that is stopped because it would end too late
+    /// Of a run that is done, if it was seen to end, or of one that is stopped because it would end
+    /// too late; otherwise zero.
+    absl::Duration known_run;
 };
 
 struct session_event {
@@ -87,7 +89,8 @@
     /// Moves the next record that needs a stop order; it is tried again after `on_stop_reply`.
     std::optional<record_number> begin_stop();
     void on_stop_reply(record_number number, bool answered, absl::Time now);
-    /// `asked_at`: when the report was asked for.
+    /// `asked_at`: when the report was asked for. Its answer waits for the end of a run, so that
+    /// runs are measured up to it, unless a report before it was lost.
     void on_report(const worker_report& report, absl::Time asked_at, absl::Time now);
     /// Every lease that was ever given has ended.
     void on_lapse(std::string_view reason);
@@ -116,7 +119,8 @@
     void finish(record_map::iterator record, fleet::task_event_kind kind, std::string_view reason,
                 absl::Time now);
     void begin_stopping(task_record& record, std::string_view reason);
-    void apply_end(const run_end& end, absl::Time now);
+    /// `exact`: the run has ended just now.
+    void apply_end(const run_end& end, bool exact, absl::Time now);
     void check_progress(const worker_report& report, absl::Time now);
     void stop_unknown_runs(const worker_report& report);
     [[nodiscard]] bool has_run_elsewhere(record_number number, const task_record& record) const;
@@ -129,6 +133,7 @@
     record_map records_;
     record_number last_number_{0};
     std::uint64_t acknowledged_end_{0};
+    absl::Time reported_at_{absl::InfinitePast()}; ///< latest report
     // Highest run of tasks that ran here, so that a later order gets a higher one.
     std::map<task_key, std::pair<std::uint32_t, absl::Time>> past_runs_;
     worker_speed speed_;
--- a/tests/auto/jobs/load_replay.cpp
+++ b/tests/auto/jobs/load_replay.cpp
@@ -72,6 +72,7 @@
     worker_ledger ledger;
     std::vector<replayed_run> active;
     std::uint64_t ends{0};
+    absl::Time reported_at;
     std::vector<std::uint64_t> orders_received; ///< by entry
 };
 
@@ -281,7 +282,8 @@
             report.active.push_back(active.at(now_));
         }
         report.ends.push_back({++worker.ends, run, kind});
-        worker.ledger.on_report(report, now_ - one_way, now_);
+        worker.ledger.on_report(report, worker.reported_at, now_);
+        worker.reported_at = now_;
         advance(agent);
     }
 
@@ -295,7 +297,7 @@
     void on_event(const fleet::task_event& event)
     {
         replayed_job& job = *jobs_[std::stoul(event.job_id())];
-        if (event.kind() == fleet::task_done) {
+        if (event.kind() == fleet::task_done && event.run_ms() > 0) {
             entries_[job.entry].run_times.record(job.request.route, job.request.declared_run_time,
                                                  absl::Milliseconds(event.run_ms()));
         }
--- a/tests/auto/jobs/tst_worker_ledger.cpp
+++ b/tests/auto/jobs/tst_worker_ledger.cpp
@@ -293,3 +293,34 @@
     ledger.on_start_reply(*number, {start_outcome::started, std::nullopt}, after(3));
     CHECK(ledger.begin_stop() == number);
 }
+
+// Load pattern: a worker leaves orders and requests for reports unanswered. Guards against a sound
+// worker that looked several times as slow as it is, because runs whose ends were listed late
+// counted up to the listing: four workers got nothing for 3 s while jobs were refused.
+TEST_CASE("a run whose end was listed late does not count as slow")
+{
+    started_ledger test;
+    worker_report running;
+    running.active.push_back({{job_id, 0, 1}, 10});
+    test.ledger.on_report(running, after(3), after(4));
+    // The report asked for at 5 ms was lost.
+    test.ledger.on_report(report_with_end(1, run_end_kind::done), after(400), after(402));
+    const std::vector<session_event> events = test.ledger.take_events();
+    REQUIRE(events.size() == 1);
+    CHECK(events[0].event.kind() == fleet::task_done);
+    CHECK(events[0].event.run_ms() == 0);
+    CHECK(test.ledger.slowness(after(402)) == 1);
+}
+
+TEST_CASE("a run that is seen to end is measured")
+{
+    started_ledger test;
+    worker_report running;
+    running.active.push_back({{job_id, 0, 1}, 10});
+    test.ledger.on_report(running, after(3), after(100));
+    test.ledger.on_report(report_with_end(1, run_end_kind::done), after(101), after(200));
+    const std::vector<session_event> events = test.ledger.take_events();
+    REQUIRE(events.size() == 1);
+    CHECK(events[0].event.run_ms() == 200);
+    CHECK(test.ledger.slowness(after(200)) > 1);
+}
