Base: End the process when a coroutine fails that nobody waits for

Cause: coroutines were started with asio::detached, which drops exceptions. A failure in the renewal of leases, the reading of the store or the watch on time would have left a process that looks alive with that part missing; one in start_task would have held the worker's room for good.

The coroutine of a connection reports its failure (connection_failed) and ends alone; the count of connections goes down then too.

Ruled out: logging in each coroutine, which the next one would lack.

--- a/src/libs/carobfall/base/async_http_server.cpp
+++ b/src/libs/carobfall/base/async_http_server.cpp
@@ -3,8 +3,7 @@
 #include "carobfall/base/boot_clock.h"
 #include "carobfall/base/tcp_listener.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
+#include <absl/cleanup/cleanup.h>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -102,11 +101,11 @@
         executor_, address,
         [this](asio::ip::tcp::socket socket) -> asio::awaitable<void> {
             ++connections_;
+            const absl::Cleanup closed = [this] { --connections_; };
             co_await serve(std::move(socket));
-            --connections_;
         },
-        [this](const boost::system::error_code& error) {
-            log_.write(log_fields("accept_failed").add("error", error.message()), boot_now());
+        [this](std::string_view error) {
+            log_.write(log_fields("connection_failed").add("error", error), boot_now());
         });
 }
 
@@ -146,7 +145,7 @@
         stream->expires_never();
         const async_http_request request = parser.release();
         const auto watch = std::make_shared<caller_watch>();
-        asio::co_spawn(executor_, watch_caller(stream, watch), asio::detached);
+        spawn(executor_, watch_caller(stream, watch));
         async_http_response response = co_await handler_(request, *watch);
         watch->on_closed = nullptr;
         stream->socket().cancel(error);
--- a/src/libs/carobfall/base/tcp_listener.cpp
+++ b/src/libs/carobfall/base/tcp_listener.cpp
@@ -2,8 +2,6 @@
 
 #include "carobfall/base/boot_clock.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -22,7 +20,7 @@
 constexpr absl::Duration retry_pause = absl::Milliseconds(20);
 
 asio::awaitable<void> accept_connections(asio::ip::tcp::acceptor acceptor, connection_handler serve,
-                                         accept_error_handler on_error)
+                                         failure_handler on_failure)
 {
     const asio::any_io_executor executor = acceptor.get_executor();
     while (true) {
@@ -30,12 +28,12 @@
         asio::ip::tcp::socket socket =
             co_await acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
         if (error) {
-            on_error(error);
+            on_failure(error.message());
             asio::steady_timer pause(executor, timer_duration(retry_pause));
             co_await pause.async_wait(asio::use_awaitable);
             continue;
         }
-        asio::co_spawn(executor, serve(std::move(socket)), asio::detached);
+        spawn(executor, serve(std::move(socket)), on_failure);
     }
 }
 
@@ -43,16 +41,15 @@
 
 void serve_connections(const asio::any_io_executor& executor,
                        const asio::ip::tcp::endpoint& address, connection_handler serve,
-                       accept_error_handler on_error)
+                       failure_handler on_failure)
 {
     asio::ip::tcp::acceptor acceptor(executor);
     acceptor.open(address.protocol());
     acceptor.set_option(asio::socket_base::reuse_address(true));
     acceptor.bind(address);
     acceptor.listen(listen_backlog);
-    asio::co_spawn(executor,
-                   accept_connections(std::move(acceptor), std::move(serve), std::move(on_error)),
-                   asio::detached);
+    spawn(executor,
+          accept_connections(std::move(acceptor), std::move(serve), std::move(on_failure)));
 }
 
 } // namespace carobfall
--- a/src/libs/carobfall/fleet/frame_channel.cpp
+++ b/src/libs/carobfall/fleet/frame_channel.cpp
@@ -1,8 +1,8 @@
 #include "carobfall/fleet/frame_channel.h"
 
+#include "carobfall/base/spawn.h"
+
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -92,6 +92,11 @@
     queued_.notify();
 }
 
+static asio::awaitable<void> write_frames(std::shared_ptr<frame_channel> channel)
+{
+    co_await channel->write_all();
+}
+
 std::shared_ptr<frame_channel> open_frame_channel(asio::ip::tcp::socket socket)
 {
     boost::system::error_code ignored; // the options only speed up the detection of lost peers
@@ -100,9 +105,7 @@
     socket.set_option(user_timeout(unacknowledged_limit_ms), ignored);
     const asio::any_io_executor executor = socket.get_executor();
     auto channel = std::make_shared<frame_channel>(std::move(socket));
-    asio::co_spawn(
-        executor, [channel]() -> asio::awaitable<void> { co_await channel->write_all(); },
-        asio::detached);
+    spawn(executor, write_frames(channel));
     return channel;
 }
 
--- a/src/libs/carobfall/jobs/agent_service.cpp
+++ b/src/libs/carobfall/jobs/agent_service.cpp
@@ -1,12 +1,11 @@
 #include "carobfall/jobs/agent_service.h"
 
 #include "carobfall/base/boot_clock.h"
+#include "carobfall/base/spawn.h"
 #include "carobfall/base/strings.h"
 #include "carobfall/jobs/worker_status.h"
 
 #include <absl/strings/str_cat.h>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -61,10 +60,8 @@
 
 void agent_service::start()
 {
-    asio::co_spawn(
-        executor_, [this]() -> asio::awaitable<void> { co_await renew_leases(); }, asio::detached);
-    asio::co_spawn(
-        executor_, [this]() -> asio::awaitable<void> { co_await watch_time(); }, asio::detached);
+    spawn(executor_, renew_leases());
+    spawn(executor_, watch_time());
 }
 
 announcement_effect agent_service::announce(const worker_announcement& worker)
@@ -129,8 +126,7 @@
         hooks.on_closed = [this](session_number session) { on_closed(session); };
         auto link = std::make_shared<entry_link>(executor_, address, std::move(hooks));
         links_.emplace(address, link);
-        asio::co_spawn(
-            executor_, [link]() -> asio::awaitable<void> { co_await link->run(); }, asio::detached);
+        spawn(executor_, link->run());
     }
 }
 
@@ -224,7 +220,7 @@
         const absl::Time now = boot_now();
         if (reports_.is_due(ledger_.on_worker() > 0 && lease_.fencing_token(), now)) {
             reports_.on_asked(now);
-            asio::co_spawn(executor_, renew_lease(*ledger_.worker()), asio::detached);
+            spawn(executor_, renew_lease(*ledger_.worker()));
         }
         co_await report_ended_.wait_for(timer_duration(report_schedule::interval()));
     }
@@ -405,16 +401,10 @@
         if (!next) {
             break;
         }
-        asio::co_spawn(
-            executor_,
-            [this, number = *next]() -> asio::awaitable<void> { co_await start_task(number); },
-            asio::detached);
+        spawn(executor_, start_task(*next));
     }
     while (const auto next = ledger_.begin_stop()) {
-        asio::co_spawn(
-            executor_,
-            [this, number = *next]() -> asio::awaitable<void> { co_await stop_task(number); },
-            asio::detached);
+        spawn(executor_, stop_task(*next));
     }
     status_changed_ = status_changed_ || ledger_.has_events();
     if (std::exchange(advance_posted_, true)) {
--- a/src/libs/carobfall/jobs/entry_service.cpp
+++ b/src/libs/carobfall/jobs/entry_service.cpp
@@ -3,8 +3,6 @@
 #include "carobfall/base/boot_clock.h"
 #include "carobfall/base/tcp_listener.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -48,11 +46,10 @@
     serve_connections(
         executor_, address,
         [this](asio::ip::tcp::socket socket) { return serve(std::move(socket)); },
-        [this](const boost::system::error_code& error) {
-            log_.write(log_fields("accept_failed").add("error", error.message()), boot_now());
+        [this](std::string_view error) {
+            log_.write(log_fields("connection_failed").add("error", error), boot_now());
         });
-    asio::co_spawn(
-        executor_, [this]() -> asio::awaitable<void> { co_await watch_time(); }, asio::detached);
+    spawn(executor_, watch_time());
 }
 
 void entry_service::learn_entries(const std::vector<std::string>& addresses)
--- a/src/libs/carobfall/jobs/job_dispatcher.cpp
+++ b/src/libs/carobfall/jobs/job_dispatcher.cpp
@@ -1,14 +1,13 @@
 #include "carobfall/jobs/job_dispatcher.h"
 
 #include "carobfall/base/boot_clock.h"
+#include "carobfall/base/spawn.h"
 #include "carobfall/base/strings.h"
 #include "carobfall/jobs/agent_choice.h"
 #include "carobfall/jobs/run_queue.h"
 
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -408,16 +407,7 @@
         outcome = job_outcome::not_run;
     }
     if (has_open_tasks(*job)) {
-        asio::co_spawn(
-            executor_,
-            [this, job]() -> asio::awaitable<void> {
-                while (has_open_tasks(*job)) {
-                    co_await job->changed.wait_for(timer_duration(next_check(*job) - boot_now()));
-                    release_lost_tasks(*job, boot_now());
-                }
-                settle(job->request.id);
-            },
-            asio::detached);
+        spawn(executor_, settle_when_gone(job));
     } else {
         settle(job->request.id);
     }
@@ -428,6 +418,15 @@
     co_return answer;
 }
 
+asio::awaitable<void> job_dispatcher::settle_when_gone(std::shared_ptr<active_job> job)
+{
+    while (has_open_tasks(*job)) {
+        co_await job->changed.wait_for(timer_duration(next_check(*job) - boot_now()));
+        release_lost_tasks(*job, boot_now());
+    }
+    settle(job->request.id);
+}
+
 void job_dispatcher::settle(const std::string& id)
 {
     jobs_.erase(id);
--- a/src/libs/carobfall/jobs/job_dispatcher.h
+++ b/src/libs/carobfall/jobs/job_dispatcher.h
@@ -89,6 +89,7 @@
     void on_event(const std::string& agent, const fleet::task_event& event);
     void on_lost(const std::string& agent, absl::Time last_heard);
     void on_settled(const std::string& agent);
+    boost::asio::awaitable<void> settle_when_gone(std::shared_ptr<active_job> job);
     void settle(const std::string& id);
     void release_lost_tasks(active_job& job, absl::Time now);
     [[nodiscard]] absl::Time next_check(const active_job& job) const;
