Tools: Explain a request from the logs of entries and agents

`carobfall explain ID FILE...` orders the lines of one request by cause and effect, without comparing times of different processes, and prints its outcome and cause last; `--output json` gives one document.

Cause: an engineer had to find the lines of a request in the logs of up to 15 processes and to order them by hand, and the reason of a refusal and the task that made a job late stand in different lines.

Ruled out: ordering by `t`, which counts from the start of each machine.

Tests: tst_explain.

--- a/src/tools/carobfall/command_line.cpp
+++ b/src/tools/carobfall/command_line.cpp
@@ -53,6 +53,7 @@
     add_state_commands();
     add_list_commands();
     add_load_command();
+    add_explain_command();
 }
 
 void command_line::add_common_options()
@@ -241,6 +242,21 @@
     });
 }
 
+void command_line::add_explain_command()
+{
+    CLI::App* command = app_.add_subcommand(
+        "explain", "Tells from the logs of entries and agents what became of a request, and why. "
+                   "Needs neither an entry nor a token.");
+    command->add_option("id", explain_.id, "Id of the request.")->required();
+    command->add_option("files", explain_.files, "Log files; standard input if left out.");
+    command->callback([this] {
+        local_action_ = [this] {
+            explain_.json_output = output_ == "json";
+            return explain(explain_, std::cin, std::cout, std::cerr);
+        };
+    });
+}
+
 result<std::string> command_line::token() const
 {
     std::string text;
--- a/src/tools/carobfall/command_line.h
+++ b/src/tools/carobfall/command_line.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "explain_command.h"
 #include "load_command.h"
 #include "operator_commands.h"
 #include "submit_command.h"
@@ -30,6 +31,7 @@
     void add_state_commands();
     void add_list_commands();
     void add_load_command();
+    void add_explain_command();
     CLI::App* add_operator_command(CLI::App& parent, const std::string& name,
                                    const std::string& description, operator_action action);
     void add_caller_command(CLI::App* command, std::function<exit_code(command_context&)> action);
@@ -44,6 +46,7 @@
     std::string output_{"text"};
     submit_options submit_;
     load_options load_;
+    explain_options explain_;
     std::string first_name_;
     std::vector<std::string> files_;
     apply_options apply_;
--- /dev/null
+++ b/src/tools/carobfall/explain_command.cpp
@@ -0,0 +1,79 @@
+#include "explain_command.h"
+
+#include "log_story.h"
+
+#include <nlohmann/json.hpp>
+
+#include <fstream>
+
+namespace carobfall::tool {
+namespace {
+
+using json = nlohmann::json;
+
+json document_of(const request_story& story, const std::string& id, std::size_t missing)
+{
+    json lines = json::array();
+    for (const log_line& line : story.lines) {
+        lines.push_back({{"process", line.process},
+                         {"event", line.event},
+                         {"time_ms", line.time_ms},
+                         {"fields", line.fields}});
+    }
+    return {{"id", id},
+            {"lines", std::move(lines)},
+            {"outcome", story.outcome},
+            {"cause", story.cause},
+            {"missing_lines", missing}};
+}
+
+void print_text(const request_story& story, std::size_t missing, std::ostream& out)
+{
+    for (const log_line& line : story.lines) {
+        out << line.process << ": " << line.event;
+        for (const auto& [key, value] : line.fields) {
+            if (key != "job" && key != "data_centre") {
+                out << " " << key << "=" << value;
+            }
+        }
+        out << "\n";
+    }
+    if (missing > 0) {
+        out << "(the processes left out " << missing << " lines)\n";
+    }
+    out << "outcome: " << story.outcome << "\ncause: " << story.cause << "\n";
+}
+
+} // namespace
+
+exit_code explain(const explain_options& options, std::istream& input, std::ostream& out,
+                  std::ostream& errors)
+{
+    log_reader reader;
+    for (const std::string& name : options.files) {
+        std::ifstream file(name);
+        if (!file) {
+            errors << "can't read " << name << " (check the name and its permissions)\n";
+            return exit_code::invalid_input;
+        }
+        reader.read(file);
+    }
+    if (options.files.empty()) {
+        reader.read(input);
+    }
+    const request_story story = explain_request(reader.lines(), options.id);
+    if (story.lines.empty()) {
+        errors << "none of " << reader.lines().size() << " lines names the request " << options.id
+               << " (give the logs of all entries and agents; a request without a line has reached "
+                  "no entry)\n";
+        return exit_code::invalid_input;
+    }
+    if (options.json_output) {
+        out << document_of(story, options.id, reader.missing_lines()).dump(2) << "\n";
+    } else {
+        print_text(story, reader.missing_lines(), out);
+    }
+    return exit_code::ok;
+}
+
+} // namespace carobfall::tool
--- /dev/null
+++ b/src/tools/carobfall/log_story.cpp
@@ -0,0 +1,315 @@
+#include "log_story.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <deque>
+#include <optional>
+#include <set>
+#include <utility>
+
+namespace carobfall::tool {
+namespace {
+
+/// Splits `key=value` pairs at spaces; a value in quotes may hold spaces.
+std::map<std::string, std::string> parse_fields(std::string_view text)
+{
+    std::map<std::string, std::string> fields;
+    while (!text.empty()) {
+        const std::size_t begin = text.find_first_not_of(' ');
+        const std::size_t equals = text.find('=');
+        if (begin == std::string_view::npos || equals == std::string_view::npos || equals < begin) {
+            break;
+        }
+        const std::string key(text.substr(begin, equals - begin));
+        text.remove_prefix(equals + 1);
+        const bool quoted = !text.empty() && text.front() == '"';
+        const std::size_t end = quoted ? text.find('"', 1) : text.find(' ');
+        const std::string_view value = text.substr(quoted ? 1 : 0, quoted ? end - 1 : end);
+        fields.insert_or_assign(key, std::string(value));
+        text.remove_prefix(end == std::string_view::npos ? text.size() : end + 1);
+    }
+    return fields;
+}
+
+std::string take(std::map<std::string, std::string>& fields, const char* key)
+{
+    const auto node = fields.extract(key);
+    return node.empty() ? "" : node.mapped();
+}
+
+std::optional<log_line> parse_line(std::string_view text)
+{
+    const std::size_t begin = text.find("t=");
+    if (begin == std::string_view::npos || (begin > 0 && text[begin - 1] != ' ')) {
+        return std::nullopt;
+    }
+    log_line line;
+    line.fields = parse_fields(text.substr(begin));
+    line.process = take(line.fields, "process");
+    line.event = take(line.fields, "event");
+    const bool numbered = absl::SimpleAtoi(take(line.fields, "n"), &line.number) &&
+                          absl::SimpleAtoi(take(line.fields, "t"), &line.time_ms);
+    if (!numbered || line.process.empty() || line.event.empty()) {
+        return std::nullopt;
+    }
+    return line;
+}
+
+bool is_of(const log_line& line, std::string_view id)
+{
+    const auto job = line.fields.find("job");
+    // A refused request is named by its path.
+    return job != line.fields.end() && (job->second == id || job->second.ends_with(id));
+}
+
+/// Whether `first` is a cause of `second`, for lines of one request in different processes.
+bool is_cause(const log_line& first, const log_line& second)
+{
+    const bool same_task = first.text("task") == second.text("task") && !first.text("task").empty();
+    if (first.event == "tasks_placed") {
+        return second.event == "start_ordered" &&
+               absl::StrCat(",", first.text("agents"))
+                       .find(absl::StrCat(",", second.process, ":")) != std::string::npos;
+    }
+    if (first.event == "task_ended") {
+        const bool returned = second.event == "task_returned" && same_task &&
+                              second.text("attempt") == first.text("attempt") &&
+                              second.text("agent") == first.process;
+        const bool answered = second.event == "job_answered" &&
+                              second.text("outcome") == "succeeded" &&
+                              first.text("kind") == "task_done";
+        return returned || answered;
+    }
+    return false;
+}
+
+/// Orders the lines so that every cause precedes its effects. Of the lines that could follow, the
+/// one of the process that comes first in the logs is taken.
+std::vector<log_line> in_causal_order(const std::vector<log_line>& lines)
+{
+    std::vector<std::size_t> causes_left(lines.size());
+    std::vector<std::vector<std::size_t>> effects(lines.size());
+    const auto add = [&](std::size_t first, std::size_t second) {
+        effects[first].push_back(second);
+        ++causes_left[second];
+    };
+    for (std::size_t i = 0; i < lines.size(); ++i) {
+        bool next_found = false;
+        for (std::size_t j = 0; j < lines.size(); ++j) {
+            if (lines[i].process != lines[j].process) {
+                if (is_cause(lines[i], lines[j])) {
+                    add(i, j);
+                }
+            } else if (j > i && !std::exchange(next_found, true)) {
+                add(i, j);
+            }
+        }
+    }
+    std::vector<log_line> ordered;
+    std::set<std::size_t> ready;
+    for (std::size_t i = 0; i < lines.size(); ++i) {
+        if (causes_left[i] == 0) {
+            ready.insert(i);
+        }
+    }
+    while (!ready.empty()) {
+        const std::size_t next = *ready.begin();
+        ready.erase(ready.begin());
+        ordered.push_back(lines[next]);
+        for (const std::size_t effect : effects[next]) {
+            if (--causes_left[effect] == 0) {
+                ready.insert(effect);
+            }
+        }
+    }
+    // Lines that contradict each other, for example of two requests with one id.
+    return ordered.size() == lines.size() ? ordered : lines;
+}
+
+const log_line* last_of(const std::vector<log_line>& lines, std::string_view event)
+{
+    const auto found = std::find_if(lines.rbegin(), lines.rend(),
+                                    [&](const log_line& line) { return line.event == event; });
+    return found == lines.rend() ? nullptr : &*found;
+}
+
+/// The reason why most tasks came back without having ended, with its agents.
+std::string lost_tasks(const std::vector<log_line>& lines)
+{
+    std::map<std::string, std::set<std::string>> agents_by_reason;
+    std::map<std::string, std::size_t> tasks_by_reason;
+    for (const log_line& line : lines) {
+        const bool agent_side = line.event == "task_ended" && line.text("kind") != "task_done";
+        if (agent_side && line.text("reason") != "withdrawn" && line.text("reason") != "stopped") {
+            agents_by_reason[line.text("reason")].insert(line.process);
+            ++tasks_by_reason[line.text("reason")];
+        }
+    }
+    const auto most = std::max_element(
+        tasks_by_reason.begin(), tasks_by_reason.end(),
+        [](const auto& left, const auto& right) { return left.second < right.second; });
+    if (most == tasks_by_reason.end()) {
+        return "";
+    }
+    std::string agents;
+    for (const std::string& agent : agents_by_reason[most->first]) {
+        absl::StrAppend(&agents, agents.empty() ? "" : ", ", agent);
+    }
+    return absl::StrCat(most->second, " of its tasks came back (", most->first, ") from ", agents);
+}
+
+/// The task that waited or ran longest.
+std::string slowest_task(const std::vector<log_line>& lines, std::int64_t expected_ms)
+{
+    const log_line* waited = nullptr;
+    const log_line* ran = nullptr;
+    for (const log_line& line : lines) {
+        if (line.event == "start_ordered" &&
+            (waited == nullptr || line.integer("waited_ms") > waited->integer("waited_ms"))) {
+            waited = &line;
+        }
+        if (line.event == "task_ended" &&
+            (ran == nullptr || line.integer("run_ms") > ran->integer("run_ms"))) {
+            ran = &line;
+        }
+    }
+    const std::int64_t wait_ms = waited == nullptr ? 0 : waited->integer("waited_ms");
+    const std::int64_t run_ms = ran == nullptr ? 0 : ran->integer("run_ms");
+    if (wait_ms == 0 && run_ms == 0) {
+        return "";
+    }
+    if (wait_ms >= run_ms - expected_ms) {
+        return absl::StrCat("task ", waited->text("task"), " waited ", wait_ms, " ms for room at ",
+                            waited->process);
+    }
+    return absl::StrCat("task ", ran->text("task"), " ran ", run_ms, " ms at ", ran->process,
+                        " where ", expected_ms, " ms were expected");
+}
+
+std::string join_causes(const std::string& first, const std::string& second)
+{
+    return absl::StrCat(first, first.empty() || second.empty() ? "" : "; ", second);
+}
+
+void explain_refusal(const log_line& answer, request_story& story)
+{
+    story.outcome = "refused, not run";
+    const log_line* refusal = last_of(story.lines, "job_refused");
+    if (answer.text("reason") == "overloaded" && refusal != nullptr) {
+        story.cause = absl::StrCat(
+            "the last of its tasks would have waited ", refusal->text("wait_ms"), " ms with ",
+            refusal->text("slack_ms"), " ms to spare: too much work for the ",
+            refusal->text("usable_agents"), " usable workers known to ", refusal->process);
+        return;
+    }
+    if (answer.text("reason") == "no_worker") {
+        story.cause = absl::StrCat(answer.process, " knew no worker that may run the tasks");
+        return;
+    }
+    story.cause = join_causes(answer.text("reason"), lost_tasks(story.lines));
+}
+
+void explain_answer(const log_line& answer, request_story& story)
+{
+    const std::string outcome = answer.text("outcome");
+    const bool late = answer.integer("took_ms") > answer.integer("objective_ms");
+    if (outcome == "not_run") {
+        explain_refusal(answer, story);
+        return;
+    }
+    const std::string details = join_causes(
+        lost_tasks(story.lines), slowest_task(story.lines, answer.integer("expected_ms")));
+    if (outcome == "succeeded") {
+        story.outcome = late ? "succeeded late" : "succeeded";
+        story.cause = late ? join_causes(absl::StrCat("took ", answer.text("took_ms"), " ms for ",
+                                                      answer.text("objective_ms")),
+                                         details)
+                           : "all tasks ended in time";
+        return;
+    }
+    story.outcome = outcome == "failed" ? "failed" : "given up, may have run";
+    story.cause = join_causes(answer.text("reason"), details);
+}
+
+/// The end or loss of the entry that held the request, which has written no answer.
+std::string lost_entry(const std::vector<log_line>& all, const std::vector<log_line>& lines)
+{
+    const auto placed = std::find_if(lines.begin(), lines.end(), [](const log_line& line) {
+        return line.event == "tasks_placed";
+    });
+    if (placed == lines.end()) {
+        return "no line of its entry is among the logs";
+    }
+    const bool started_again = std::any_of(all.begin(), all.end(), [&](const log_line& line) {
+        return line.process == placed->process && line.life > placed->life;
+    });
+    const bool stopped = std::any_of(all.begin(), all.end(), [&](const log_line& line) {
+        return line.process == placed->process && line.life == placed->life &&
+               line.event == "stopping";
+    });
+    if (stopped) {
+        return absl::StrCat("its entry ", placed->process, " was told to stop and ended before");
+    }
+    return absl::StrCat("its entry ", placed->process,
+                        started_again
+                            ? " ended without notice and was started again"
+                            : " has written no answer: it was cut off, stopped or killed");
+}
+
+} // namespace
+
+std::string log_line::text(std::string_view field) const
+{
+    const auto found = fields.find(std::string(field));
+    return found == fields.end() ? "" : found->second;
+}
+
+std::int64_t log_line::integer(std::string_view field) const
+{
+    std::int64_t value = 0;
+    return absl::SimpleAtoi(text(field), &value) ? value : 0;
+}
+
+void log_reader::read(std::istream& input)
+{
+    for (std::string text; std::getline(input, text);) {
+        std::optional<log_line> line = parse_line(text);
+        if (!line) {
+            continue;
+        }
+        const auto last = last_.find(line->process);
+        if (last != last_.end()) {
+            const bool restarted = line->number <= last->second.number;
+            line->life = last->second.life + (restarted ? 1 : 0);
+            missing_ += restarted ? 0 : line->number - last->second.number - 1;
+        }
+        last_[line->process] = *line;
+        lines_.push_back(std::move(*line));
+    }
+}
+
+request_story explain_request(const std::vector<log_line>& lines, std::string_view id)
+{
+    request_story story;
+    std::copy_if(lines.begin(), lines.end(), std::back_inserter(story.lines),
+                 [id](const log_line& line) { return is_of(line, id); });
+    story.lines = in_causal_order(story.lines);
+    if (story.lines.empty()) {
+        return story;
+    }
+    if (const log_line* answer = last_of(story.lines, "job_answered")) {
+        explain_answer(*answer, story);
+    } else if (const log_line* refusal = last_of(story.lines, "request_refused")) {
+        story.outcome = absl::StrCat("refused with status ", refusal->text("status"));
+        story.cause = absl::StrCat(refusal->text("reason"), " at ", refusal->process,
+                                   ", which held configuration ", refusal->text("configuration"));
+    } else {
+        story.outcome = "no answer";
+        story.cause = lost_entry(lines, story.lines);
+    }
+    return story;
+}
+
+} // namespace carobfall::tool
--- /dev/null
+++ b/tests/auto/tools/tst_explain.cpp
@@ -0,0 +1,134 @@
+#include "carobfall/explain_command.h"
+#include "carobfall/log_story.h"
+
+#include <doctest/doctest.h>
+
+#include <sstream>
+#include <string>
+
+using namespace carobfall::tool;
+
+namespace {
+
+const std::string id = "00000000000000aa";
+
+request_story story_of(const std::string& text)
+{
+    std::istringstream input(text);
+    log_reader reader;
+    reader.read(input);
+    return explain_request(reader.lines(), id);
+}
+
+constexpr const char* overloaded =
+    "t=10 n=1 event=started store=10.0.0.1 process=edge-1 data_centre=mapo\n"
+    "t=20 n=2 event=job_refused job=00000000000000aa wait_ms=92 slack_ms=158 usable_agents=8 "
+    "knowledge_ms=82 process=edge-1 data_centre=mapo\n"
+    "t=20 n=3 event=job_answered job=00000000000000aa outcome=not_run reason=overloaded took_ms=0 "
+    "objective_ms=376 expected_ms=197 process=edge-1 data_centre=mapo\n";
+
+// The agents' lines come first and their clocks are far apart.
+constexpr const char* lost_worker =
+    "t=900001 n=1 event=start_ordered job=00000000000000aa task=0 run=1 waited_ms=3 answer_ms=1 "
+    "outcome=started process=side-1 data_centre=mapo\n"
+    "t=900050 n=2 event=task_ended job=00000000000000aa task=0 attempt=1 kind=task_ended "
+    "reason=worker_gone run_ms=0 process=side-1 data_centre=mapo\n"
+    "t=500 n=1 event=start_ordered job=00000000000000aa task=0 run=2 waited_ms=0 answer_ms=1 "
+    "outcome=started process=side-2 data_centre=guro\n"
+    "t=700 n=2 event=task_ended job=00000000000000aa task=0 attempt=2 kind=task_done reason=done "
+    "run_ms=190 process=side-2 data_centre=guro\n"
+    "t=40 n=7 event=tasks_placed job=00000000000000aa agents=side-1:1 process=edge-1 "
+    "data_centre=mapo\n"
+    "t=95 n=8 event=task_returned job=00000000000000aa task=0 attempt=1 agent=side-1 "
+    "kind=task_ended reason=worker_gone process=edge-1 data_centre=mapo\n"
+    "t=96 n=9 event=tasks_placed job=00000000000000aa agents=side-2:1 process=edge-1 "
+    "data_centre=mapo\n"
+    "t=420 n=10 event=job_answered job=00000000000000aa outcome=succeeded reason=done took_ms=400 "
+    "objective_ms=360 expected_ms=180 process=edge-1 data_centre=mapo\n";
+
+constexpr const char* lost_entry =
+    "t=40 n=7 event=tasks_placed job=00000000000000aa agents=side-1:1 process=edge-1 "
+    "data_centre=mapo\n"
+    "t=500 n=1 event=start_ordered job=00000000000000aa task=0 run=1 waited_ms=0 answer_ms=1 "
+    "outcome=started process=side-1 data_centre=guro\n"
+    "t=600 n=2 event=stop_ordered job=00000000000000aa task=0 run=1 reason=entry_lost "
+    "process=side-1 data_centre=guro\n"
+    "t=3 n=1 event=started store=10.0.0.1 process=edge-1 data_centre=mapo\n";
+
+} // namespace
+
+TEST_CASE("a refusal under load is told with the numbers that decided it")
+{
+    const request_story story = story_of(overloaded);
+    CHECK(story.lines.size() == 2);
+    CHECK(story.outcome == "refused, not run");
+    CHECK(story.cause == "the last of its tasks would have waited 92 ms with 158 ms to spare: too "
+                         "much work for the 8 usable workers known to edge-1");
+}
+
+// Guards against an order by the times of processes, whose clocks have nothing in common.
+TEST_CASE("lines of several processes are in the order of cause and effect")
+{
+    const request_story story = story_of(lost_worker);
+    std::vector<std::string> order;
+    for (const log_line& line : story.lines) {
+        order.push_back(line.process + " " + line.event);
+    }
+    CHECK(order == std::vector<std::string>{"edge-1 tasks_placed", "side-1 start_ordered",
+                                            "side-1 task_ended", "edge-1 task_returned",
+                                            "edge-1 tasks_placed", "side-2 start_ordered",
+                                            "side-2 task_ended", "edge-1 job_answered"});
+    CHECK(story.outcome == "succeeded late");
+    CHECK(story.cause.find("(worker_gone) from side-1") != std::string::npos);
+}
+
+TEST_CASE("a request without an answer names the entry that ended")
+{
+    const request_story story = story_of(lost_entry);
+    CHECK(story.outcome == "no answer");
+    CHECK(story.cause == "its entry edge-1 ended without notice and was started again");
+}
+
+TEST_CASE("a late answer names the task that waited longest")
+{
+    const request_story story = story_of(
+        "t=1 n=1 event=tasks_placed job=00000000000000aa agents=side-1:2 process=edge-1\n"
+        "t=5 n=1 event=start_ordered job=00000000000000aa task=0 waited_ms=2 process=side-1\n"
+        "t=6 n=2 event=start_ordered job=00000000000000aa task=1 waited_ms=250 process=side-1\n"
+        "t=7 n=3 event=task_ended job=00000000000000aa task=1 kind=task_done run_ms=61 "
+        "process=side-1\n"
+        "t=9 n=2 event=job_answered job=00000000000000aa outcome=succeeded took_ms=320 "
+        "objective_ms=156 expected_ms=60 process=edge-1\n");
+    CHECK(story.cause == "took 320 ms for 156; task 1 waited 250 ms for room at side-1");
+}
+
+// Guards against a tool that ends at text that is no structured line, and that hides gaps.
+TEST_CASE("other text is skipped and lines that were left out are counted")
+{
+    std::istringstream input(
+        "   12.5 edge-1 t=7 n=1 event=started process=edge-1\nnonsense\nt=\nt=x n=1 event=a\n"
+        "t=8 n=4 event=request_refused job=/path/00000000000000aa status=404 reason=no_route "
+        "configuration=8 text=\"two words\" process=edge-1\n");
+    log_reader reader;
+    reader.read(input);
+    REQUIRE(reader.lines().size() == 2);
+    CHECK(reader.missing_lines() == 2);
+    CHECK(reader.lines()[1].text("text") == "two words");
+    const request_story story = explain_request(reader.lines(), id);
+    CHECK(story.outcome == "refused with status 404");
+    CHECK(story.cause == "no_route at edge-1, which held configuration 8");
+}
+
+TEST_CASE("the command prints the cause last and says what to do without a line")
+{
+    std::istringstream input(overloaded);
+    std::ostringstream out;
+    std::ostringstream errors;
+    CHECK(explain({id, {}, false}, input, out, errors) == exit_code::ok);
+    CHECK(out.str().find("cause: the last of its tasks") != std::string::npos);
+    std::istringstream again(overloaded);
+    CHECK(explain({"00000000000000bb", {}, true}, again, out, errors) == exit_code::invalid_input);
+    CHECK(errors.str().find("none of 3 lines names the request") != std::string::npos);
+    CHECK(explain({id, {"/nonexistent/log"}, false}, again, out, errors) ==
+          exit_code::invalid_input);
+}
