Jobs: Count a worker without memory as full and name ends in one place

Change: a task that doesn't fit waits 1 ms at least; the names of the ends of runs stand beside those of the outcomes of orders.

--- a/src/libs/carobfall/jobs/agent_choice.cpp
+++ b/src/libs/carobfall/jobs/agent_choice.cpp
@@ -20,6 +20,8 @@
 constexpr absl::Duration failed_before_penalty = absl::Seconds(2);
 // Runs last about a second at most: a worker gives back all of its room in this time at least.
 constexpr double longest_usual_run_s = 1;
+// A run has to end first, also if the task lacks memory and hardly needs a processor.
+constexpr absl::Duration shortest_wait = absl::Milliseconds(1);
 // Entries with the same knowledge weigh preferences differently by up to a fifth.
 constexpr double random_base = 0.8;
 constexpr double random_spread = 0.4;
@@ -95,7 +97,8 @@
     const double released =
         std::max(load.released_millicores_per_s,
                  static_cast<double>(agent.capacity.cpu_millicores) / longest_usual_run_s);
-    return absl::Seconds(static_cast<double>(missing) / std::max(released, 1.0));
+    return std::max(absl::Seconds(static_cast<double>(missing) / std::max(released, 1.0)),
+                    shortest_wait);
 }
 
 void count_order(agent_load& load, const resource_amounts& demand, const task_time& time)
--- a/src/libs/carobfall/jobs/worker_ledger.cpp
+++ b/src/libs/carobfall/jobs/worker_ledger.cpp
@@ -32,23 +32,6 @@
     return {order.cpu_millicores(), order.memory_mib(), order.accelerators()};
 }
 
-std::string_view reason_of(run_end_kind kind)
-{
-    switch (kind) {
-    case run_end_kind::done:
-        return "done";
-    case run_end_kind::failed:
-        return "failed";
-    case run_end_kind::stopped:
-        return "stopped";
-    case run_end_kind::lapsed:
-        return "lease_lapsed";
-    case run_end_kind::broken:
-        break;
-    }
-    return "broken";
-}
-
 fleet::task_event_kind event_kind_of(run_end_kind kind)
 {
     switch (kind) {
@@ -367,7 +350,7 @@
     if (end.kind == run_end_kind::done && exact) {
         speed_.record(record.known_run, absl::Milliseconds(record.order.expected_run_ms()), now);
     }
-    finish(found, event_kind_of(end.kind), reason_of(end.kind), now);
+    finish(found, event_kind_of(end.kind), name_of(end.kind), now);
 }
 
 void worker_ledger::stop_unknown_runs(const worker_report& report)
--- a/src/libs/carobfall/jobs/worker_orders.cpp
+++ b/src/libs/carobfall/jobs/worker_orders.cpp
@@ -32,4 +32,21 @@
     return found == outcome_names.end() ? "unknown" : found->second;
 }
 
+std::string_view name_of(run_end_kind kind)
+{
+    switch (kind) {
+    case run_end_kind::done:
+        return "done";
+    case run_end_kind::failed:
+        return "failed";
+    case run_end_kind::stopped:
+        return "stopped";
+    case run_end_kind::lapsed:
+        return "lease_lapsed";
+    case run_end_kind::broken:
+        break;
+    }
+    return "broken";
+}
+
 } // namespace carobfall
--- a/src/libs/carobfall/jobs/worker_orders.h
+++ b/src/libs/carobfall/jobs/worker_orders.h
@@ -71,6 +71,9 @@
 
 enum class run_end_kind { done, failed, stopped, lapsed, broken };
 
+/// Name used as a reason in events, for example "lease_lapsed".
+[[nodiscard]] std::string_view name_of(run_end_kind kind);
+
 struct run_end {
     std::uint64_t number{0}; ///< counts the ends of one incarnation
     task_run task;
--- a/tests/auto/jobs/tst_agent_choice.cpp
+++ b/tests/auto/jobs/tst_agent_choice.cpp
@@ -147,3 +147,15 @@
     }
     CHECK(placement.longest_wait >= absl::Milliseconds(2 * 6200 / 320));
 }
+
+// Guards against tasks that need no processor being sent to workers without memory for them.
+TEST_CASE("a worker without memory for a task has no room for it")
+{
+    std::vector<agent_view> agents{agent("no memory", 64000), agent("room", 100)};
+    agents[0].load.free.memory_mib = 10;
+    job_request request = job();
+    request.demand.cpu_millicores = 0;
+    CHECK(choose_agent(agents, request, eligibility) == 1);
+    CHECK(place_tasks({agents.data(), 1}, request, eligibility, 1, {}, half).longest_wait >
+          absl::ZeroDuration());
+}
