Jobs: Check a job's time before its first tasks are ordered

Cause: since all tasks of a job are planned before it is admitted, they were ordered right after that, before the loop looked at the job's time and its caller. A job without enough time had its tasks started and stopped, and its answer could no longer say that nothing has run.

Change: the plan is carried out by the loop, after its checks. The refusal of a job is a function of its own.

Test: `a job without enough time for its tasks starts none` fails before.

--- a/src/libs/carobfall/jobs/job_dispatcher.cpp
+++ b/src/libs/carobfall/jobs/job_dispatcher.cpp
@@ -13,6 +13,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <utility>
 
 namespace carobfall {
@@ -119,34 +120,43 @@
     return answer;
 }
 
-asio::awaitable<job_answer> job_dispatcher::run(std::shared_ptr<active_job> job)
+std::optional<job_answer> job_dispatcher::refusal_of(const active_job& job,
+                                                     const job_placement& placement, absl::Time now)
 {
-    co_await wait_for_predecessor(*job);
-    absl::Time now = boot_now();
-    const job_placement placement = plan(*job, now);
-    if (placement.agents.size() < job->tasks.size()) {
-        co_return refuse(*job, "no_worker", retry_without_agents);
+    if (placement.agents.size() < job.tasks.size()) {
+        return refuse(job, "no_worker", retry_without_agents);
     }
     const absl::Duration wait = placement.longest_wait;
     if (wait <= absl::ZeroDuration()) {
         room_seen_at_ = now;
     }
     const absl::Duration queued_for = now - room_seen_at_;
-    const admission_decision decision = admit(job->timing, job->request.priority, job->expected_run,
-                                              wait, queued_for, now, random());
-    if (!decision.admitted) {
-        log_.write(log_fields("job_refused")
-                       .add("job", job->request.id)
-                       .add("wait_ms", absl::ToInt64Milliseconds(wait))
-                       .add("slack_ms", absl::ToInt64Milliseconds(job->timing.start_by - now))
-                       .add("queued_for_ms", absl::ToInt64Milliseconds(queued_for))
-                       .add("usable_agents", agents_.usable_agents())
-                       .add("knowledge_ms", absl::ToInt64Milliseconds(agents_.oldest_report(now))),
-                   now);
-        co_return refuse(*job, "overloaded", decision.retry_after);
+    const admission_decision decision =
+        admit(job.timing, job.request.priority, job.expected_run, wait, queued_for, now, random());
+    if (decision.admitted) {
+        return std::nullopt;
+    }
+    log_.write(log_fields("job_refused")
+                   .add("job", job.request.id)
+                   .add("wait_ms", absl::ToInt64Milliseconds(wait))
+                   .add("slack_ms", absl::ToInt64Milliseconds(job.timing.start_by - now))
+                   .add("queued_for_ms", absl::ToInt64Milliseconds(queued_for))
+                   .add("usable_agents", agents_.usable_agents())
+                   .add("knowledge_ms", absl::ToInt64Milliseconds(agents_.oldest_report(now))),
+               now);
+    return refuse(job, "overloaded", decision.retry_after);
+}
+
+asio::awaitable<job_answer> job_dispatcher::run(std::shared_ptr<active_job> job)
+{
+    co_await wait_for_predecessor(*job);
+    absl::Time now = boot_now();
+    job_placement placement = plan(*job, now);
+    bool planned = true;
+    if (const std::optional<job_answer> refusal = refusal_of(*job, placement, now)) {
+        co_return *refusal;
     }
     jobs_[job->request.id] = job;
-    place(*job, placement, now);
     while (true) {
         now = boot_now();
         release_lost_tasks(*job, now);
@@ -179,7 +189,10 @@
             co_return co_await end(job, job_outcome::unknown, "agent_lost");
         }
         if (now >= job->place_after && any_unplaced(*job)) {
-            place(*job, plan(*job, now), now);
+            if (!std::exchange(planned, false)) {
+                placement = plan(*job, now);
+            }
+            place(*job, placement, now);
         }
         co_await job->changed.wait_for(timer_duration(next_check(*job) - boot_now()));
     }
--- a/src/libs/carobfall/jobs/job_dispatcher.h
+++ b/src/libs/carobfall/jobs/job_dispatcher.h
@@ -15,6 +15,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -81,6 +82,9 @@
     boost::asio::awaitable<void> wait_for_predecessor(active_job& job);
     boost::asio::awaitable<job_answer> end(std::shared_ptr<active_job> job, job_outcome outcome,
                                            std::string reason);
+    /// The answer of a job that is not begun; nothing if it is admitted.
+    [[nodiscard]] std::optional<job_answer>
+    refusal_of(const active_job& job, const job_placement& placement, absl::Time now);
     /// Where the tasks that no agent has would go.
     [[nodiscard]] job_placement plan(const active_job& job, absl::Time now);
     void place(active_job& job, const job_placement& placement, absl::Time now);
--- a/tests/auto/jobs/tst_entry_and_agent.cpp
+++ b/tests/auto/jobs/tst_entry_and_agent.cpp
@@ -424,6 +424,21 @@
     CHECK(test.run_until([&] { return agent.worker.active() == 0; }));
 }
 
+// Guards against tasks that are ordered and stopped at once, after which the answer can't say that
+// nothing has run.
+TEST_CASE("a job without enough time for its tasks starts none")
+{
+    region test;
+    agent_fixture& agent = test.add_agent("a");
+    REQUIRE(test.run_until([&] { return test.entry.usable_agents() == 1; }));
+    std::optional<job_answer> answer;
+    test.submit("00000000000000aa", 2, answer, absl::Milliseconds(5));
+    REQUIRE(test.run_until([&] { return answer.has_value(); }));
+    CHECK(answer->outcome == job_outcome::not_run);
+    test.run_until([&] { return false; }, absl::Milliseconds(50));
+    CHECK(agent.worker.starts == 0);
+}
+
 // Guards against two runs at once on two workers: the agent is silent, its worker may go on.
 TEST_CASE("a task of a lost agent is placed again only when its run is gone")
 {
