Jobs: Pass operators' decisions on only when they differ

Cause: the version of the decisions is the store's at the time of reading, which grows with every row that anybody writes. The small entries (0.12 cores) fell behind by more than 500 ms, agents dropped them, and the connections were made again for two seconds.

Now frames carry a digest of the decisions beside the version. The same decisions of a later version raise the version held, without a change, a log line or a message.

Ruled out: the version of the newest row in place of the store's: a removed row (a data centre that is back) has none when the table is read whole.

--- a/src/libs/carobfall/jobs/agent_service.cpp
+++ b/src/libs/carobfall/jobs/agent_service.cpp
@@ -49,9 +49,8 @@
             ledger_.hand_back("data_centre_out");
         }
         for (const auto& [address, link] : links_) {
-            if (link->is_open() && link->known_operator_version() < operators_.version()) {
+            if (link->is_open() && operators_.is_news_for(link->entry_knowledge())) {
                 fleet::agent_frame frame;
-                *frame.mutable_state() = operators_.state();
                 send_status(*link, frame, now);
             }
         }
@@ -167,9 +166,6 @@
     const absl::Time now = boot_now();
     log_.write(log_fields("entry_connected").add("address", link.address()), now);
     fleet::agent_frame frame;
-    if (operators_.version() > 0) {
-        *frame.mutable_state() = operators_.state();
-    }
     for (const auto& [address, other] : links_) {
         if (other->is_open()) {
             frame.add_entries(address);
@@ -181,6 +177,7 @@
 void agent_service::on_frame(entry_link& link, fleet::entry_frame& frame)
 {
     const absl::Time now = boot_now();
+    operators_.confirm({frame.operator_version(), frame.operator_digest()});
     if (frame.has_state() && operators_.adopt(std::move(*frame.mutable_state()))) {
         log_.write(operators_.adopted_from(link.entry_name()), now);
     }
@@ -431,7 +428,11 @@
 void agent_service::send_status(entry_link& link, fleet::agent_frame& frame, absl::Time now)
 {
     fill_status(*frame.mutable_status(), link, now);
-    frame.set_operator_version(operators_.version());
+    frame.set_operator_version(operators_.knowledge().version);
+    frame.set_operator_digest(operators_.knowledge().digest);
+    if (link.is_heard() && operators_.is_news_for(link.entry_knowledge())) {
+        *frame.mutable_state() = operators_.state();
+    }
     link.send(frame, now);
 }
 
--- a/src/libs/carobfall/jobs/entry_link.cpp
+++ b/src/libs/carobfall/jobs/entry_link.cpp
@@ -66,8 +66,11 @@
         permitted_until_ =
             std::max(permitted_until_, absl::FromUnixMicros(frame.echo_us()) + entry_permission);
         entry_name_ = frame.entry();
+        heard_ = true;
         orders_received_ += static_cast<std::uint64_t>(frame.orders_size());
-        operator_version_ = std::max(operator_version_, frame.operator_version());
+        if (frame.operator_version() > entry_knowledge_.version) {
+            entry_knowledge_ = {frame.operator_version(), frame.operator_digest()};
+        }
         hooks_.on_frame(*this, frame);
     }
 }
@@ -83,7 +86,8 @@
             const absl::Time now = boot_now();
             session_ = hooks_.new_session();
             orders_received_ = 0;
-            operator_version_ = 0;
+            entry_knowledge_ = {};
+            heard_ = false;
             last_connected_ = now;
             permitted_until_ = now + entry_permission;
             hooks_.on_open(*this);
@@ -113,6 +117,9 @@
         return;
     }
     frame.set_sent_us(absl::ToUnixMicros(now));
+    if (frame.has_state()) {
+        entry_knowledge_ = {frame.operator_version(), frame.operator_digest()};
+    }
     channel_->send(frame);
     last_sent_ = now;
 }
--- a/src/libs/carobfall/jobs/entry_link.h
+++ b/src/libs/carobfall/jobs/entry_link.h
@@ -2,6 +2,7 @@
 
 #include "carobfall/fleet/fleet.pb.h"
 #include "carobfall/fleet/frame_channel.h"
+#include "carobfall/jobs/operator_view.h"
 #include "carobfall/jobs/worker_ledger.h"
 
 #include <absl/time/time.h>
@@ -47,12 +48,15 @@
         return is_open() && now < permitted_until_;
     }
     [[nodiscard]] bool is_open() const { return session_ != 0; }
+    /// Whether the entry has sent a frame on this connection.
+    [[nodiscard]] bool is_heard() const { return is_open() && heard_; }
     [[nodiscard]] session_number session() const { return session_; }
     [[nodiscard]] const std::string& address() const { return address_; }
     [[nodiscard]] const std::string& entry_name() const { return entry_name_; }
     [[nodiscard]] std::uint64_t orders_received() const { return orders_received_; }
     [[nodiscard]] absl::Time last_sent() const { return last_sent_; }
-    [[nodiscard]] std::uint64_t known_operator_version() const { return operator_version_; }
+    /// What the entry is known to hold.
+    [[nodiscard]] const operator_knowledge& entry_knowledge() const { return entry_knowledge_; }
 
 private:
     boost::asio::awaitable<bool> connect(boost::asio::ip::tcp::socket& socket);
@@ -68,7 +72,8 @@
     absl::Time last_sent_{absl::InfinitePast()};
     absl::Time last_connected_{absl::InfinitePast()};
     std::uint64_t orders_received_{0};
-    std::uint64_t operator_version_{0};
+    operator_knowledge entry_knowledge_;
+    bool heard_{false};
     bool stopped_{false};
 };
 
--- a/src/libs/carobfall/jobs/entry_service.cpp
+++ b/src/libs/carobfall/jobs/entry_service.cpp
@@ -77,7 +77,11 @@
     const absl::Time now = boot_now();
     peer->last_heard = now;
     peer->echo_us = std::max(peer->echo_us, frame.sent_us());
-    peer->operator_version = std::max(peer->operator_version, frame.operator_version());
+    const operator_knowledge held{frame.operator_version(), frame.operator_digest()};
+    if (held.version > peer->knowledge.version) {
+        peer->knowledge = held;
+    }
+    operators_.confirm(held);
     if (frame.has_state() && operators_.adopt(std::move(*frame.mutable_state()))) {
         log_.write(operators_.adopted_from(peer->agent), now);
     }
@@ -190,7 +194,7 @@
 void entry_service::flush(absl::Time now)
 {
     for (const auto& [name, peer] : agents_) {
-        if (peer->has_pending || peer->operator_version < operators_.version() ||
+        if (peer->has_pending || operators_.is_news_for(peer->knowledge) ||
             peer->entries_told < entries_.size() || now - peer->last_sent >= link_frame_interval) {
             send(*peer, now);
         }
@@ -202,10 +206,11 @@
     fleet::entry_frame& frame = peer.pending;
     frame.set_echo_us(peer.echo_us);
     frame.set_entry(name_);
-    frame.set_operator_version(operators_.version());
-    if (peer.operator_version < operators_.version()) {
+    frame.set_operator_version(operators_.knowledge().version);
+    frame.set_operator_digest(operators_.knowledge().digest);
+    if (operators_.is_news_for(peer.knowledge)) {
         *frame.mutable_state() = operators_.state();
-        peer.operator_version = operators_.version();
+        peer.knowledge = operators_.knowledge();
     }
     if (peer.entries_told < entries_.size()) {
         for (const std::string& address : entries_) {
--- a/src/libs/carobfall/jobs/entry_service.h
+++ b/src/libs/carobfall/jobs/entry_service.h
@@ -69,7 +69,7 @@
         absl::Time last_sent{absl::InfinitePast()};
         fleet::entry_frame pending;
         bool has_pending{false};
-        std::uint64_t operator_version{0};
+        operator_knowledge knowledge; ///< what the agent is known to hold
         std::size_t entries_told{0};
     };
 
--- a/src/libs/carobfall/jobs/operator_view.cpp
+++ b/src/libs/carobfall/jobs/operator_view.cpp
@@ -2,17 +2,40 @@
 
 #include "carobfall/base/strings.h"
 
+#include <boost/crc.hpp>
+
 #include <algorithm>
 #include <utility>
 
 namespace carobfall {
+namespace {
+
+/// The same in all processes, which a hash of Abseil is not.
+std::uint64_t digest_of(const fleet::operator_state& state)
+{
+    fleet::operator_state decisions = state;
+    decisions.clear_version();
+    const std::string bytes = decisions.SerializeAsString();
+    constexpr std::uint64_t ecma_182 = 0x42F0E1EBA9EA3693;
+    boost::crc_optimal<64, ecma_182> crc;
+    crc.process_bytes(bytes.data(), bytes.size());
+    return crc.checksum();
+}
+
+} // namespace
 
 bool operator_view::adopt(fleet::operator_state state)
 {
     if (state.version() <= state_.version()) {
         return false;
     }
+    const std::uint64_t digest = digest_of(state);
+    if (version() > 0 && digest == digest_) {
+        state_.set_version(state.version());
+        return false;
+    }
     state_ = std::move(state);
+    digest_ = digest;
     index_routes();
     for (const listener& changed : listeners_) {
         changed();
@@ -20,6 +43,18 @@
     return true;
 }
 
+void operator_view::confirm(const operator_knowledge& peer)
+{
+    if (version() > 0 && peer.digest == digest_) {
+        state_.set_version(std::max(version(), peer.version));
+    }
+}
+
+bool operator_view::is_news_for(const operator_knowledge& peer) const
+{
+    return version() > peer.version && (peer.version == 0 || peer.digest != digest_);
+}
+
 log_fields operator_view::adopted_from(std::string_view source) const
 {
     log_fields fields("operator_state");
--- a/tests/auto/jobs/tst_operator_view.cpp
+++ b/tests/auto/jobs/tst_operator_view.cpp
@@ -58,3 +58,45 @@
     REQUIRE(view.adopt(state(3)));
     CHECK_FALSE(view.is_out("guro"));
 }
+
+// Guards against a flood after a restart of all processes: each reads the store at another version,
+// and 100 of them passed 2,100 states on in the first second, so that small entries fell behind.
+TEST_CASE("a later version with the same decisions is no change and no news")
+{
+    operator_view view;
+    int changes = 0;
+    view.on_change([&changes] { ++changes; });
+    REQUIRE(view.adopt(state(7)));
+    const operator_knowledge before = view.knowledge();
+    fleet::operator_state same = state(7);
+    same.set_version(9);
+    CHECK_FALSE(view.adopt(same));
+    CHECK(view.version() == 9);
+    CHECK(changes == 1);
+    CHECK_FALSE(view.is_news_for(before));
+    CHECK(view.is_news_for({}));
+    CHECK(view.is_news_for({7, before.digest + 1}));
+}
+
+// Guards against decisions that revert: the version of a process that is not told of later reads
+// would stay low, and a peer with older decisions would count as later.
+TEST_CASE("a peer's later version counts for the same decisions")
+{
+    operator_view view;
+    REQUIRE(view.adopt(state(7)));
+    view.confirm({20, view.knowledge().digest});
+    CHECK(view.version() == 20);
+    CHECK_FALSE(view.adopt(state(15)));
+    view.confirm({30, view.knowledge().digest + 1});
+    CHECK(view.version() == 20);
+    CHECK(view.adopt(state(21)));
+}
+
+TEST_CASE("a process without decisions takes nothing from a peer's digest")
+{
+    operator_view view;
+    view.confirm({20, 0});
+    CHECK(view.version() == 0);
+    CHECK_FALSE(view.is_news_for({}));
+    CHECK(view.adopt(state(1)));
+}
