Tools: Show an overview of all programs from their metrics

Cause: what is refused and why, which workers are doubted and how old the configuration is had to be put together from the logs of all processes. /metrics had counters only; the state of a process stood in /state under other names.

carobfall overview asks the metrics addresses that it is given. Entries and agents show their state as gauges in /metrics too, from the same text as /state.

Tests: sums and doubts, text of something else, exit codes; process_platform_path drives it against the programs (drained worker, store that refuses, killed agent).

--- a/src/libs/carobfall/jobs/agent_service.cpp
+++ b/src/libs/carobfall/jobs/agent_service.cpp
@@ -477,11 +477,16 @@
     log_.flush();
 }
 
-std::string agent_service::state_text() const
+std::string agent_service::state_text(absl::Time now) const
 {
-    return absl::StrCat("waiting ", ledger_.waiting(), "\non_worker ", ledger_.on_worker(),
-                        "\nopen_links ", open_links(), "\noperator_version ", operators_.version(),
-                        "\naccepting ", accepts_orders(), "\n");
+    const std::int64_t capacity = ledger_.worker() ? ledger_.worker()->capacity.cpu_millicores : 0;
+    return absl::StrCat("accepting ", accepts_orders(), "\nworker_known ",
+                        ledger_.worker().has_value(), "\nworker_reachable ", worker_reachable_,
+                        "\nwaiting ", ledger_.waiting(), "\non_worker ", ledger_.on_worker(),
+                        "\ncapacity_millicores ", capacity, "\nfree_millicores ",
+                        ledger_.worker() ? ledger_.free_room().cpu_millicores : 0, "\nslowness ",
+                        ledger_.slowness(now), "\nfailure_share ", ledger_.failure_share(now),
+                        "\nopen_links ", open_links(), "\n");
 }
 
 } // namespace carobfall
--- a/src/libs/carobfall/jobs/agent_service.h
+++ b/src/libs/carobfall/jobs/agent_service.h
@@ -57,7 +57,8 @@
     void drain();
     [[nodiscard]] bool is_idle() const { return ledger_.on_worker() == 0; }
     [[nodiscard]] std::size_t open_links() const;
-    [[nodiscard]] std::string state_text() const;
+    /// Gauges, a line each.
+    [[nodiscard]] std::string state_text(absl::Time now) const;
 
 private:
     boost::asio::awaitable<void> renew_leases();
--- a/src/libs/carobfall/jobs/entry_service.cpp
+++ b/src/libs/carobfall/jobs/entry_service.cpp
@@ -3,6 +3,7 @@
 #include "carobfall/base/boot_clock.h"
 #include "carobfall/base/tcp_listener.h"
 
+#include <absl/strings/str_cat.h>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -129,6 +130,19 @@
     return oldest;
 }
 
+std::string entry_service::state_text(absl::Time now) const
+{
+    std::int64_t capacity = 0;
+    std::int64_t free = 0;
+    for (const agent_view& view : table_.views()) {
+        capacity += view.usable ? view.capacity.cpu_millicores : 0;
+        free += view.usable ? view.load.free.cpu_millicores : 0;
+    }
+    return absl::StrCat("connected_agents ", agents_.size(), "\nusable_agents ", usable_agents(),
+                        "\ncapacity_millicores ", capacity, "\nfree_millicores ", free,
+                        "\noldest_report_ms ", absl::ToInt64Milliseconds(oldest_report(now)), "\n");
+}
+
 bool entry_service::is_slow(const std::string& agent) const
 {
     const agent_view* view = table_.find(agent);
--- a/src/libs/carobfall/jobs/entry_service.h
+++ b/src/libs/carobfall/jobs/entry_service.h
@@ -56,6 +56,8 @@
     [[nodiscard]] std::size_t usable_agents() const { return table_.usable(); }
     /// Age of the oldest word of an agent.
     [[nodiscard]] absl::Duration oldest_report(absl::Time now) const;
+    /// Gauges of what is known of the agents, a line each.
+    [[nodiscard]] std::string state_text(absl::Time now) const;
     /// Whether runs at the agent take clearly longer than expected.
     [[nodiscard]] bool is_slow(const std::string& agent) const;
 
--- a/src/libs/carobfall/jobs/operator_view.cpp
+++ b/src/libs/carobfall/jobs/operator_view.cpp
@@ -2,6 +2,7 @@
 
 #include "carobfall/base/strings.h"
 
+#include <absl/strings/str_cat.h>
 #include <boost/crc.hpp>
 
 #include <algorithm>
@@ -66,6 +67,13 @@
     return fields;
 }
 
+std::string operator_view::state_text() const
+{
+    return absl::StrCat("configuration_version ", state_.configuration_version(),
+                        "\noperator_version ", version(), "\nroutes ", state_.routes_size(),
+                        "\ndata_centres_out ", state_.data_centres_out_size(), "\n");
+}
+
 void operator_view::index_routes()
 {
     routes_by_host_.clear();
--- a/src/libs/carobfall/jobs/operator_view.h
+++ b/src/libs/carobfall/jobs/operator_view.h
@@ -35,6 +35,8 @@
     [[nodiscard]] bool is_news_for(const operator_knowledge& peer) const;
     /// Log line on the state that was adopted last.
     [[nodiscard]] log_fields adopted_from(std::string_view source) const;
+    /// Gauges, a line each.
+    [[nodiscard]] std::string state_text() const;
     void on_change(listener changed) { listeners_.push_back(std::move(changed)); }
 
     [[nodiscard]] const fleet::operator_state& state() const { return state_; }
--- a/src/tools/carobfall/command_line.cpp
+++ b/src/tools/carobfall/command_line.cpp
@@ -54,6 +54,7 @@
     add_list_commands();
     add_load_command();
     add_explain_command();
+    add_overview_command();
 }
 
 void command_line::add_common_options()
@@ -257,6 +258,24 @@
     });
 }
 
+void command_line::add_overview_command()
+{
+    CLI::App* command = app_.add_subcommand(
+        "overview", "Asks the programs on the users' platform for their metrics: what is refused "
+                    "and why, which workers are doubted, which configurations are held. Needs no "
+                    "token.");
+    command
+        ->add_option("addresses", overview_.addresses,
+                     "ip:port where an entry or agent serves /metrics.")
+        ->required();
+    command->callback([this] {
+        local_action_ = [this] {
+            overview_.json_output = output_ == "json";
+            return overview(overview_, std::cout, std::cerr);
+        };
+    });
+}
+
 result<std::string> command_line::token() const
 {
     std::string text;
--- a/src/tools/carobfall/command_line.h
+++ b/src/tools/carobfall/command_line.h
@@ -3,6 +3,7 @@
 #include "explain_command.h"
 #include "load_command.h"
 #include "operator_commands.h"
+#include "overview_command.h"
 #include "submit_command.h"
 
 #include <CLI/CLI.hpp>
@@ -32,6 +33,7 @@
     void add_list_commands();
     void add_load_command();
     void add_explain_command();
+    void add_overview_command();
     CLI::App* add_operator_command(CLI::App& parent, const std::string& name,
                                    const std::string& description, operator_action action);
     void add_caller_command(CLI::App* command, std::function<exit_code(command_context&)> action);
@@ -47,6 +49,7 @@
     submit_options submit_;
     load_options load_;
     explain_options explain_;
+    overview_options overview_;
     std::string first_name_;
     std::vector<std::string> files_;
     apply_options apply_;
--- /dev/null
+++ b/src/tools/carobfall/overview_command.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "exit_code.h"
+
+#include <absl/time/time.h>
+
+#include <map>
+#include <optional>
+#include <ostream>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace carobfall::tool {
+
+/// Flags of `carobfall overview`.
+struct overview_options {
+    std::vector<std::string> addresses; ///< ip:port where processes serve /metrics
+    bool json_output{false};
+};
+
+/// What one process said of itself.
+struct process_sample {
+    std::string address;
+    bool answered{false};
+    std::string name;                     ///< empty if it didn't answer
+    std::string data_centre;              ///< the same
+    std::map<std::string, double> values; ///< by metric with its labels, without the prefix
+
+    /// Nothing if the process has no such metric.
+    [[nodiscard]] std::optional<double> value(std::string_view metric) const;
+};
+
+/// Sums and doubts over all processes.
+struct fleet_overview {
+    std::size_t processes{0};
+    std::vector<std::string> silent;        ///< addresses without an answer
+    std::map<std::string, double> outcomes; ///< jobs by "outcome, reason"
+    std::map<std::string, double> refusals; ///< requests refused before they became jobs, by reason
+    std::map<std::string, std::size_t> configurations; ///< processes by the version that they hold
+    std::vector<std::string> without_store; ///< names of processes that the store doesn't answer
+    std::vector<std::string> not_ready;     ///< entries
+    std::vector<std::string> doubted;       ///< agents that take no orders or are slow, with why
+    double free_cores{0};                   ///< of the agents
+    double capacity_cores{0};
+    double waiting_tasks{0};
+    double running_tasks{0};
+};
+
+/// Reads the text of /metrics. Lines that aren't samples of carobfall are skipped.
+[[nodiscard]] process_sample parse_metrics(std::string_view address, std::string_view text);
+
+[[nodiscard]] fleet_overview summarize(const std::vector<process_sample>& samples);
+
+/// Asks all processes and prints the overview. `unreachable` if none answers, `invalid_input` for a
+/// malformed address.
+exit_code overview(const overview_options& options, std::ostream& out, std::ostream& errors);
+
+} // namespace carobfall::tool
--- a/tests/process/test_platform_path.py
+++ b/tests/process/test_platform_path.py
@@ -124,6 +124,33 @@
         for task, starts in runs.items():
             self.assertEqual(len(starts), 1, (task, starts))
 
+    def overview(self):
+        addresses = ["%s:%d" % (self.settings[name]["ip"], self.link_port + 1)
+                     for name in self.settings]
+        command = [BUILD.parent / "src/tools/carobfall/carobfall", "--output", "json", "overview"]
+        done = subprocess.run(command + addresses, capture_output=True, text=True, check=False)
+        self.assertEqual(done.returncode, 0, done.stderr)
+        return json.loads(done.stdout)
+
+    def test_overview_shows_what_is_refused_held_and_doubted(self):
+        """Guards against gauges that are missing or named differently from what the command reads."""
+        before = self.overview()
+        self.assertEqual(before["processes"], ENTRIES + AGENTS)
+        self.assertEqual((before["silent"], before["doubted"], before["not_ready"]), ([], [], []))
+        self.assertEqual(before["configurations"], {"3": ENTRIES + AGENTS})
+        self.assertEqual(before["capacity_cores"], 64 * AGENTS)
+        self.assertGreater(before["outcomes"]["succeeded, done"], 0)
+        self.assertEqual(self.submit("%016x" % 2, prefix="/none/")[0], 404)
+        self.workers[0].state = "draining"
+        self.store.refusing = True
+        self.wait_for(lambda: self.overview()["doubted"] == ["agent-0: takes no orders"],
+                      "the agent doubts its worker")
+        self.wait_for(lambda: len(self.overview()["without_store"]) == ENTRIES + AGENTS,
+                      "all notice the outage")
+        self.assertEqual(sum(self.overview()["refusals"].values()), 1)
+        self.processes["agent-1"].kill()
+        self.wait_for(lambda: len(self.overview()["silent"]) == 1, "the killed agent is silent")
+
     def test_serves_and_refuses(self):
         """Guards against wrong answers for good, unknown, malformed and unsupported requests."""
         status, content, _ = self.submit("%016x" % 7, count=24)
