Jobs: Return orders that would wait longer than their entry expected

Cause: with workers nearly full, the room that an entry knows is taken by orders of others that are on their way.

Now an order says how long its entry expects it to wait, and an agent whose queue is longer by 10 ms returns it; the entry places it again with what it knows by then. The fourth order of a task waits wherever it comes.

--- a/src/libs/carobfall/jobs/agent_choice.cpp
+++ b/src/libs/carobfall/jobs/agent_choice.cpp
@@ -70,7 +70,7 @@
     const bool remote = !request.data_rack.empty() && agent.rack != request.data_rack;
     const double slowness = agent.slowness * (remote ? remote_data_factor : 1.0);
     candidate weighed;
-    weighed.wait = expected_wait(agent, load, request.demand, time.rank);
+    weighed.wait = expected_wait(agent.capacity, load, request.demand, time.rank);
     absl::Duration delay =
         weighed.wait + time.expected_run * (slowness - 1) + failing_penalty * agent.failure_share;
     if (avoided) {
@@ -96,7 +96,7 @@
 
 } // namespace
 
-absl::Duration expected_wait(const agent_view& agent, const agent_load& load,
+absl::Duration expected_wait(const resource_amounts& capacity, const agent_load& load,
                              const resource_amounts& demand, absl::Duration rank)
 {
     const std::int64_t before = load.waiting.millicores_before(rank);
@@ -109,7 +109,7 @@
         before + demand.cpu_millicores - (fits ? load.free.cpu_millicores : 0);
     const double released =
         std::max(load.released_millicores_per_s,
-                 static_cast<double>(agent.capacity.cpu_millicores) / longest_usual_run_s);
+                 static_cast<double>(capacity.cpu_millicores) / longest_usual_run_s);
     return std::max(absl::Seconds(static_cast<double>(missing) / std::max(released, 1.0)),
                     shortest_wait);
 }
@@ -157,6 +157,7 @@
         count_order(loads[best->position], request.demand, time);
         ++limits.tasks_of_job[best->position];
         placement.agents.push_back(best->position);
+        placement.waits.push_back(best->wait);
         placement.longest_wait = std::max(placement.longest_wait, best->wait);
     }
     return placement;
--- a/src/libs/carobfall/jobs/agent_choice.h
+++ b/src/libs/carobfall/jobs/agent_choice.h
@@ -42,8 +42,8 @@
     absl::Duration rank;  ///< its place in the queue of an agent, see `queue_rank`
 };
 
-/// Wait until the task could start at the agent. 0 if there is room now.
-[[nodiscard]] absl::Duration expected_wait(const agent_view& agent, const agent_load& load,
+/// Wait until the task could start at an agent of this capacity. 0 if there is room now.
+[[nodiscard]] absl::Duration expected_wait(const resource_amounts& capacity, const agent_load& load,
                                            const resource_amounts& demand, absl::Duration rank);
 
 /// Takes an order that was sent to the agent into account.
@@ -56,8 +56,9 @@
 };
 
 struct job_placement {
-    std::vector<std::size_t> agents; ///< position for each task; ends at the first without one
-    absl::Duration longest_wait;     ///< until the last of the tasks is expected to start
+    std::vector<std::size_t> agents;   ///< position for each task; ends at the first without one
+    std::vector<absl::Duration> waits; ///< that are expected of each of them
+    absl::Duration longest_wait;       ///< until the last of the tasks is expected to start
 };
 
 /// Places tasks one after the other, each where it is expected to be least late; among the agents
--- a/src/libs/carobfall/jobs/job_dispatcher.cpp
+++ b/src/libs/carobfall/jobs/job_dispatcher.cpp
@@ -246,7 +246,8 @@
         if (!is_unplaced(job.tasks[index])) {
             continue;
         }
-        if (next == agents.size() || !order_task(job, index, agents[next], now)) {
+        if (next == agents.size() ||
+            !order_task(job, index, agents[next], placement.waits[next], now)) {
             job.place_after = now + placing_pause;
             break;
         }
@@ -269,14 +270,14 @@
 }
 
 bool job_dispatcher::order_task(active_job& job, std::uint32_t index, const std::string& agent,
-                                absl::Time now)
+                                absl::Duration expected_wait, absl::Time now)
 {
     job_task& task = job.tasks[index];
     task.agent = agent;
     task.phase = job_task_phase::ordered;
     ++task.attempt;
-    return agents_.order(
-        agent, order_for(job.request, job.timing, job.expected_run, index, task.attempt, now));
+    return agents_.order(agent, order_for(job.request, job.timing, job.expected_run, index,
+                                          task.attempt, expected_wait, now));
 }
 
 void job_dispatcher::on_event(const std::string& agent, const fleet::task_event& event)
--- a/src/libs/carobfall/jobs/job_dispatcher.h
+++ b/src/libs/carobfall/jobs/job_dispatcher.h
@@ -89,7 +89,7 @@
     [[nodiscard]] job_placement plan(const active_job& job, absl::Time now);
     void place(active_job& job, const job_placement& placement, absl::Time now);
     [[nodiscard]] bool order_task(active_job& job, std::uint32_t index, const std::string& agent,
-                                  absl::Time now);
+                                  absl::Duration expected_wait, absl::Time now);
     void on_event(const std::string& agent, const fleet::task_event& event);
     void on_lost(const std::string& agent, absl::Time last_heard);
     void on_settled(const std::string& agent);
--- a/src/libs/carobfall/jobs/job_order.cpp
+++ b/src/libs/carobfall/jobs/job_order.cpp
@@ -3,6 +3,14 @@
 #include "carobfall/jobs/run_queue.h"
 
 namespace carobfall {
+namespace {
+
+// Orders that an agent may return for its queue; each costs a round trip between the machines.
+constexpr std::uint32_t returnable_orders = 3;
+// On a full worker a run ends every 10 to 20 ms; a shorter wait isn't worth a round trip.
+constexpr absl::Duration wait_tolerance = absl::Milliseconds(10);
+
+} // namespace
 
 task_time placing_time(const job_request& request, const job_timing& timing,
                        absl::Duration expected_run, absl::Time now)
@@ -13,7 +21,7 @@
 
 fleet::task_order order_for(const job_request& request, const job_timing& timing,
                             absl::Duration expected_run, std::uint32_t index, std::uint32_t attempt,
-                            absl::Time now)
+                            absl::Duration expected_wait, absl::Time now)
 {
     const auto from_now = [now](absl::Time time) {
         return static_cast<std::int32_t>(absl::ToInt64Milliseconds(time - now));
@@ -32,6 +40,10 @@
     order.set_start_by_ms(from_now(timing.start_by));
     order.set_late_start_by_ms(from_now(timing.late_start_by));
     order.set_give_up_ms(from_now(timing.give_up));
+    if (attempt <= returnable_orders) {
+        order.set_longest_wait_ms(
+            static_cast<std::uint32_t>(absl::ToInt64Milliseconds(expected_wait + wait_tolerance)));
+    }
     return order;
 }
 
--- a/src/libs/carobfall/jobs/worker_ledger.cpp
+++ b/src/libs/carobfall/jobs/worker_ledger.cpp
@@ -105,9 +105,21 @@
         finish(added, fleet::task_not_run, worker_ ? "worker_draining" : "no_worker", now);
     } else if (worker_->service != order.service()) {
         finish(added, fleet::task_not_run, "other_service", now);
+    } else if (order.longest_wait_ms() > 0 &&
+               wait_of(added->second, now) > absl::Milliseconds(order.longest_wait_ms())) {
+        finish(added, fleet::task_not_run, "queue_longer", now);
     }
 }
 
+absl::Duration worker_ledger::wait_of(const task_record& record, absl::Time now) const
+{
+    agent_load load{free_room(), waiting_room(now), released_millicores_per_s(now)};
+    // The task itself is among those that wait.
+    const absl::Duration rank = queue_rank(record.order.priority(), record.start_by - now);
+    load.waiting.add(rank, -record.demand.cpu_millicores);
+    return expected_wait(worker_->capacity, load, record.demand, rank);
+}
+
 void worker_ledger::begin_stopping(task_record& record, std::string_view reason)
 {
     if (record.phase == task_phase::stopping) {
--- a/src/libs/carobfall/jobs/worker_ledger.h
+++ b/src/libs/carobfall/jobs/worker_ledger.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "carobfall/fleet/fleet.pb.h"
+#include "carobfall/jobs/agent_choice.h"
 #include "carobfall/jobs/failure_rate.h"
 #include "carobfall/jobs/run_queue.h"
 #include "carobfall/jobs/waiting_profile.h"
@@ -115,6 +116,8 @@
     using record_map = std::map<record_number, task_record>;
     using task_key = std::pair<std::string, std::uint32_t>;
 
+    /// Until the waiting task can be expected to start.
+    [[nodiscard]] absl::Duration wait_of(const task_record& record, absl::Time now) const;
     record_map::iterator find_run(const task_run& run);
     void finish(record_map::iterator record, fleet::task_event_kind kind, std::string_view reason,
                 absl::Time now);
--- a/tests/auto/jobs/load_replay.cpp
+++ b/tests/auto/jobs/load_replay.cpp
@@ -43,6 +43,8 @@
     absl::Time arrival;
     std::vector<absl::Duration> work; ///< of each task on a worker of slowness 1
     std::vector<std::size_t> agents;
+    std::vector<std::uint32_t> attempts;
+    absl::Duration expected;
     std::size_t done{0};
     bool ended{false};
     bool on_time{false};
@@ -209,20 +211,33 @@
             job->ended = true;
             return;
         }
-        for (const std::size_t position : placement.agents) {
-            job->agents.push_back(std::stoul(entry.table.views()[position].name));
-        }
+        job->expected = expected;
+        job->agents.resize(job->request.task_count);
+        job->attempts.resize(job->request.task_count);
         for (std::uint32_t index = 0; index < job->request.task_count; ++index) {
-            order(job, index, expected);
+            order(job, index, placement, index);
         }
     }
 
+    /// The task was returned.
+    void place_again(const std::shared_ptr<replayed_job>& job, std::uint32_t index)
+    {
+        const replayed_entry& entry = entries_[job->entry];
+        const task_time time = placing_time(job->request, job->timing, job->expected, now_);
+        const job_placement placement = place_tasks(entry.table.views(), job->request, time, 1, {},
+                                                    [this] { return uniform(); });
+        order(job, index, placement, 0);
+    }
+
     void order(const std::shared_ptr<replayed_job>& job, std::uint32_t index,
-               absl::Duration expected)
+               const job_placement& placement, std::size_t number)
     {
+        const std::size_t agent =
+            std::stoul(entries_[job->entry].table.views()[placement.agents[number]].name);
+        job->agents[index] = agent;
         const fleet::task_order order =
-            order_for(job->request, job->timing, expected, index, 1, now_);
-        const std::size_t agent = job->agents[index];
+            order_for(job->request, job->timing, job->expected, index, ++job->attempts[index],
+                      placement.waits[number], now_);
         entries_[job->entry].table.add_order(absl::StrCat(agent), order);
         at(now_ + one_way, [this, agent, job, order] {
             ++agents_[agent].orders_received[job->entry];
@@ -279,13 +294,15 @@
     void deliver(std::size_t agent)
     {
         for (const session_event& event : agents_[agent].ledger.take_events()) {
+            send_status(agent, event.session - 1);
             at(now_ + one_way, [this, event = event.event] { on_event(event); });
         }
     }
 
     void on_event(const fleet::task_event& event)
     {
-        replayed_job& job = *jobs_[std::stoul(event.job_id())];
+        const std::shared_ptr<replayed_job> shared = jobs_[std::stoul(event.job_id())];
+        replayed_job& job = *shared;
         if (event.kind() == fleet::task_done && event.run_ms() > 0) {
             entries_[job.entry].run_times.record(job.request.route, job.request.declared_run_time,
                                                  absl::Milliseconds(event.run_ms()));
@@ -299,6 +316,10 @@
             job.late = job.ended && !job.on_time;
             return;
         }
+        if (event.reason() == "queue_longer") {
+            place_again(shared, event.index());
+            return;
+        }
         give_up(job);
     }
 
@@ -309,7 +330,7 @@
             fleet::task_stop stop;
             stop.set_job_id(job.request.id);
             stop.set_index(index);
-            stop.set_attempt(1);
+            stop.set_attempt(job.attempts[index]);
             const std::size_t agent = job.agents[index];
             at(now_ + one_way, [this, agent, stop, session = job.entry + 1] {
                 agents_[agent].ledger.request_stop(session, stop);
@@ -318,15 +339,20 @@
         }
     }
 
+    void send_status(std::size_t agent, std::size_t entry)
+    {
+        fleet::agent_status status;
+        status.set_name(absl::StrCat(agent));
+        status.set_accepting(true);
+        status.set_orders_received(agents_[agent].orders_received[entry]);
+        describe_worker(agents_[agent].ledger, now_, status);
+        at(now_ + one_way, [this, entry, status] { entries_[entry].table.report(status); });
+    }
+
     void report(std::size_t agent)
     {
         for (std::size_t entry = 0; entry < entries_.size(); ++entry) {
-            fleet::agent_status status;
-            status.set_name(absl::StrCat(agent));
-            status.set_accepting(true);
-            status.set_orders_received(agents_[agent].orders_received[entry]);
-            describe_worker(agents_[agent].ledger, now_, status);
-            at(now_ + one_way, [this, entry, status] { entries_[entry].table.report(status); });
+            send_status(agent, entry);
         }
         if (traffic_goes_on()) {
             at(now_ + load_.report_interval, [this, agent] { report(agent); });
--- /dev/null
+++ b/tests/auto/jobs/tst_job_order.cpp
@@ -0,0 +1,34 @@
+#include "carobfall/jobs/job_order.h"
+
+#include <doctest/doctest.h>
+
+using namespace carobfall;
+
+namespace {
+
+const absl::Time now = absl::FromUnixSeconds(1000);
+constexpr std::uint32_t last_attempt = 9;
+
+fleet::task_order order_with(std::uint32_t attempt, absl::Duration expected_wait)
+{
+    job_request request;
+    request.time_limit = absl::Seconds(5);
+    request.target = absl::Milliseconds(60);
+    const absl::Duration run = absl::Milliseconds(100);
+    return order_for(request, timing_of(request, run, now), run, 0, attempt, expected_wait, now);
+}
+
+} // namespace
+
+// Guards against a task that is returned for a few milliseconds of waiting.
+TEST_CASE("an order allows a little more than the wait that is expected")
+{
+    CHECK(order_with(1, absl::ZeroDuration()).longest_wait_ms() > 0);
+    CHECK(order_with(1, absl::Milliseconds(40)).longest_wait_ms() > 40);
+}
+
+// Load pattern: all queues grow at once. Guards against a task that is returned without end.
+TEST_CASE("the last orders of a task wait however long the queue is")
+{
+    CHECK(order_with(last_attempt, absl::ZeroDuration()).longest_wait_ms() == 0);
+}
--- a/tests/auto/jobs/tst_load_replay.cpp
+++ b/tests/auto/jobs/tst_load_replay.cpp
@@ -127,3 +127,15 @@
         CHECK(result.refused <= result.jobs / 100);
     }
 }
+
+// Load pattern: the same with workers nine tenths full. Guards against tasks that wait at one
+// worker for those that other entries have just sent there: 0.56 of the seat checks and 0.80 of the
+// confirmations were on time.
+TEST_CASE("many entries near the room of all workers find the room that is left")
+{
+    for (const replayed_result& result : replay_seeds(1.5, many_entries)) {
+        CHECK(result.on_time_share() >= 0.95);
+        CHECK(result.refused <= result.jobs / 50);
+        CHECK(result.given_up <= result.jobs / 100);
+    }
+}
--- a/tests/auto/jobs/tst_worker_ledger.cpp
+++ b/tests/auto/jobs/tst_worker_ledger.cpp
@@ -102,6 +102,56 @@
     CHECK(test.events().empty());
 }
 
+// Load pattern: several entries place at once with knowledge that is old. Guards against tasks that
+// queue behind those of other entries while other workers have room.
+TEST_CASE("an order that would wait longer than its entry expected is returned")
+{
+    worker_ledger ledger;
+    ledger.announce(worker());
+    for (std::uint32_t index = 0; index < 12; ++index) {
+        ledger.add(1, order(index), now);
+    }
+    fleet::task_order late = order(12);
+    late.set_longest_wait_ms(10);
+    ledger.add(2, late, now);
+    std::vector<session_event> events = ledger.take_events();
+    REQUIRE(events.size() == 1);
+    CHECK(events[0].session == 2);
+    CHECK(events[0].event.kind() == fleet::task_not_run);
+    CHECK(events[0].event.reason() == "queue_longer");
+    // It waits if the entry expected the queue, or if no bound is given.
+    late.set_longest_wait_ms(500);
+    ledger.add(2, late, now);
+    late.set_longest_wait_ms(0);
+    ledger.add(2, late, now);
+    CHECK_FALSE(ledger.has_events());
+    CHECK(ledger.waiting() == 14);
+}
+
+TEST_CASE("an order that fits beside those before it is not returned for its wait")
+{
+    worker_ledger ledger;
+    ledger.announce(worker());
+    for (std::uint32_t index = 0; index < 10; ++index) {
+        fleet::task_order next = order(index);
+        next.set_longest_wait_ms(10);
+        ledger.add(1, next, now);
+    }
+    CHECK_FALSE(ledger.has_events());
+    // What waits but follows it in the queue doesn't delay it.
+    for (std::uint32_t index = 0; index < 10; ++index) {
+        REQUIRE(ledger.begin_next(now, permitted));
+    }
+    fleet::task_order patient = order(10);
+    patient.set_priority(2);
+    patient.set_start_by_ms(1000);
+    ledger.add(1, patient, now);
+    fleet::task_order urgent = order(11);
+    urgent.set_longest_wait_ms(30);
+    ledger.add(1, urgent, now);
+    CHECK_FALSE(ledger.has_events());
+}
+
 // Guards against two runs at once: an order without an answer may be carried out seconds later.
 TEST_CASE("an order without an answer is returned only after a stop was answered")
 {
