Jobs: Describe an agent once and report less often to many entries

Cause: an agent told every entry its name, labels and capacity with each report, up to each 20 ms, so that the reports an entry reads grow with the agents and those an agent writes with the entries: 74 agents sent an entry of 0.12 cores up to 3,700 frames a second. Bytes are what breaks first at the size of two years (CAPACITY.md).

Now the first report of a connection describes the agent and its worker, and again one after a change; reports to entries without events come each 5 ms a link, 20 ms at least. A report on a connection that another one has replaced is left out.

--- a/src/libs/carobfall/jobs/agent_service.cpp
+++ b/src/libs/carobfall/jobs/agent_service.cpp
@@ -24,8 +24,12 @@
 constexpr absl::Duration renewal_wait = absl::Milliseconds(100);
 constexpr absl::Duration renewal_retry_pause = absl::Milliseconds(20);
 constexpr absl::Duration watch_interval = absl::Milliseconds(25);
-// Entries without events hear of changed room this often.
-constexpr absl::Duration status_interval = absl::Milliseconds(20);
+// With more entries each hears less often, so that what an entry has to read doesn't grow with
+// their number. 13 entries serve the replayed load as well with reports each 60 ms, since agents
+// return orders that would wait; 4 entries serve high load a little worse with 40 ms than with 20
+// ms.
+constexpr absl::Duration status_interval_per_link = absl::Milliseconds(5);
+constexpr absl::Duration min_status_interval = absl::Milliseconds(20);
 constexpr absl::Duration stop_retry_pause = absl::Milliseconds(10);
 
 } // namespace
@@ -43,6 +47,7 @@
       worker_known_(executor),
       report_ended_(executor)
 {
+    update_description();
     operators_.on_change([this] {
         const absl::Time now = boot_now();
         if (operators_.is_out(identity_.data_centre)) {
@@ -70,6 +75,7 @@
     if (!ledger_.announce(worker)) {
         return announcement_effect::ignored;
     }
+    update_description();
     const bool restarted =
         !before || before->id != worker.id || before->started_unix_ms != worker.started_unix_ms;
     if (restarted) {
@@ -105,6 +111,7 @@
 {
     const absl::Time now = boot_now();
     ledger_.remove_worker(id);
+    update_description();
     log_.write(log_fields("worker_left").add("worker", id), now);
     status_changed_ = true;
     advance(now);
@@ -275,6 +282,7 @@
     // Its runs have ended with it; the worker that is there announces itself.
     log_.write(log_fields("worker_replaced").add("worker", id), now);
     ledger_.remove_worker(id);
+    update_description();
     status_changed_ = true;
     advance(now);
 }
@@ -414,15 +422,36 @@
     });
 }
 
-void agent_service::fill_status(fleet::agent_status& status, const entry_link& link,
-                                absl::Time now) const
+void agent_service::update_description()
 {
-    status.set_name(identity_.name);
-    status.set_incarnation(identity_.incarnation);
-    status.set_data_centre(identity_.data_centre);
+    fleet::agent_status description;
+    description.set_name(identity_.name);
+    description.set_incarnation(identity_.incarnation);
+    description.set_data_centre(identity_.data_centre);
+    describe_worker(ledger_, description);
+    if (description_number_ == 0 ||
+        description.SerializeAsString() != description_.SerializeAsString()) {
+        description_ = std::move(description);
+        ++description_number_;
+        status_changed_ = true;
+    }
+}
+
+absl::Duration agent_service::status_interval() const
+{
+    return std::max(min_status_interval,
+                    status_interval_per_link * static_cast<std::int64_t>(open_links()));
+}
+
+void agent_service::fill_status(fleet::agent_status& status, entry_link& link, absl::Time now) const
+{
+    if (link.description_sent() != description_number_) {
+        status = description_;
+        link.set_description_sent(description_number_);
+    }
     status.set_accepting(accepts_orders());
     status.set_orders_received(link.orders_received());
-    describe_worker(ledger_, now, status);
+    describe_load(ledger_, now, status);
 }
 
 void agent_service::send_status(entry_link& link, fleet::agent_frame& frame, absl::Time now)
@@ -457,7 +486,7 @@
         log_event(event, now);
         *frames[event.session].add_events() = std::move(event.event);
     }
-    const bool all_due = status_changed_ && now - status_sent_ >= status_interval;
+    const bool all_due = status_changed_ && now - status_sent_ >= status_interval();
     for (const auto& [address, link] : links_) {
         if (!link->is_open()) {
             continue;
--- a/src/libs/carobfall/jobs/agent_service.h
+++ b/src/libs/carobfall/jobs/agent_service.h
@@ -77,7 +77,11 @@
     void advance(absl::Time now);
     void send_events(absl::Time now);
     void send_status(entry_link& link, fleet::agent_frame& frame, absl::Time now);
-    void fill_status(fleet::agent_status& status, const entry_link& link, absl::Time now) const;
+    void fill_status(fleet::agent_status& status, entry_link& link, absl::Time now) const;
+    /// The worker has announced itself or has left.
+    void update_description();
+    /// Entries without events hear of changed room this often.
+    [[nodiscard]] absl::Duration status_interval() const;
     /// Nothing of the worker's runs is left.
     void lapse(const std::string& reason, absl::Time now);
     void check_lapse(absl::Time now);
@@ -105,6 +109,8 @@
     bool worker_reachable_{true};
     bool draining_{false};
     bool advance_posted_{false};
+    fleet::agent_status description_; ///< only what doesn't change with every task
+    std::uint64_t description_number_{0};
     absl::Time status_sent_{absl::InfinitePast()};
     bool status_changed_{false};
 };
--- a/src/libs/carobfall/jobs/agent_table.cpp
+++ b/src/libs/carobfall/jobs/agent_table.cpp
@@ -32,24 +32,31 @@
     return views_.back();
 }
 
-void agent_table::report(const fleet::agent_status& status)
+void agent_table::describe(const fleet::agent_status& description)
 {
-    record& known = records_[status.name()];
+    records_.try_emplace(description.name());
+    agent_view& view = view_of(description.name());
+    view.data_centre = description.data_centre();
+    view.rack = description.rack();
+    view.labels.assign(description.labels().begin(), description.labels().end());
+    view.service = description.service();
+    view.capacity = amounts_of(description.capacity());
+}
+
+void agent_table::report(const std::string& agent, const fleet::agent_status& status)
+{
+    const auto found = records_.find(agent);
+    if (found == records_.end()) {
+        return;
+    }
+    record& known = found->second;
     known.accepting = status.accepting();
     while (!known.unreported.empty() &&
            known.unreported.front().number <= status.orders_received()) {
         known.unreported.pop_front();
     }
-    agent_view& view = view_of(status.name());
-    view.data_centre = status.data_centre();
-    view.rack = status.rack();
-    if (view.labels.size() != static_cast<std::size_t>(status.labels_size()) ||
-        !std::equal(view.labels.begin(), view.labels.end(), status.labels().begin())) {
-        view.labels.assign(status.labels().begin(), status.labels().end());
-    }
-    view.service = status.service();
-    view.usable = known.accepting && !is_out_(status.data_centre());
-    view.capacity = amounts_of(status.capacity());
+    agent_view& view = view_of(agent);
+    view.usable = known.accepting && !is_out_(view.data_centre);
     view.load.free = amounts_of(status.free());
     view.load.waiting = waiting_profile::from_classes(
         {status.waiting_millicores().begin(), status.waiting_millicores().end()});
--- a/src/libs/carobfall/jobs/agent_table.h
+++ b/src/libs/carobfall/jobs/agent_table.h
@@ -23,7 +23,10 @@
 
     explicit agent_table(out_of_service is_out) : is_out_(std::move(is_out)) {}
 
-    void report(const fleet::agent_status& status);
+    /// What the agent and its worker are.
+    void describe(const fleet::agent_status& description);
+    /// Room, queue and speed of an agent that has been described; others are left out.
+    void report(const std::string& agent, const fleet::agent_status& status);
     /// Counts an order that was sent on the agent's connection.
     void add_order(const std::string& agent, const fleet::task_order& order);
     void remove(const std::string& agent);
--- a/src/libs/carobfall/jobs/entry_link.cpp
+++ b/src/libs/carobfall/jobs/entry_link.cpp
@@ -88,6 +88,7 @@
             orders_received_ = 0;
             entry_knowledge_ = {};
             heard_ = false;
+            description_sent_ = 0;
             last_connected_ = now;
             permitted_until_ = now + entry_permission;
             hooks_.on_open(*this);
--- a/src/libs/carobfall/jobs/entry_link.h
+++ b/src/libs/carobfall/jobs/entry_link.h
@@ -55,6 +55,9 @@
     [[nodiscard]] const std::string& entry_name() const { return entry_name_; }
     [[nodiscard]] std::uint64_t orders_received() const { return orders_received_; }
     [[nodiscard]] absl::Time last_sent() const { return last_sent_; }
+    /// Number of the description of the agent that this connection has carried, 0: none.
+    [[nodiscard]] std::uint64_t description_sent() const { return description_sent_; }
+    void set_description_sent(std::uint64_t number) { description_sent_ = number; }
     /// What the entry is known to hold.
     [[nodiscard]] const operator_knowledge& entry_knowledge() const { return entry_knowledge_; }
 
@@ -74,6 +77,7 @@
     std::uint64_t orders_received_{0};
     operator_knowledge entry_knowledge_;
     bool heard_{false};
+    std::uint64_t description_sent_{0};
     bool stopped_{false};
 };
 
--- a/src/libs/carobfall/jobs/entry_service.cpp
+++ b/src/libs/carobfall/jobs/entry_service.cpp
@@ -92,10 +92,23 @@
     for (const fleet::task_event& event : frame.events()) {
         hooks_.on_event(peer->agent, event);
     }
-    if (!frame.has_status() || frame.status().name().empty()) {
+    if (!frame.has_status()) {
         return;
     }
-    const std::string& name = frame.status().name();
+    if (!frame.status().name().empty()) {
+        adopt_description(peer, frame.status(), now);
+    }
+    // A connection that another one of the agent has replaced says nothing of it any more.
+    const auto known = agents_.find(peer->agent);
+    if (known != agents_.end() && known->second == peer) {
+        adopt_status(*peer, frame.status());
+    }
+}
+
+void entry_service::adopt_description(const std::shared_ptr<connection>& peer,
+                                      const fleet::agent_status& description, absl::Time now)
+{
+    const std::string& name = description.name();
     const auto known = agents_.find(name);
     if (known == agents_.end() || known->second != peer) {
         if (known != agents_.end()) {
@@ -103,18 +116,18 @@
         }
         log_.write(log_fields("agent_connected")
                        .add("agent", name)
-                       .add("incarnation", frame.status().incarnation()),
+                       .add("incarnation", description.incarnation()),
                    now);
+        peer->agent = name;
         agents_[name] = peer;
         post_flush();
     }
-    adopt_status(*peer, frame.status());
+    table_.describe(description);
 }
 
 void entry_service::adopt_status(connection& peer, const fleet::agent_status& status)
 {
-    peer.agent = status.name();
-    table_.report(status);
+    table_.report(peer.agent, status);
     if (!std::exchange(peer.accepting, status.accepting()) && peer.accepting) {
         log_.write(log_fields("agent_accepts").add("agent", peer.agent), boot_now());
         hooks_.on_settled(peer.agent);
--- a/src/libs/carobfall/jobs/entry_service.h
+++ b/src/libs/carobfall/jobs/entry_service.h
@@ -64,7 +64,7 @@
 private:
     struct connection {
         std::shared_ptr<frame_channel> channel;
-        std::string agent; ///< empty until it has reported
+        std::string agent; ///< empty until it has described itself
         bool accepting{false};
         std::int64_t echo_us{0};
         absl::Time last_heard;
@@ -78,6 +78,8 @@
     boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
     boost::asio::awaitable<void> watch_time();
     void take_frame(const std::shared_ptr<connection>& peer, fleet::agent_frame& frame);
+    void adopt_description(const std::shared_ptr<connection>& peer,
+                           const fleet::agent_status& description, absl::Time now);
     void adopt_status(connection& peer, const fleet::agent_status& status);
     void lose(const std::string& agent, const std::string& reason);
     void post_flush();
--- a/src/libs/carobfall/jobs/worker_status.cpp
+++ b/src/libs/carobfall/jobs/worker_status.cpp
@@ -14,15 +14,8 @@
 
 } // namespace
 
-void describe_worker(const worker_ledger& ledger, absl::Time now, fleet::agent_status& status)
+void describe_worker(const worker_ledger& ledger, fleet::agent_status& status)
 {
-    for (const std::int64_t millicores : ledger.waiting_room(now).classes()) {
-        status.add_waiting_millicores(millicores);
-    }
-    status.set_released_millicores_per_s(
-        static_cast<std::uint64_t>(ledger.released_millicores_per_s(now)));
-    status.set_failure_percent(static_cast<std::uint32_t>(ledger.failure_share(now) * percent));
-    status.set_slowness_percent(static_cast<std::uint32_t>(ledger.slowness(now) * percent));
     if (!ledger.worker()) {
         return;
     }
@@ -33,7 +26,20 @@
         status.add_labels(label);
     }
     set_room(worker.capacity, *status.mutable_capacity());
-    set_room(ledger.free_room(), *status.mutable_free());
+}
+
+void describe_load(const worker_ledger& ledger, absl::Time now, fleet::agent_status& status)
+{
+    for (const std::int64_t millicores : ledger.waiting_room(now).classes()) {
+        status.add_waiting_millicores(millicores);
+    }
+    status.set_released_millicores_per_s(
+        static_cast<std::uint64_t>(ledger.released_millicores_per_s(now)));
+    status.set_failure_percent(static_cast<std::uint32_t>(ledger.failure_share(now) * percent));
+    status.set_slowness_percent(static_cast<std::uint32_t>(ledger.slowness(now) * percent));
+    if (ledger.worker()) {
+        set_room(ledger.free_room(), *status.mutable_free());
+    }
 }
 
 } // namespace carobfall
--- a/src/libs/carobfall/jobs/worker_status.h
+++ b/src/libs/carobfall/jobs/worker_status.h
@@ -7,7 +7,10 @@
 
 namespace carobfall {
 
-/// Fills in what entries need to know of the worker: its kind, room, queue and speed.
-void describe_worker(const worker_ledger& ledger, absl::Time now, fleet::agent_status& status);
+/// Fills in what the worker is: service, rack, labels and capacity. Nothing without a worker.
+void describe_worker(const worker_ledger& ledger, fleet::agent_status& status);
+
+/// Fills in what changes with every task: room, queue and speed.
+void describe_load(const worker_ledger& ledger, absl::Time now, fleet::agent_status& status);
 
 } // namespace carobfall
--- a/tests/auto/jobs/load_replay.cpp
+++ b/tests/auto/jobs/load_replay.cpp
@@ -138,6 +138,12 @@
             worker.sequence = 1;
             agents_[i].ledger.announce(worker);
             agents_[i].orders_received.resize(entries_.size());
+            fleet::agent_status description;
+            description.set_name(absl::StrCat(i));
+            describe_worker(agents_[i].ledger, description);
+            for (replayed_entry& entry : entries_) {
+                entry.table.describe(description);
+            }
             // Reports of agents are not in step with each other.
             at(start_ + load_.report_interval * (uniform() - 1), [this, i] { report(i); });
             at(start_, [this, i] { expire(i); });
@@ -342,11 +348,12 @@
     void send_status(std::size_t agent, std::size_t entry)
     {
         fleet::agent_status status;
-        status.set_name(absl::StrCat(agent));
         status.set_accepting(true);
         status.set_orders_received(agents_[agent].orders_received[entry]);
-        describe_worker(agents_[agent].ledger, now_, status);
-        at(now_ + one_way, [this, entry, status] { entries_[entry].table.report(status); });
+        describe_load(agents_[agent].ledger, now_, status);
+        at(now_ + one_way, [this, agent, entry, status] {
+            entries_[entry].table.report(absl::StrCat(agent), status);
+        });
     }
 
     void report(std::size_t agent)
--- a/tests/auto/jobs/tst_entry_and_agent.cpp
+++ b/tests/auto/jobs/tst_entry_and_agent.cpp
@@ -125,7 +125,6 @@
                   log, metrics)
     {
         service.start();
-        worker_announcement announcement;
         announcement.id = "i-" + name;
         announcement.service = "adviser";
         announcement.capacity = {64000, 262144, 0};
@@ -136,6 +135,7 @@
     }
 
     memory_worker worker;
+    worker_announcement announcement;
     operator_view operators;
     event_log log;
     metrics_registry metrics;
@@ -479,3 +479,92 @@
     CHECK(answer->outcome == job_outcome::not_run);
     CHECK(agent.worker.starts == 0);
 }
+
+// Guards against reports that repeat what doesn't change, which was the larger part of each,
+// and against entries that never learn of a change or of a new connection.
+TEST_CASE("an agent describes itself once a connection and when its worker changes")
+{
+    asio::io_context context{1};
+    const asio::ip::tcp::endpoint endpoint = free_endpoint(context);
+    std::vector<fleet::agent_status> descriptions;
+    std::size_t reports = 0;
+    std::unique_ptr<frame_channel> entry;
+    const auto serve = [&]() -> asio::awaitable<void> {
+        asio::ip::tcp::acceptor acceptor(context, endpoint);
+        while (true) {
+            entry = std::make_unique<frame_channel>(
+                co_await acceptor.async_accept(asio::use_awaitable));
+            asio::co_spawn(context, entry->write_all(), asio::detached);
+            fleet::agent_frame frame;
+            while (co_await entry->read(frame)) {
+                ++reports;
+                if (!frame.status().name().empty()) {
+                    descriptions.push_back(frame.status());
+                }
+                fleet::entry_frame echo;
+                echo.set_echo_us(frame.sent_us());
+                entry->send(echo);
+            }
+        }
+    };
+    asio::co_spawn(context, serve(), asio::detached);
+    context.run_for(std::chrono::milliseconds(5));
+    agent_fixture agent(context, "a", "1", absl::StrCat("127.0.0.1:", endpoint.port()));
+    const auto run_until = [&](const std::function<bool()>& condition) {
+        const absl::Time end = boot_now() + absl::Seconds(5);
+        while (!condition() && boot_now() < end) {
+            context.run_for(std::chrono::milliseconds(2));
+        }
+        return condition();
+    };
+    REQUIRE(run_until([&] { return reports >= 5; }));
+    REQUIRE(descriptions.size() == 1);
+    CHECK(descriptions[0].capacity().cpu_millicores() == 64000);
+    worker_announcement larger = agent.announcement;
+    larger.capacity.cpu_millicores = 96000;
+    ++larger.sequence;
+    agent.service.announce(larger);
+    REQUIRE(run_until([&] { return descriptions.size() == 2; }));
+    CHECK(descriptions[1].capacity().cpu_millicores() == 96000);
+    entry->close();
+    REQUIRE(run_until([&] { return descriptions.size() == 3; }));
+    CHECK(descriptions[2].capacity().cpu_millicores() == 96000);
+}
+
+// Guards against a connection that has been replaced and still changes what is known of its agent.
+TEST_CASE("reports on a connection that another one has replaced are left out")
+{
+    region test;
+    std::vector<std::unique_ptr<frame_channel>> connections;
+    const auto report = [&](frame_channel& channel, bool described, std::int64_t free) {
+        fleet::agent_frame frame;
+        fleet::agent_status& status = *frame.mutable_status();
+        if (described) {
+            status.set_name("a");
+            status.set_service("adviser");
+            status.mutable_capacity()->set_cpu_millicores(64000);
+        }
+        status.set_accepting(true);
+        status.mutable_free()->set_cpu_millicores(free);
+        channel.send(frame);
+    };
+    for (int i = 0; i < 2; ++i) {
+        asio::ip::tcp::socket socket(test.context);
+        socket.connect(test.endpoint);
+        connections.push_back(std::make_unique<frame_channel>(std::move(socket)));
+        asio::co_spawn(test.context, connections.back()->write_all(), asio::detached);
+        report(*connections.back(), true, 1000 * (i + 1));
+        REQUIRE(test.run_until([&] {
+            const agent_view* view = test.entry.agents().find("a");
+            return view != nullptr && view->load.free.cpu_millicores == 1000 * (i + 1);
+        }));
+    }
+    report(*connections[0], false, 5000);
+    CHECK_FALSE(test.run_until(
+        [&] { return test.entry.agents().find("a")->load.free.cpu_millicores == 5000; },
+        absl::Milliseconds(60)));
+    report(*connections[1], false, 6000);
+    CHECK(test.run_until(
+        [&] { return test.entry.agents().find("a")->load.free.cpu_millicores == 6000; },
+        absl::Milliseconds(300)));
+}
