Tools: Name lost agents and the caller's time in the cause of a request

A request whose agent was frozen had no agent in its cause, because a frozen agent writes no line on its tasks.

--- a/src/tools/carobfall/log_story.cpp
+++ b/src/tools/carobfall/log_story.cpp
@@ -1,5 +1,6 @@
 #include "log_story.h"
 
+#include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 
@@ -160,6 +161,32 @@
     return absl::StrCat(most->second, " of its tasks came back (", most->first, ") from ", agents);
 }
 
+/// Agents that the entry lost while it waited for tasks there. They may have written no line on the
+/// tasks themselves.
+std::string lost_agents(const std::vector<log_line>& all, const std::vector<log_line>& lines,
+                        const log_line& answer)
+{
+    std::string losses;
+    for (const log_line& line : all) {
+        const bool same_life = line.process == answer.process && line.life == answer.life;
+        if (!same_life || line.event != "agent_lost" || line.number > answer.number) {
+            continue;
+        }
+        const bool waited_for = std::any_of(lines.begin(), lines.end(), [&](const log_line& own) {
+            return own.event == "tasks_placed" && own.process == answer.process &&
+                   own.number < line.number &&
+                   absl::StrContains(absl::StrCat(",", own.text("agents")),
+                                     absl::StrCat(",", line.text("agent"), ":"));
+        });
+        if (waited_for) {
+            absl::StrAppend(&losses, losses.empty() ? "" : ", ", line.text("agent"), " (",
+                            line.text("reason"), ", last heard ", line.text("last_heard_ms_ago"),
+                            " ms before)");
+        }
+    }
+    return losses.empty() ? "" : absl::StrCat("the entry lost ", losses);
+}
+
 /// The task that waited or ran longest.
 std::string slowest_task(const std::vector<log_line>& lines, std::int64_t expected_ms)
 {
@@ -208,10 +235,16 @@
         story.cause = absl::StrCat(answer.process, " knew no worker that may run the tasks");
         return;
     }
+    if (answer.integer("limit_ms") < answer.integer("expected_ms")) {
+        story.cause =
+            absl::StrCat("its caller waited for ", answer.text("limit_ms"),
+                         " ms only, and its tasks take about ", answer.text("expected_ms"), " ms");
+        return;
+    }
     story.cause = join_causes(answer.text("reason"), lost_tasks(story.lines));
 }
 
-void explain_answer(const log_line& answer, request_story& story)
+void explain_answer(const std::vector<log_line>& all, const log_line& answer, request_story& story)
 {
     const std::string outcome = answer.text("outcome");
     const bool late = answer.integer("took_ms") > answer.integer("objective_ms");
@@ -230,7 +263,8 @@
         return;
     }
     story.outcome = outcome == "failed" ? "failed" : "given up, may have run";
-    story.cause = join_causes(answer.text("reason"), details);
+    story.cause = join_causes(answer.text("reason"),
+                              join_causes(lost_agents(all, story.lines, answer), details));
 }
 
 /// The end or loss of the entry that held the request, which has written no answer.
@@ -300,7 +334,7 @@
         return story;
     }
     if (const log_line* answer = last_of(story.lines, "job_answered")) {
-        explain_answer(*answer, story);
+        explain_answer(lines, *answer, story);
     } else if (const log_line* refusal = last_of(story.lines, "request_refused")) {
         story.outcome = absl::StrCat("refused with status ", refusal->text("status"));
         story.cause = absl::StrCat(refusal->text("reason"), " at ", refusal->process,
--- a/tests/auto/tools/tst_explain.cpp
+++ b/tests/auto/tools/tst_explain.cpp
@@ -89,6 +89,34 @@
     CHECK(story.cause == "its entry edge-1 ended without notice and was started again");
 }
 
+// Guards against a cause without the agent: a frozen or unreachable one writes no line on its
+// tasks.
+TEST_CASE("a request whose agent was lost names the agent and how long it was silent")
+{
+    const request_story story = story_of(
+        "t=1 n=1 event=agent_lost agent=side-1 reason=connection_ended last_heard_ms_ago=9 "
+        "process=edge-1\n"
+        "t=2 n=2 event=tasks_placed job=00000000000000aa agents=side-1:1,side-3:1 process=edge-1\n"
+        "t=3 n=3 event=agent_lost agent=side-2 reason=silent last_heard_ms_ago=510 process=edge-1\n"
+        "t=4 n=4 event=agent_lost agent=side-3 reason=silent last_heard_ms_ago=520 process=edge-1\n"
+        "t=5 n=5 event=job_answered job=00000000000000aa outcome=unknown reason=agent_lost "
+        "took_ms=522 objective_ms=156 expected_ms=60 process=edge-1\n"
+        "t=6 n=6 event=agent_lost agent=side-1 reason=silent last_heard_ms_ago=530 "
+        "process=edge-1\n");
+    CHECK(story.outcome == "given up, may have run");
+    CHECK(story.cause == "agent_lost; the entry lost side-3 (silent, last heard 520 ms before)");
+}
+
+// Guards against a bare reason for a request that came with hardly any time left.
+TEST_CASE("a refusal for want of time names the caller's time and the run time")
+{
+    const request_story story =
+        story_of("t=1 n=1 event=job_answered job=00000000000000aa outcome=not_run reason=time_over "
+                 "expected_ms=183 limit_ms=14 took_ms=0 objective_ms=352 process=edge-1\n");
+    CHECK(story.outcome == "refused, not run");
+    CHECK(story.cause == "its caller waited for 14 ms only, and its tasks take about 183 ms");
+}
+
 TEST_CASE("a late answer names the task that waited longest")
 {
     const request_story story = story_of(
