Jobs: Forget entries that nobody has named for 15 minutes

Cause: agents and entries only added addresses of entries.

entry_addresses keeps when an address was last named; the store's rows and open links name it. Addresses of the settings are named again with every answer of the store.

Ruled out: only the rows of the store: an outage of the store would end links to entries that serve. Tests: forgetting, revision after forgetting.

--- a/src/libs/carobfall/jobs/agent_service.cpp
+++ b/src/libs/carobfall/jobs/agent_service.cpp
@@ -119,8 +119,9 @@
 
 void agent_service::learn_entries(const std::vector<std::string>& addresses)
 {
+    const absl::Time now = boot_now();
     for (const std::string& address : addresses) {
-        if (links_.contains(address)) {
+        if (!entries_.learn(address, now)) {
             continue;
         }
         entry_link::hooks hooks;
@@ -136,6 +137,20 @@
     }
 }
 
+void agent_service::drop_old_links(absl::Time now)
+{
+    for (const auto& [address, link] : links_) {
+        if (link->is_open()) {
+            entries_.learn(address, now);
+        }
+    }
+    for (const std::string& address : entries_.forget_old(now)) {
+        links_.at(address)->stop();
+        links_.erase(address);
+        log_.write(log_fields("entry_forgotten").add("address", address), now);
+    }
+}
+
 void agent_service::drain()
 {
     draining_ = true;
@@ -386,6 +401,7 @@
                 ledger_.drop_session(link->session());
             }
         }
+        drop_old_links(now);
         ledger_.expire(now);
         check_lapse(now);
         advance(now);
--- a/src/libs/carobfall/jobs/agent_service.h
+++ b/src/libs/carobfall/jobs/agent_service.h
@@ -3,6 +3,7 @@
 #include "carobfall/base/async_event.h"
 #include "carobfall/base/event_log.h"
 #include "carobfall/base/histogram.h"
+#include "carobfall/jobs/entry_addresses.h"
 #include "carobfall/jobs/entry_link.h"
 #include "carobfall/jobs/operator_view.h"
 #include "carobfall/jobs/report_schedule.h"
@@ -51,7 +52,7 @@
     /// worker is still the same one.
     void recall(const worker_announcement& worker);
     void worker_left(std::string_view id);
-    /// Connects to entries that were not known.
+    /// Connects to entries that were not known; the others are still in use.
     void learn_entries(const std::vector<std::string>& addresses);
     /// Takes no more orders and returns those that wait. What runs goes on.
     void drain();
@@ -80,6 +81,8 @@
     void fill_status(fleet::agent_status& status, entry_link& link, absl::Time now) const;
     /// The worker has announced itself or has left.
     void update_description();
+    /// Ends the links to entries that have gone for good.
+    void drop_old_links(absl::Time now);
     /// Entries without events hear of changed room this often.
     [[nodiscard]] absl::Duration status_interval() const;
     /// Nothing of the worker's runs is left.
@@ -99,6 +102,7 @@
 
     worker_ledger ledger_;
     worker_lease lease_;
+    entry_addresses entries_;
     std::map<std::string, std::shared_ptr<entry_link>> links_; ///< by address
     session_number last_session_{0};
     async_event worker_known_;
--- a/src/libs/carobfall/jobs/entry_service.cpp
+++ b/src/libs/carobfall/jobs/entry_service.cpp
@@ -34,8 +34,9 @@
       log_(log),
       metrics_(metrics),
       table_([this](std::string_view data_centre) { return operators_.is_out(data_centre); }),
-      entries_{std::move(address)}
+      own_address_(std::move(address))
 {
+    entries_.learn(own_address_, boot_now());
     operators_.on_change([this] {
         table_.refresh();
         post_flush();
@@ -55,7 +56,10 @@
 
 void entry_service::learn_entries(const std::vector<std::string>& addresses)
 {
-    entries_.insert(addresses.begin(), addresses.end());
+    const absl::Time now = boot_now();
+    for (const std::string& address : addresses) {
+        entries_.learn(address, now);
+    }
 }
 
 asio::awaitable<void> entry_service::serve(asio::ip::tcp::socket socket)
@@ -87,7 +91,7 @@
         log_.write(operators_.adopted_from(peer->agent), now);
     }
     for (const std::string& address : frame.entries()) {
-        entries_.insert(address);
+        entries_.learn(address, now);
     }
     for (const fleet::task_event& event : frame.events()) {
         hooks_.on_event(peer->agent, event);
@@ -222,7 +226,8 @@
 {
     for (const auto& [name, peer] : agents_) {
         if (peer->has_pending || operators_.is_news_for(peer->knowledge) ||
-            peer->entries_told < entries_.size() || now - peer->last_sent >= link_frame_interval) {
+            peer->entries_told < entries_.revision() ||
+            now - peer->last_sent >= link_frame_interval) {
             send(*peer, now);
         }
     }
@@ -239,11 +244,11 @@
         *frame.mutable_state() = operators_.state();
         peer.knowledge = operators_.knowledge();
     }
-    if (peer.entries_told < entries_.size()) {
-        for (const std::string& address : entries_) {
+    if (peer.entries_told < entries_.revision()) {
+        for (const std::string& address : entries_.list()) {
             frame.add_entries(address);
         }
-        peer.entries_told = entries_.size();
+        peer.entries_told = entries_.revision();
     }
     peer.channel->send(frame);
     frame.Clear();
@@ -258,6 +263,8 @@
         timer.expires_after(timer_duration(watch_interval));
         co_await timer.async_wait(asio::use_awaitable);
         const absl::Time now = boot_now();
+        entries_.learn(own_address_, now);
+        entries_.forget_old(now);
         std::vector<std::string> silent;
         for (const auto& [name, peer] : agents_) {
             if (now - peer->last_heard > agent_silence_limit) {
--- a/src/libs/carobfall/jobs/entry_service.h
+++ b/src/libs/carobfall/jobs/entry_service.h
@@ -5,6 +5,7 @@
 #include "carobfall/fleet/fleet.pb.h"
 #include "carobfall/fleet/frame_channel.h"
 #include "carobfall/jobs/agent_table.h"
+#include "carobfall/jobs/entry_addresses.h"
 #include "carobfall/jobs/operator_view.h"
 
 #include <absl/time/time.h>
@@ -16,7 +17,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -71,8 +71,8 @@
         absl::Time last_sent{absl::InfinitePast()};
         fleet::entry_frame pending;
         bool has_pending{false};
-        operator_knowledge knowledge; ///< what the agent is known to hold
-        std::size_t entries_told{0};
+        operator_knowledge knowledge;  ///< what the agent is known to hold
+        std::uint64_t entries_told{0}; ///< revision of the addresses that the agent was told
     };
 
     boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
@@ -94,7 +94,8 @@
     hooks hooks_;
     std::map<std::string, std::shared_ptr<connection>> agents_; ///< by name
     agent_table table_;
-    std::set<std::string> entries_; ///< addresses
+    const std::string own_address_;
+    entry_addresses entries_;
     bool flush_posted_{false};
 };
 
--- /dev/null
+++ b/tests/auto/jobs/tst_entry_addresses.cpp
@@ -0,0 +1,39 @@
+#include "carobfall/jobs/entry_addresses.h"
+
+#include <doctest/doctest.h>
+
+using namespace carobfall;
+
+namespace {
+
+const absl::Time start = absl::FromUnixSeconds(1000);
+
+} // namespace
+
+// Guards against a list that grows with every entry that is replaced, and links that try to reach
+// them for ever.
+TEST_CASE("an address that nobody names any more is forgotten")
+{
+    entry_addresses addresses;
+    CHECK(addresses.learn("10.0.0.1:7340", start));
+    CHECK(addresses.learn("10.0.0.2:7340", start));
+    const absl::Time later = start + address_retention;
+    CHECK_FALSE(addresses.learn("10.0.0.2:7340", later));
+    CHECK(addresses.forget_old(later).empty());
+    CHECK(addresses.forget_old(later + absl::Seconds(1)) ==
+          std::vector<std::string>{"10.0.0.1:7340"});
+    CHECK(addresses.list() == std::vector<std::string>{"10.0.0.2:7340"});
+}
+
+// Guards against peers that aren't told of an address because another one was forgotten meanwhile.
+TEST_CASE("the revision grows with each new address, also after one was forgotten")
+{
+    entry_addresses addresses;
+    addresses.learn("10.0.0.1:7340", start);
+    const std::uint64_t before = addresses.revision();
+    const absl::Time later = start + 2 * address_retention;
+    CHECK(addresses.forget_old(later).size() == 1);
+    CHECK(addresses.learn("10.0.0.3:7340", later));
+    CHECK(addresses.revision() > before);
+    CHECK(addresses.learn("10.0.0.1:7340", later));
+}
