--- a/tests/auto/jobs/tst_entry_and_agent.cpp
+++ b/tests/auto/jobs/tst_entry_and_agent.cpp
@@ -548,15 +548,15 @@
         status.mutable_free()->set_cpu_millicores(free);
         channel.send(frame);
     };
-    for (int i = 0; i < 2; ++i) {
+    for (std::int64_t i = 1; i <= 2; ++i) {
         asio::ip::tcp::socket socket(test.context);
         socket.connect(test.endpoint);
         connections.push_back(std::make_unique<frame_channel>(std::move(socket)));
         asio::co_spawn(test.context, connections.back()->write_all(), asio::detached);
-        report(*connections.back(), true, 1000 * (i + 1));
+        report(*connections.back(), true, 1000 * i);
         REQUIRE(test.run_until([&] {
             const agent_view* view = test.entry.agents().find("a");
-            return view != nullptr && view->load.free.cpu_millicores == 1000 * (i + 1);
+            return view != nullptr && view->load.free.cpu_millicores == 1000 * i;
         }));
     }
     report(*connections[0], false, 5000);
