Jobs: Keep links, past runs and knowledge of peers in one place each

Removing a worker stood in two functions, reading and writing the operators' knowledge of a frame in three, the log line of a failed connection in two, joining names by hand beside absl::StrJoin, the limit of a slow worker in the entry and in the tool, waiting for a condition twice in one test. An order was put into the ledger, and then taken off its own queue again with negative room, to learn its wait.

Change: entry_link_set holds the agent's links with their addresses, past_runs the runs that ended; knowledge_of, set_knowledge, log_connection_failures and find_name serve all places; the wait is worked out before the order is added; addresses are forgotten when others are learned. Behaviour stays, but for two things: an agent sends no status to a connection on which the entry hasn't been heard only because operators decided something (the state itself was never sent there), and addresses are forgotten with the next answer of the store instead of within 25 ms.

Ruled out: one function for the two run time tables of the tests (they differ in every figure).

--- a/src/libs/carobfall/base/async_http_server.cpp
+++ b/src/libs/carobfall/base/async_http_server.cpp
@@ -104,9 +104,7 @@
             const absl::Cleanup closed = [this] { --connections_; };
             co_await serve(std::move(socket));
         },
-        [this](std::string_view error) {
-            log_.write(log_fields("connection_failed").add("error", error), boot_now());
-        });
+        log_connection_failures(log_));
 }
 
 asio::awaitable<void> async_http_server::serve(asio::ip::tcp::socket socket)
--- a/src/libs/carobfall/base/tcp_listener.cpp
+++ b/src/libs/carobfall/base/tcp_listener.cpp
@@ -52,4 +52,11 @@
           accept_connections(std::move(acceptor), std::move(serve), std::move(on_failure)));
 }
 
+failure_handler log_connection_failures(event_log& log)
+{
+    return [&log](std::string_view error) {
+        log.write(log_fields("connection_failed").add("error", error), boot_now());
+    };
+}
+
 } // namespace carobfall
--- a/src/libs/carobfall/base/tcp_listener.h
+++ b/src/libs/carobfall/base/tcp_listener.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "carobfall/base/event_log.h"
 #include "carobfall/base/spawn.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -21,4 +22,7 @@
                        const boost::asio::ip::tcp::endpoint& address, connection_handler serve,
                        failure_handler on_failure);
 
+/// Logs each failure as `connection_failed`.
+[[nodiscard]] failure_handler log_connection_failures(event_log& log);
+
 } // namespace carobfall
--- a/src/libs/carobfall/jobs/agent_service.cpp
+++ b/src/libs/carobfall/jobs/agent_service.cpp
@@ -44,6 +44,7 @@
       log_(log),
       metrics_(metrics),
       lease_(orders, log),
+      links_(executor, link_hooks()),
       worker_known_(executor),
       report_ended_(executor)
 {
@@ -53,12 +54,12 @@
         if (operators_.is_out(identity_.data_centre)) {
             ledger_.hand_back("data_centre_out");
         }
-        for (const auto& [address, link] : links_) {
-            if (link->is_open() && operators_.is_news_for(link->entry_knowledge())) {
+        links_.for_each_open([&](entry_link& link) {
+            if (has_news_for(link)) {
                 fleet::agent_frame frame;
-                send_status(*link, frame, now);
+                send_status(link, frame, now);
             }
-        }
+        });
     });
 }
 
@@ -109,44 +110,32 @@
 
 void agent_service::worker_left(std::string_view id)
 {
-    const absl::Time now = boot_now();
+    remove_worker(id, "worker_left", boot_now());
+}
+
+void agent_service::remove_worker(std::string_view id, std::string_view event, absl::Time now)
+{
+    log_.write(log_fields(event).add("worker", id), now);
     ledger_.remove_worker(id);
     update_description();
-    log_.write(log_fields("worker_left").add("worker", id), now);
     status_changed_ = true;
     advance(now);
 }
 
-void agent_service::learn_entries(const std::vector<std::string>& addresses)
+entry_link::hooks agent_service::link_hooks()
 {
-    const absl::Time now = boot_now();
-    for (const std::string& address : addresses) {
-        if (!entries_.learn(address, now)) {
-            continue;
-        }
-        entry_link::hooks hooks;
-        hooks.new_session = [this] { return ++last_session_; };
-        hooks.on_open = [this](entry_link& link) { on_open(link); };
-        hooks.on_frame = [this](entry_link& link, fleet::entry_frame& frame) {
-            on_frame(link, frame);
-        };
-        hooks.on_closed = [this](session_number session) { on_closed(session); };
-        auto link = std::make_shared<entry_link>(executor_, address, std::move(hooks));
-        links_.emplace(address, link);
-        spawn(executor_, link->run());
-    }
+    entry_link::hooks hooks;
+    hooks.on_open = [this](entry_link& link) { on_open(link); };
+    hooks.on_frame = [this](entry_link& link, fleet::entry_frame& frame) { on_frame(link, frame); };
+    hooks.on_closed = [this](session_number session) { on_closed(session); };
+    return hooks;
 }
 
-void agent_service::drop_old_links(absl::Time now)
+void agent_service::learn_entries(const std::vector<std::string>& addresses)
 {
-    for (const auto& [address, link] : links_) {
-        if (link->is_open()) {
-            entries_.learn(address, now);
-        }
-    }
-    for (const std::string& address : entries_.forget_old(now)) {
-        links_.at(address)->stop();
-        links_.erase(address);
+    const absl::Time now = boot_now();
+    links_.learn(addresses, now);
+    for (const std::string& address : links_.forget_old(now)) {
         log_.write(log_fields("entry_forgotten").add("address", address), now);
     }
 }
@@ -159,28 +148,12 @@
     advance(boot_now());
 }
 
-std::size_t agent_service::open_links() const
-{
-    return static_cast<std::size_t>(std::count_if(
-        links_.begin(), links_.end(), [](const auto& link) { return link.second->is_open(); }));
-}
-
 bool agent_service::accepts_orders() const
 {
     return ledger_.worker() && ledger_.worker()->state == worker_state::ready && settled_ &&
            worker_reachable_ && !draining_ && !operators_.is_out(identity_.data_centre);
 }
 
-entry_link* agent_service::link_of(session_number session) const
-{
-    for (const auto& [address, link] : links_) {
-        if (session != 0 && link->session() == session) {
-            return link.get();
-        }
-    }
-    return nullptr;
-}
-
 // ------------------------------------------------------------------- entries
 
 void agent_service::on_open(entry_link& link)
@@ -188,10 +161,8 @@
     const absl::Time now = boot_now();
     log_.write(log_fields("entry_connected").add("address", link.address()), now);
     fleet::agent_frame frame;
-    for (const auto& [address, other] : links_) {
-        if (other->is_open()) {
-            frame.add_entries(address);
-        }
+    for (const std::string& address : links_.open_addresses()) {
+        frame.add_entries(address);
     }
     send_status(link, frame, now);
 }
@@ -199,7 +170,7 @@
 void agent_service::on_frame(entry_link& link, fleet::entry_frame& frame)
 {
     const absl::Time now = boot_now();
-    operators_.confirm({frame.operator_version(), frame.operator_digest()});
+    operators_.confirm(knowledge_of(frame));
     if (frame.has_state() && operators_.adopt(std::move(*frame.mutable_state()))) {
         log_.write(operators_.adopted_from(link.entry_name()), now);
     }
@@ -267,7 +238,8 @@
     if (reply.outcome == renewal_outcome::renewed && same_worker) {
         if (reply.report.started_unix_ms != 0 &&
             reply.report.started_unix_ms != asked.started_unix_ms) {
-            forget_worker(asked.id, now);
+            // Its runs have ended with it; the worker that is there announces itself.
+            remove_worker(asked.id, "worker_replaced", now);
             return true;
         }
         if (reports_.take_over(asked_at)) {
@@ -282,7 +254,7 @@
         return true;
     }
     if (reply.outcome == renewal_outcome::other_incarnation && same_worker) {
-        forget_worker(asked.id, now);
+        remove_worker(asked.id, "worker_replaced", now);
         return true;
     }
     if (reply.outcome == renewal_outcome::gone) {
@@ -292,16 +264,6 @@
     return false;
 }
 
-void agent_service::forget_worker(const std::string& id, absl::Time now)
-{
-    // Its runs have ended with it; the worker that is there announces itself.
-    log_.write(log_fields("worker_replaced").add("worker", id), now);
-    ledger_.remove_worker(id);
-    update_description();
-    status_changed_ = true;
-    advance(now);
-}
-
 void agent_service::check_lapse(absl::Time now)
 {
     if (lease_.has_lapsed(now)) {
@@ -394,14 +356,13 @@
         timer.expires_after(timer_duration(watch_interval));
         co_await timer.async_wait(asio::use_awaitable);
         const absl::Time now = boot_now();
-        for (const auto& [address, link] : links_) {
-            if (link->is_open() && !link->permits_starts(now)) {
-                log_.write(log_fields("entry_silent").add("address", address), now);
-                link->close();
-                ledger_.drop_session(link->session());
+        links_.for_each_open([&](entry_link& link) {
+            if (!link.permits_starts(now)) {
+                log_.write(log_fields("entry_silent").add("address", link.address()), now);
+                link.close();
+                ledger_.drop_session(link.session());
             }
-        }
-        drop_old_links(now);
+        });
         ledger_.expire(now);
         check_lapse(now);
         advance(now);
@@ -412,7 +373,7 @@
 void agent_service::advance(absl::Time now)
 {
     const auto may_run = [this, now](session_number session) {
-        const entry_link* link = link_of(session);
+        const entry_link* link = links_.find(session);
         return link != nullptr && link->permits_starts(now);
     };
     const bool in_service = settled_ && worker_reachable_ && lease_.hears_worker(now) &&
@@ -445,8 +406,7 @@
     description.set_incarnation(identity_.incarnation);
     description.set_data_centre(identity_.data_centre);
     describe_worker(ledger_, description);
-    if (description_number_ == 0 ||
-        description.SerializeAsString() != description_.SerializeAsString()) {
+    if (description.SerializeAsString() != description_.SerializeAsString()) {
         description_ = std::move(description);
         ++description_number_;
         status_changed_ = true;
@@ -470,12 +430,16 @@
     describe_load(ledger_, now, status);
 }
 
+bool agent_service::has_news_for(const entry_link& link) const
+{
+    return link.is_heard() && operators_.is_news_for(link.entry_knowledge());
+}
+
 void agent_service::send_status(entry_link& link, fleet::agent_frame& frame, absl::Time now)
 {
     fill_status(*frame.mutable_status(), link, now);
-    frame.set_operator_version(operators_.knowledge().version);
-    frame.set_operator_digest(operators_.knowledge().digest);
-    if (link.is_heard() && operators_.is_news_for(link.entry_knowledge())) {
+    set_knowledge(frame, operators_.knowledge());
+    if (has_news_for(link)) {
         *frame.mutable_state() = operators_.state();
     }
     link.send(frame, now);
@@ -503,18 +467,15 @@
         *frames[event.session].add_events() = std::move(event.event);
     }
     const bool all_due = status_changed_ && now - status_sent_ >= status_interval();
-    for (const auto& [address, link] : links_) {
-        if (!link->is_open()) {
-            continue;
-        }
-        const auto frame = frames.find(link->session());
+    links_.for_each_open([&](entry_link& link) {
+        const auto frame = frames.find(link.session());
         if (frame != frames.end()) {
-            send_status(*link, frame->second, now);
-        } else if (all_due || now - link->last_sent() >= link_frame_interval) {
+            send_status(link, frame->second, now);
+        } else if (all_due || now - link.last_sent() >= link_frame_interval) {
             fleet::agent_frame empty;
-            send_status(*link, empty, now);
+            send_status(link, empty, now);
         }
-    }
+    });
     if (all_due) {
         status_sent_ = now;
         status_changed_ = false;
--- a/src/libs/carobfall/jobs/agent_service.h
+++ b/src/libs/carobfall/jobs/agent_service.h
@@ -3,8 +3,7 @@
 #include "carobfall/base/async_event.h"
 #include "carobfall/base/event_log.h"
 #include "carobfall/base/histogram.h"
-#include "carobfall/jobs/entry_addresses.h"
-#include "carobfall/jobs/entry_link.h"
+#include "carobfall/jobs/entry_link_set.h"
 #include "carobfall/jobs/operator_view.h"
 #include "carobfall/jobs/report_schedule.h"
 #include "carobfall/jobs/worker_lease.h"
@@ -52,12 +51,13 @@
     /// worker is still the same one.
     void recall(const worker_announcement& worker);
     void worker_left(std::string_view id);
-    /// Connects to entries that were not known; the others are still in use.
+    /// Connects to entries that were not known; the others are still in use. Ends links to entries
+    /// that nobody has named for long.
     void learn_entries(const std::vector<std::string>& addresses);
     /// Takes no more orders and returns those that wait. What runs goes on.
     void drain();
     [[nodiscard]] bool is_idle() const { return ledger_.on_worker() == 0; }
-    [[nodiscard]] std::size_t open_links() const;
+    [[nodiscard]] std::size_t open_links() const { return links_.open_count(); }
     /// Gauges, a line each.
     [[nodiscard]] std::string state_text(absl::Time now) const;
 
@@ -81,16 +81,17 @@
     void fill_status(fleet::agent_status& status, entry_link& link, absl::Time now) const;
     /// The worker has announced itself or has left.
     void update_description();
-    /// Ends the links to entries that have gone for good.
-    void drop_old_links(absl::Time now);
     /// Entries without events hear of changed room this often.
     [[nodiscard]] absl::Duration status_interval() const;
     /// Nothing of the worker's runs is left.
     void lapse(const std::string& reason, absl::Time now);
     void check_lapse(absl::Time now);
-    void forget_worker(const std::string& id, absl::Time now);
+    /// The worker and its runs are gone, as the log line `event` says.
+    void remove_worker(std::string_view id, std::string_view event, absl::Time now);
     [[nodiscard]] bool accepts_orders() const;
-    [[nodiscard]] entry_link* link_of(session_number session) const;
+    [[nodiscard]] entry_link::hooks link_hooks();
+    /// Whether the entry has to be told what operators have decided.
+    [[nodiscard]] bool has_news_for(const entry_link& link) const;
     void log_event(const session_event& event, absl::Time now);
 
     boost::asio::any_io_executor executor_;
@@ -102,9 +103,7 @@
 
     worker_ledger ledger_;
     worker_lease lease_;
-    entry_addresses entries_;
-    std::map<std::string, std::shared_ptr<entry_link>> links_; ///< by address
-    session_number last_session_{0};
+    entry_link_set links_;
     async_event worker_known_;
     report_schedule reports_;
     async_event report_ended_;
--- a/src/libs/carobfall/jobs/entry_link.cpp
+++ b/src/libs/carobfall/jobs/entry_link.cpp
@@ -68,9 +68,7 @@
         entry_name_ = frame.entry();
         heard_ = true;
         orders_received_ += static_cast<std::uint64_t>(frame.orders_size());
-        if (frame.operator_version() > entry_knowledge_.version) {
-            entry_knowledge_ = {frame.operator_version(), frame.operator_digest()};
-        }
+        entry_knowledge_.update(knowledge_of(frame));
         hooks_.on_frame(*this, frame);
     }
 }
@@ -119,7 +117,7 @@
     }
     frame.set_sent_us(absl::ToUnixMicros(now));
     if (frame.has_state()) {
-        entry_knowledge_ = {frame.operator_version(), frame.operator_digest()};
+        entry_knowledge_ = knowledge_of(frame);
     }
     channel_->send(frame);
     last_sent_ = now;
--- a/src/libs/carobfall/jobs/entry_service.cpp
+++ b/src/libs/carobfall/jobs/entry_service.cpp
@@ -2,6 +2,7 @@
 
 #include "carobfall/base/boot_clock.h"
 #include "carobfall/base/tcp_listener.h"
+#include "carobfall/jobs/worker_speed.h"
 
 #include <absl/strings/str_cat.h>
 #include <boost/asio/post.hpp>
@@ -20,8 +21,6 @@
 // An agent without a frame for this long is lost; agents send one each 100 ms.
 constexpr absl::Duration agent_silence_limit = absl::Milliseconds(500);
 constexpr absl::Duration watch_interval = absl::Milliseconds(25);
-// Kinds of workers differ by up to 1.3 in speed, and run times of jobs average out.
-constexpr double slow_worker = 2;
 
 } // namespace
 
@@ -48,18 +47,18 @@
     serve_connections(
         executor_, address,
         [this](asio::ip::tcp::socket socket) { return serve(std::move(socket)); },
-        [this](std::string_view error) {
-            log_.write(log_fields("connection_failed").add("error", error), boot_now());
-        });
+        log_connection_failures(log_));
     spawn(executor_, watch_time());
 }
 
 void entry_service::learn_entries(const std::vector<std::string>& addresses)
 {
     const absl::Time now = boot_now();
+    entries_.learn(own_address_, now);
     for (const std::string& address : addresses) {
         entries_.learn(address, now);
     }
+    entries_.forget_old(now);
 }
 
 asio::awaitable<void> entry_service::serve(asio::ip::tcp::socket socket)
@@ -82,10 +81,8 @@
     const absl::Time now = boot_now();
     peer->last_heard = now;
     peer->echo_us = std::max(peer->echo_us, frame.sent_us());
-    const operator_knowledge held{frame.operator_version(), frame.operator_digest()};
-    if (held.version > peer->knowledge.version) {
-        peer->knowledge = held;
-    }
+    const operator_knowledge held = knowledge_of(frame);
+    peer->knowledge.update(held);
     operators_.confirm(held);
     if (frame.has_state() && operators_.adopt(std::move(*frame.mutable_state()))) {
         log_.write(operators_.adopted_from(peer->agent), now);
@@ -238,8 +235,7 @@
     fleet::entry_frame& frame = peer.pending;
     frame.set_echo_us(peer.echo_us);
     frame.set_entry(name_);
-    frame.set_operator_version(operators_.knowledge().version);
-    frame.set_operator_digest(operators_.knowledge().digest);
+    set_knowledge(frame, operators_.knowledge());
     if (operators_.is_news_for(peer.knowledge)) {
         *frame.mutable_state() = operators_.state();
         peer.knowledge = operators_.knowledge();
@@ -263,8 +259,6 @@
         timer.expires_after(timer_duration(watch_interval));
         co_await timer.async_wait(asio::use_awaitable);
         const absl::Time now = boot_now();
-        entries_.learn(own_address_, now);
-        entries_.forget_old(now);
         std::vector<std::string> silent;
         for (const auto& [name, peer] : agents_) {
             if (now - peer->last_heard > agent_silence_limit) {
--- a/src/libs/carobfall/jobs/operator_view.h
+++ b/src/libs/carobfall/jobs/operator_view.h
@@ -17,8 +17,29 @@
 struct operator_knowledge {
     std::uint64_t version{0}; ///< of the store when the decisions were read
     std::uint64_t digest{0};  ///< of the decisions; the version grows also when they stay the same
+
+    /// Takes over what a frame of the process says, if it is later.
+    void update(const operator_knowledge& told)
+    {
+        if (told.version > version) {
+            *this = told;
+        }
+    }
 };
 
+template <typename Frame>
+operator_knowledge knowledge_of(const Frame& frame)
+{
+    return {frame.operator_version(), frame.operator_digest()};
+}
+
+template <typename Frame>
+void set_knowledge(Frame& frame, const operator_knowledge& knowledge)
+{
+    frame.set_operator_version(knowledge.version);
+    frame.set_operator_digest(knowledge.digest);
+}
+
 /// What operators have decided, as far as this process knows. Only a later version replaces what is
 /// held, whoever delivers it: the store, or another process that the store still answers.
 class operator_view {
--- /dev/null
+++ b/src/libs/carobfall/jobs/past_runs.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "carobfall/jobs/worker_orders.h"
+
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+
+namespace carobfall {
+
+/// Highest run of each task that ran on the worker lately, so that a later order gets a higher one.
+class past_runs {
+public:
+    void remember(const task_run& run, absl::Time now);
+    /// Forgets runs that no order on its way can belong to any more.
+    void expire(absl::Time now);
+    /// 0 if no run of the task is remembered.
+    [[nodiscard]] std::uint32_t highest(const std::string& job_id, std::uint32_t index) const;
+
+private:
+    using task_key = std::pair<std::string, std::uint32_t>;
+    struct past_run {
+        std::uint32_t highest{0};
+        absl::Time seen_at{absl::InfinitePast()};
+    };
+
+    std::map<task_key, past_run> runs_;
+};
+
+} // namespace carobfall
--- a/src/libs/carobfall/jobs/worker_ledger.cpp
+++ b/src/libs/carobfall/jobs/worker_ledger.cpp
@@ -12,8 +12,6 @@
 namespace carobfall {
 namespace {
 
-// Longer than an order without an answer can be on its way, so that run numbers keep rising.
-constexpr absl::Duration past_run_retention = absl::Seconds(30);
 // Slowness is a ratio of measured times; a lower one would be an error of the estimates.
 constexpr double min_slowness = 0.5;
 constexpr double milliseconds_per_second = 1000;
@@ -67,7 +65,7 @@
     if (!same) {
         on_lapse("worker_restarted");
         acknowledged_end_ = 0;
-        past_runs_.clear();
+        past_runs_ = past_runs();
         speed_ = worker_speed();
         failures_ = failure_rate();
     }
@@ -100,24 +98,36 @@
     record.start_by = now + absl::Milliseconds(order.start_by_ms());
     record.late_start_by = now + absl::Milliseconds(order.late_start_by_ms());
     record.give_up = now + absl::Milliseconds(order.give_up_ms());
+    const std::string_view refusal = refusal_of(record, now);
     const auto added = records_.emplace(++last_number_, std::move(record)).first;
-    if (!worker_ || worker_->state != worker_state::ready) {
-        finish(added, fleet::task_not_run, worker_ ? "worker_draining" : "no_worker", now);
-    } else if (worker_->service != order.service()) {
-        finish(added, fleet::task_not_run, "other_service", now);
-    } else if (order.longest_wait_ms() > 0 &&
-               wait_of(added->second, now) > absl::Milliseconds(order.longest_wait_ms())) {
-        finish(added, fleet::task_not_run, "queue_longer", now);
+    if (!refusal.empty()) {
+        finish(added, fleet::task_not_run, refusal, now);
+    }
+}
+
+std::string_view worker_ledger::refusal_of(const task_record& record, absl::Time now) const
+{
+    if (!worker_) {
+        return "no_worker";
+    }
+    if (worker_->state != worker_state::ready) {
+        return "worker_draining";
+    }
+    if (worker_->service != record.order.service()) {
+        return "other_service";
     }
+    const absl::Duration longest_wait = absl::Milliseconds(record.order.longest_wait_ms());
+    if (longest_wait > absl::ZeroDuration() && wait_of(record, now) > longest_wait) {
+        return "queue_longer";
+    }
+    return "";
 }
 
 absl::Duration worker_ledger::wait_of(const task_record& record, absl::Time now) const
 {
-    agent_load load{free_room(), waiting_room(now), released_millicores_per_s(now)};
-    // The task itself is among those that wait.
-    const absl::Duration rank = queue_rank(record.order.priority(), record.start_by - now);
-    load.waiting.add(rank, -record.demand.cpu_millicores);
-    return expected_wait(worker_->capacity, load, record.demand, rank);
+    const agent_load load{free_room(), waiting_room(now), released_millicores_per_s(now)};
+    return expected_wait(worker_->capacity, load, record.demand,
+                         queue_rank(record.order.priority(), record.start_by - now));
 }
 
 void worker_ledger::begin_stopping(task_record& record, std::string_view reason)
@@ -193,7 +203,7 @@
 {
     const task_record& task = record->second;
     if (task.run > 0) {
-        remember_run(run_of(task), now);
+        past_runs_.remember(run_of(task), now);
     }
     if (task.session != 0) {
         session_event event;
@@ -221,16 +231,8 @@
 
 std::uint32_t worker_ledger::next_run(const task_record& record) const
 {
-    const auto past = past_runs_.find({record.order.job_id(), record.order.index()});
-    const std::uint32_t after_past = past == past_runs_.end() ? 1 : past->second.first + 1;
-    return std::max({record.order.attempt(), after_past, record.run + 1});
-}
-
-void worker_ledger::remember_run(const task_run& run, absl::Time now)
-{
-    auto& [highest, at] = past_runs_[{run.job_id, run.index}];
-    highest = std::max(highest, run.run);
-    at = std::max(at, now);
+    const std::uint32_t past = past_runs_.highest(record.order.job_id(), record.order.index());
+    return std::max({record.order.attempt(), past + 1, record.run + 1});
 }
 
 std::optional<worker_ledger::record_number>
@@ -348,7 +350,7 @@
 {
     const auto found = find_run(end.task);
     if (found == records_.end()) {
-        remember_run(end.task, now);
+        past_runs_.remember(end.task, now);
         return;
     }
     task_record& record = found->second;
@@ -429,9 +431,7 @@
             finish(current, fleet::task_ended, reason, now);
         }
     }
-    std::erase_if(past_runs_, [now](const auto& past) {
-        return past.second.second < now - past_run_retention;
-    });
+    past_runs_.expire(now);
 }
 
 void worker_ledger::on_lapse(std::string_view reason)
@@ -495,9 +495,4 @@
                       [](const auto& entry) { return entry.second.phase == task_phase::waiting; }));
 }
 
-std::size_t worker_ledger::on_worker() const
-{
-    return records_.size() - waiting();
-}
-
 } // namespace carobfall
--- a/src/libs/carobfall/jobs/worker_ledger.h
+++ b/src/libs/carobfall/jobs/worker_ledger.h
@@ -3,6 +3,7 @@
 #include "carobfall/fleet/fleet.pb.h"
 #include "carobfall/jobs/agent_choice.h"
 #include "carobfall/jobs/failure_rate.h"
+#include "carobfall/jobs/past_runs.h"
 #include "carobfall/jobs/run_queue.h"
 #include "carobfall/jobs/waiting_profile.h"
 #include "carobfall/jobs/worker_orders.h"
@@ -106,7 +107,7 @@
     [[nodiscard]] double released_millicores_per_s(absl::Time now) const;
     [[nodiscard]] std::size_t waiting() const;
     /// Runs that are on the worker or may be.
-    [[nodiscard]] std::size_t on_worker() const;
+    [[nodiscard]] std::size_t on_worker() const { return records_.size() - waiting(); }
     [[nodiscard]] double slowness(absl::Time now) const { return speed_.slowness(now); }
     [[nodiscard]] double failure_share(absl::Time now) const { return failures_.share(now); }
     [[nodiscard]] std::vector<session_event> take_events() { return std::exchange(events_, {}); }
@@ -114,9 +115,10 @@
 
 private:
     using record_map = std::map<record_number, task_record>;
-    using task_key = std::pair<std::string, std::uint32_t>;
 
-    /// Until the waiting task can be expected to start.
+    /// Why an order that has just come can't be taken; empty if it can.
+    [[nodiscard]] std::string_view refusal_of(const task_record& record, absl::Time now) const;
+    /// Until a task that joins those that wait now can be expected to start.
     [[nodiscard]] absl::Duration wait_of(const task_record& record, absl::Time now) const;
     record_map::iterator find_run(const task_run& run);
     void finish(record_map::iterator record, fleet::task_event_kind kind, std::string_view reason,
@@ -128,7 +130,6 @@
     void stop_unknown_runs(const worker_report& report);
     [[nodiscard]] bool has_run_elsewhere(record_number number, const task_record& record) const;
     [[nodiscard]] std::uint32_t next_run(const task_record& record) const;
-    void remember_run(const task_run& run, absl::Time now);
 
     std::optional<worker_announcement> worker_;
     std::int64_t left_started_unix_ms_{0}; ///< incarnation that has left
@@ -137,8 +138,7 @@
     record_number last_number_{0};
     std::uint64_t acknowledged_end_{0};
     absl::Time reported_at_{absl::InfinitePast()}; ///< latest report
-    // Highest run of tasks that ran here, so that a later order gets a higher one.
-    std::map<task_key, std::pair<std::uint32_t, absl::Time>> past_runs_;
+    past_runs past_runs_;
     worker_speed speed_;
     failure_rate failures_;
     std::vector<session_event> events_;
--- a/src/libs/carobfall/jobs/worker_orders.cpp
+++ b/src/libs/carobfall/jobs/worker_orders.cpp
@@ -22,31 +22,33 @@
     outcome_name{start_outcome::no_answer, "no_answer"},
 };
 
+using end_name = std::pair<run_end_kind, std::string_view>;
+
+constexpr std::array end_names{
+    end_name{run_end_kind::done, "done"},       end_name{run_end_kind::failed, "failed"},
+    end_name{run_end_kind::stopped, "stopped"}, end_name{run_end_kind::lapsed, "lease_lapsed"},
+    end_name{run_end_kind::broken, "broken"},
+};
+
+template <typename Value, std::size_t Count>
+std::string_view find_name(const std::array<std::pair<Value, std::string_view>, Count>& names,
+                           Value value)
+{
+    const auto found = std::find_if(names.begin(), names.end(),
+                                    [value](const auto& entry) { return entry.first == value; });
+    return found == names.end() ? "unknown" : found->second;
+}
+
 } // namespace
 
 std::string_view name_of(start_outcome outcome)
 {
-    const auto* const found =
-        std::find_if(outcome_names.begin(), outcome_names.end(),
-                     [outcome](const outcome_name& entry) { return entry.first == outcome; });
-    return found == outcome_names.end() ? "unknown" : found->second;
+    return find_name(outcome_names, outcome);
 }
 
 std::string_view name_of(run_end_kind kind)
 {
-    switch (kind) {
-    case run_end_kind::done:
-        return "done";
-    case run_end_kind::failed:
-        return "failed";
-    case run_end_kind::stopped:
-        return "stopped";
-    case run_end_kind::lapsed:
-        return "lease_lapsed";
-    case run_end_kind::broken:
-        break;
-    }
-    return "broken";
+    return find_name(end_names, kind);
 }
 
 } // namespace carobfall
--- a/src/tools/carobfall/log_story.cpp
+++ b/src/tools/carobfall/log_story.cpp
@@ -3,6 +3,7 @@
 #include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 
 #include <algorithm>
 #include <deque>
@@ -154,11 +155,8 @@
     if (most == tasks_by_reason.end()) {
         return "";
     }
-    std::string agents;
-    for (const std::string& agent : agents_by_reason[most->first]) {
-        absl::StrAppend(&agents, agents.empty() ? "" : ", ", agent);
-    }
-    return absl::StrCat(most->second, " of its tasks came back (", most->first, ") from ", agents);
+    return absl::StrCat(most->second, " of its tasks came back (", most->first, ") from ",
+                        absl::StrJoin(agents_by_reason[most->first], ", "));
 }
 
 /// Agents that the entry lost while it waited for tasks there. They may have written no line on the
@@ -166,7 +164,7 @@
 std::string lost_agents(const std::vector<log_line>& all, const std::vector<log_line>& lines,
                         const log_line& answer)
 {
-    std::string losses;
+    std::vector<std::string> losses;
     for (const log_line& line : all) {
         const bool same_life = line.process == answer.process && line.life == answer.life;
         if (!same_life || line.event != "agent_lost" || line.number > answer.number) {
@@ -179,12 +177,12 @@
                                      absl::StrCat(",", line.text("agent"), ":"));
         });
         if (waited_for) {
-            absl::StrAppend(&losses, losses.empty() ? "" : ", ", line.text("agent"), " (",
-                            line.text("reason"), ", last heard ", line.text("last_heard_ms_ago"),
-                            " ms before)");
+            losses.push_back(absl::StrCat(line.text("agent"), " (", line.text("reason"),
+                                          ", last heard ", line.text("last_heard_ms_ago"),
+                                          " ms before)"));
         }
     }
-    return losses.empty() ? "" : absl::StrCat("the entry lost ", losses);
+    return losses.empty() ? "" : absl::StrCat("the entry lost ", absl::StrJoin(losses, ", "));
 }
 
 /// The task that waited or ran longest.
--- a/src/tools/carobfall/overview_command.cpp
+++ b/src/tools/carobfall/overview_command.cpp
@@ -1,6 +1,8 @@
 #include "overview_command.h"
 
+#include "carobfall/base/strings.h"
 #include "carobfall/config/ip_endpoint.h"
+#include "carobfall/jobs/worker_speed.h"
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
@@ -18,15 +20,13 @@
 constexpr absl::Duration read_limit = absl::Seconds(2);
 constexpr int http_ok = 200;
 constexpr absl::string_view prefix = "carobfall_";
-// As entries count a worker as slow, see entry_service.cpp.
-constexpr double slow_worker = 2;
 constexpr double many_failures = 0.2;
 constexpr double millicores = 1000;
 
 /// Value of a label in `name{a="x",b="y"}`; empty if it is missing.
 std::string label_of(std::string_view metric, std::string_view label)
 {
-    const std::string start = absl::StrCat(absl::string_view(label.data(), label.size()), "=\"");
+    const std::string start = absl::StrCat(to_absl(label), "=\"");
     const std::size_t begin = metric.find(start);
     if (begin == std::string_view::npos) {
         return "";
@@ -149,8 +149,7 @@
     process_sample sample;
     sample.address = address;
     sample.answered = true;
-    for (const absl::string_view line :
-         absl::StrSplit(absl::string_view(text.data(), text.size()), '\n')) {
+    for (const absl::string_view line : absl::StrSplit(to_absl(text), '\n')) {
         const std::size_t space = line.rfind(' ');
         double value = 0;
         if (!absl::StartsWith(line, prefix) || space == absl::string_view::npos ||
--- a/tests/auto/jobs/tst_entry_and_agent.cpp
+++ b/tests/auto/jobs/tst_entry_and_agent.cpp
@@ -142,6 +142,17 @@
     agent_service service;
 };
 
+/// Runs the loop until the condition holds. False after `limit`.
+bool run_until(asio::io_context& context, const std::function<bool()>& condition,
+               absl::Duration limit)
+{
+    const absl::Time end = boot_now() + limit;
+    while (!condition() && boot_now() < end) {
+        context.run_for(std::chrono::milliseconds(2));
+    }
+    return condition();
+}
+
 struct region {
     region()
         : endpoint(free_endpoint(context)),
@@ -159,14 +170,9 @@
         return *agents.back();
     }
 
-    /// Runs the loop until the condition holds. False after `limit`.
     bool run_until(const std::function<bool()>& condition, absl::Duration limit = absl::Seconds(10))
     {
-        const absl::Time end = boot_now() + limit;
-        while (!condition() && boot_now() < end) {
-            context.run_for(std::chrono::milliseconds(2));
-        }
-        return condition();
+        return ::run_until(context, condition, limit);
     }
 
     std::shared_ptr<active_job> submit(const std::string& id, std::uint32_t tasks,
@@ -510,24 +516,20 @@
     asio::co_spawn(context, serve(), asio::detached);
     context.run_for(std::chrono::milliseconds(5));
     agent_fixture agent(context, "a", "1", absl::StrCat("127.0.0.1:", endpoint.port()));
-    const auto run_until = [&](const std::function<bool()>& condition) {
-        const absl::Time end = boot_now() + absl::Seconds(5);
-        while (!condition() && boot_now() < end) {
-            context.run_for(std::chrono::milliseconds(2));
-        }
-        return condition();
-    };
-    REQUIRE(run_until([&] { return reports >= 5; }));
+    REQUIRE(run_until(
+        context, [&] { return reports >= 5; }, absl::Seconds(5)));
     REQUIRE(descriptions.size() == 1);
     CHECK(descriptions[0].capacity().cpu_millicores() == 64000);
     worker_announcement larger = agent.announcement;
     larger.capacity.cpu_millicores = 96000;
     ++larger.sequence;
     agent.service.announce(larger);
-    REQUIRE(run_until([&] { return descriptions.size() == 2; }));
+    REQUIRE(run_until(
+        context, [&] { return descriptions.size() == 2; }, absl::Seconds(5)));
     CHECK(descriptions[1].capacity().cpu_millicores() == 96000);
     entry->close();
-    REQUIRE(run_until([&] { return descriptions.size() == 3; }));
+    REQUIRE(run_until(
+        context, [&] { return descriptions.size() == 3; }, absl::Seconds(5)));
     CHECK(descriptions[2].capacity().cpu_millicores() == 96000);
 }
 
