Jobs: Keep the times after which runs are gone in one place

Cause: permission, lease, silence limit and the time after which an entry places a lost task again stood in four files, each with a comment that added the others up by hand. With the worker's clock 2% slow and its last answer 450 ms old, the longest run of a silent entry is 1,329 ms, and callers send a job again after 1,300 ms: no line of the code showed it.

Change: run_bounds.h has the limits and the sums. No value changes. Evidence: reading; tst_jobs passes as before (87 cases).

--- a/src/libs/carobfall/jobs/entry_link.cpp
+++ b/src/libs/carobfall/jobs/entry_link.cpp
@@ -2,6 +2,7 @@
 
 #include "carobfall/base/boot_clock.h"
 #include "carobfall/fleet/endpoint.h"
+#include "carobfall/jobs/run_bounds.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
--- a/src/libs/carobfall/jobs/entry_link.h
+++ b/src/libs/carobfall/jobs/entry_link.h
@@ -17,11 +17,6 @@
 
 namespace carobfall {
 
-/// Longest time without a frame from an entry for which the agent goes on with its tasks. Callers
-/// send a job again 1.3 s after they have lost their entry; until then the runs have to be gone,
-/// the time for stop orders and for an ended worker lease included.
-inline constexpr absl::Duration entry_permission = absl::Milliseconds(500);
-
 /// Connection of the agent to one entry, made again whenever it ends.
 class entry_link : public std::enable_shared_from_this<entry_link> {
 public:
--- a/src/libs/carobfall/jobs/entry_service.h
+++ b/src/libs/carobfall/jobs/entry_service.h
@@ -22,11 +22,6 @@
 
 namespace carobfall {
 
-/// After the last word of an agent, the time after which no run of it is left: the agent stops the
-/// runs of an entry that it doesn't hear, and if it is gone itself, the worker's lease ends. 500 ms
-/// permission, 820 ms lease with the worker's clock rate, 380 ms for stop orders and their ways.
-inline constexpr absl::Duration runs_gone_after = absl::Milliseconds(1700);
-
 /// The entry's side of the connections to agents: accepts them, keeps what is known of each agent,
 /// and passes orders and events on.
 class entry_service {
--- a/src/libs/carobfall/jobs/job_dispatcher.cpp
+++ b/src/libs/carobfall/jobs/job_dispatcher.cpp
@@ -5,6 +5,7 @@
 #include "carobfall/base/strings.h"
 #include "carobfall/jobs/agent_choice.h"
 #include "carobfall/jobs/job_order.h"
+#include "carobfall/jobs/run_bounds.h"
 
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
--- /dev/null
+++ b/src/libs/carobfall/jobs/run_bounds.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <absl/time/time.h>
+
+#include <cstdint>
+
+namespace carobfall {
+
+/// Times after which a run is gone when its entry, its agent or its worker is silent.
+
+inline constexpr std::int64_t entry_permission_ms = 500;
+inline constexpr std::int64_t lease_time_ms = 800;
+inline constexpr std::int64_t worker_silence_limit_ms = 450;
+inline constexpr std::int64_t runs_gone_after_ms = 1700;
+/// Callers send a job again this long after they have lost their entry or were told that the
+/// outcome is unknown.
+inline constexpr std::int64_t callers_resend_after_ms = 1300;
+
+/// Longest time without a frame from an entry for which the agent goes on with its tasks.
+inline constexpr absl::Duration entry_permission = absl::Milliseconds(entry_permission_ms);
+/// Lease that an order or a renewal asks for. Shorter than the worker's longest one, so that the
+/// runs of a lost agent are gone before callers of its entries send their jobs again.
+inline constexpr absl::Duration lease_time = absl::Milliseconds(lease_time_ms);
+/// A worker without an answer for this long has lost two renewals in a row; its lease is not
+/// extended any more.
+inline constexpr absl::Duration worker_silence_limit = absl::Milliseconds(worker_silence_limit_ms);
+/// After the last word of an agent, the time after which its entry may place the tasks elsewhere.
+inline constexpr absl::Duration runs_gone_after = absl::Milliseconds(runs_gone_after_ms);
+inline constexpr absl::Duration callers_resend_after = absl::Milliseconds(callers_resend_after_ms);
+
+/// The worker's clock may be 2% slow, so that its lease lasts longer on ours.
+inline constexpr std::int64_t slowest_clock_percent = 98;
+/// `ms` on the worker's clock, on ours.
+constexpr std::int64_t longest_on_worker_ms(std::int64_t ms)
+{
+    return (ms * 100 + slowest_clock_percent - 1) / slowest_clock_percent;
+}
+/// What is known of the worker's clock is as old as its last answer, and in whole milliseconds.
+inline constexpr std::int64_t clock_error_ms =
+    longest_on_worker_ms(worker_silence_limit_ms) - worker_silence_limit_ms + 2;
+/// From the last word that an entry has heard of an agent to the end of the last run there.
+inline constexpr std::int64_t longest_run_after_word_ms =
+    entry_permission_ms + longest_on_worker_ms(lease_time_ms) + clock_error_ms;
+
+} // namespace carobfall
--- a/src/libs/carobfall/jobs/worker_lease.cpp
+++ b/src/libs/carobfall/jobs/worker_lease.cpp
@@ -1,6 +1,7 @@
 #include "carobfall/jobs/worker_lease.h"
 
 #include "carobfall/base/boot_clock.h"
+#include "carobfall/jobs/run_bounds.h"
 
 #include <algorithm>
 
@@ -10,14 +11,9 @@
 
 namespace {
 
-// Lease that a renewal asks for. Shorter than the worker's longest one, so that the runs of a lost
-// agent are gone before callers of its entries send their jobs again.
-constexpr absl::Duration lease_time = absl::Milliseconds(800);
 // The worker's clock may be 2% slow; the margin covers the way of the order.
 constexpr double clock_rate_margin = 1.02;
 constexpr absl::Duration lapse_margin = absl::Milliseconds(100);
-// Without an answer for this long, two renewals in a row were lost.
-constexpr absl::Duration silence_limit = absl::Milliseconds(450);
 
 } // namespace
 
@@ -41,7 +37,7 @@
 
 bool worker_lease::hears_worker(absl::Time now) const
 {
-    return now - heard_at_ < silence_limit;
+    return now - heard_at_ < worker_silence_limit;
 }
 
 bool worker_lease::has_lapsed(absl::Time now) const
