Jobs: Log why a lost task may be placed again and which stops stay unanswered

The logs did not tell what had released the first run: the release of a lost task wrote no line, agent_accepts and agent_lost had no incarnation, and a stop order without an answer looked like an answered one.

Change: task_released with its evidence (agent_settled or time_limit), the incarnation in the lines of agents, stop_unanswered with the time waited; counters tasks_released_total and stops_unanswered_total.

--- a/src/libs/carobfall/jobs/agent_service.cpp
+++ b/src/libs/carobfall/jobs/agent_service.cpp
@@ -328,6 +328,7 @@
 {
     const task_record* record = ledger_.find(number);
     bool answered = false;
+    const absl::Time asked_at = boot_now();
     if (record != nullptr && lease_.fencing_token()) {
         const task_run task = run_of(*record);
         log_.write(log_fields("stop_ordered")
@@ -335,8 +336,17 @@
                        .add("task", task.index)
                        .add("run", task.run)
                        .add("reason", record->stop_reason),
-                   boot_now());
+                   asked_at);
         answered = co_await orders_.stop(task, *lease_.fencing_token());
+        if (!answered) {
+            log_.write(log_fields("stop_unanswered")
+                           .add("job", task.job_id)
+                           .add("task", task.index)
+                           .add("run", task.run)
+                           .add("waited_ms", absl::ToInt64Milliseconds(boot_now() - asked_at)),
+                       boot_now());
+            metrics_.add("stops_unanswered_total");
+        }
     }
     if (!answered) {
         asio::steady_timer pause(executor_, timer_duration(stop_retry_pause));
--- a/src/libs/carobfall/jobs/entry_service.cpp
+++ b/src/libs/carobfall/jobs/entry_service.cpp
@@ -120,6 +120,7 @@
                        .add("incarnation", description.incarnation()),
                    now);
         peer->agent = name;
+        peer->incarnation = description.incarnation();
         agents_[name] = peer;
         post_flush();
     }
@@ -130,7 +131,10 @@
 {
     table_.report(peer.agent, status);
     if (!std::exchange(peer.accepting, status.accepting()) && peer.accepting) {
-        log_.write(log_fields("agent_accepts").add("agent", peer.agent), boot_now());
+        log_.write(log_fields("agent_accepts")
+                       .add("agent", peer.agent)
+                       .add("incarnation", peer.incarnation),
+                   boot_now());
         hooks_.on_settled(peer.agent);
     }
 }
@@ -176,6 +180,7 @@
     const absl::Time now = boot_now();
     log_.write(log_fields("agent_lost")
                    .add("agent", agent)
+                   .add("incarnation", peer->incarnation)
                    .add("reason", reason)
                    .add("last_heard_ms_ago", absl::ToInt64Milliseconds(now - peer->last_heard)),
                now);
--- a/src/libs/carobfall/jobs/entry_service.h
+++ b/src/libs/carobfall/jobs/entry_service.h
@@ -60,6 +60,7 @@
     struct connection {
         std::shared_ptr<frame_channel> channel;
         std::string agent; ///< empty until it has described itself
+        std::string incarnation;
         bool accepting{false};
         std::int64_t echo_us{0};
         absl::Time last_heard;
--- a/src/libs/carobfall/jobs/job_dispatcher.cpp
+++ b/src/libs/carobfall/jobs/job_dispatcher.cpp
@@ -333,10 +333,12 @@
 
 void job_dispatcher::on_lost(const std::string& agent, absl::Time last_heard)
 {
+    const absl::Time now = boot_now();
     for (const auto& [id, job] : jobs_) {
         for (job_task& task : job->tasks) {
             if (task.phase == job_task_phase::ordered && task.agent == agent) {
                 task.phase = job_task_phase::lost;
+                task.lost_at = now;
                 task.gone_at = last_heard + runs_gone_after;
                 job->may_have_run = true;
                 job->changed.notify();
@@ -359,13 +361,31 @@
 
 void job_dispatcher::release_lost_tasks(active_job& job, absl::Time now)
 {
-    for (job_task& task : job.tasks) {
+    for (std::size_t index = 0; index < job.tasks.size(); ++index) {
+        job_task& task = job.tasks[index];
         if (task.phase == job_task_phase::lost && task.gone_at <= now) {
             task.phase = job_task_phase::unplaced;
+            log_release(job, index, now);
         }
     }
 }
 
+void job_dispatcher::log_release(const active_job& job, std::size_t index, absl::Time now)
+{
+    const job_task& task = job.tasks[index];
+    const bool settled = task.gone_at == absl::InfinitePast();
+    const std::string_view evidence = settled ? "agent_settled" : "time_limit";
+    log_.write(log_fields("task_released")
+                   .add("job", job.request.id)
+                   .add("task", index)
+                   .add("attempt", task.attempt)
+                   .add("agent", task.agent)
+                   .add("evidence", evidence)
+                   .add("lost_ms_ago", absl::ToInt64Milliseconds(now - task.lost_at)),
+               now);
+    metrics_.add(absl::StrCat("tasks_released_total{evidence=\"", to_absl(evidence), "\"}"));
+}
+
 void job_dispatcher::abandon(active_job& job)
 {
     job.caller_gone = true;
--- a/src/libs/carobfall/jobs/job_dispatcher.h
+++ b/src/libs/carobfall/jobs/job_dispatcher.h
@@ -36,6 +36,7 @@
     std::string agent;
     std::uint32_t attempt{0};
     std::uint32_t failures{0};
+    absl::Time lost_at;
     absl::Time gone_at;
 };
 
@@ -92,6 +93,7 @@
                                   absl::Duration expected_wait, absl::Time now);
     void on_event(const std::string& agent, const fleet::task_event& event);
     void on_lost(const std::string& agent, absl::Time last_heard);
+    void log_release(const active_job& job, std::size_t index, absl::Time now);
     void on_settled(const std::string& agent);
     boost::asio::awaitable<void> settle_when_gone(std::shared_ptr<active_job> job);
     void settle(const std::string& id);
