--- /dev/null
+++ b/tests/auto/jobs/tst_lost_runs.cpp
@@ -0,0 +1,220 @@
+#include "region_fixture.h"
+
+#include "carobfall/jobs/run_bounds.h"
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/write.hpp>
+#include <doctest/doctest.h>
+
+#include <array>
+
+using namespace carobfall;
+using namespace carobfall::test;
+
+namespace {
+
+constexpr const char* job_id = "00000000000000aa";
+
+/// Passes connections of agents on to an entry, and breaks them on request.
+class relay {
+public:
+    using shared_socket = std::shared_ptr<asio::ip::tcp::socket>;
+
+    relay(asio::io_context& context, const asio::ip::tcp::endpoint& address,
+          asio::ip::tcp::endpoint entry)
+        : context_(context), acceptor_(context, address), entry_(std::move(entry))
+    {
+        asio::co_spawn(context_, accept(), asio::detached);
+    }
+
+    /// Resets the connection that was made first.
+    void reset_first()
+    {
+        for (const shared_socket& socket : {agents_.front(), entries_.front()}) {
+            boost::system::error_code ignored; // the other side may have closed it already
+            socket->close(ignored);
+        }
+    }
+
+private:
+    asio::awaitable<void> accept()
+    {
+        while (true) {
+            auto agent = std::make_shared<asio::ip::tcp::socket>(
+                co_await acceptor_.async_accept(asio::use_awaitable));
+            auto entry = std::make_shared<asio::ip::tcp::socket>(context_);
+            co_await entry->async_connect(entry_, asio::use_awaitable);
+            agents_.push_back(agent);
+            entries_.push_back(entry);
+            asio::co_spawn(context_, pass_on(agent, entry), asio::detached);
+            asio::co_spawn(context_, pass_on(entry, agent), asio::detached);
+        }
+    }
+
+    static asio::awaitable<void> pass_on(shared_socket from, shared_socket to)
+    {
+        std::array<char, 4096> buffer{};
+        boost::system::error_code error;
+        while (!error) {
+            const std::size_t size = co_await from->async_read_some(
+                asio::buffer(buffer), asio::redirect_error(asio::use_awaitable, error));
+            if (!error) {
+                co_await asio::async_write(*to, asio::buffer(buffer, size),
+                                           asio::redirect_error(asio::use_awaitable, error));
+            }
+        }
+        to->close(error);
+    }
+
+    asio::io_context& context_;
+    asio::ip::tcp::acceptor acceptor_;
+    const asio::ip::tcp::endpoint entry_;
+    std::vector<shared_socket> agents_;  ///< sides of the agents, in the order of connecting
+    std::vector<shared_socket> entries_; ///< sides of the entry
+};
+
+/// One task runs at agent "a"; agent "b" is there for a second run.
+struct running_task {
+    explicit running_task(region& test) : first(test.add_agent("a")), region_(test)
+    {
+        first.worker.run_time = absl::Seconds(30);
+        REQUIRE(test.run_until([&] { return test.entry.usable_agents() == 1; }));
+        test.submit(job_id, 1, answer);
+        REQUIRE(test.run_until([&] { return first.worker.active() == 1; }));
+        // The first worker has no room for a second run.
+        worker_announcement full = first.announcement;
+        full.capacity.cpu_millicores = 6200;
+        ++full.sequence;
+        first.service.announce(full);
+        second = &test.add_agent("b");
+        REQUIRE(test.run_until([&] { return test.entry.usable_agents() == 2; }));
+    }
+
+    bool wait_for_second_run()
+    {
+        return region_.run_until([&] { return second->worker.starts == 1; }, absl::Seconds(4));
+    }
+
+    agent_fixture& first;
+    agent_fixture* second{nullptr};
+    std::optional<job_answer> answer;
+
+private:
+    region& region_;
+};
+
+} // namespace
+
+// Guards against limits that are each plausible and together too long: the longest life of a run
+// that nobody hears of has to fit into the times after which others start its task again.
+TEST_CASE("runs of silent processes are gone before their tasks start again")
+{
+    CHECK(longest_run_after_word_ms <= runs_gone_after_ms);
+    CHECK(longest_run_after_word_ms <= callers_resend_after_ms);
+}
+
+// Guards against an entry that takes an agent that has only connected again for one whose runs are
+// gone: its worker may leave stop orders unanswered.
+TEST_CASE("a task of an agent that connects again is placed only when its run is gone")
+{
+    asio::io_context ports;
+    const asio::ip::tcp::endpoint address = free_endpoint(ports);
+    region test(address);
+    relay link(test.context, address, test.endpoint);
+    running_task task(test);
+    task.first.worker.mute_stops = true;
+    link.reset_first();
+    REQUIRE(test.run_until([&] { return test.entry.usable_agents() == 2; }));
+    CHECK(task.wait_for_second_run());
+    CHECK(test.watch.most_at_once() == 1);
+    CHECK(task.first.worker.has_ended(run_end_kind::lapsed));
+}
+
+// Guards against jobs that wait for the whole time limit although the agent is there and says that
+// nothing of its lost connection is left.
+TEST_CASE("a task of an agent that connects again is placed as soon as its run is gone")
+{
+    asio::io_context ports;
+    const asio::ip::tcp::endpoint address = free_endpoint(ports);
+    region test(address);
+    relay link(test.context, address, test.endpoint);
+    running_task task(test);
+    const absl::Time lost_at = boot_now();
+    link.reset_first();
+    CHECK(test.run_until([&] { return task.first.worker.starts + task.second->worker.starts == 2; },
+                         absl::Seconds(4)));
+    CHECK(boot_now() - lost_at < absl::Milliseconds(600));
+    CHECK(test.watch.most_at_once() == 1);
+}
+
+// Guards against an agent that takes a refused connection for the end of its worker: a worker
+// behind a cut refuses connections while its runs go on.
+TEST_CASE("the runs of a worker that refuses connections are lost only with its lease")
+{
+    region test;
+    running_task task(test);
+    task.first.worker.refusing = true;
+    CHECK(task.wait_for_second_run());
+    CHECK(test.watch.most_at_once() == 1);
+    CHECK(task.first.worker.has_ended(run_end_kind::lapsed));
+}
+
+// Guards against renewals that keep a run alive whose entry is lost and whose worker leaves stop
+// orders unanswered: the caller sends its job to another entry meanwhile.
+TEST_CASE("a run that can't be stopped ends with its lease before callers send their job again")
+{
+    asio::io_context context{1};
+    asio::ip::tcp::acceptor silent(context, {asio::ip::make_address_v4("127.0.0.1"), 0});
+    const std::string address = absl::StrCat("127.0.0.1:", silent.local_endpoint().port());
+    agent_fixture agent(context, "a", "1", address);
+    agent.worker.run_time = absl::Seconds(30);
+    agent.worker.mute_stops = true;
+    asio::ip::tcp::socket socket(context);
+    silent.async_accept(socket, [](const boost::system::error_code&) {});
+    context.run_for(std::chrono::milliseconds(100));
+    REQUIRE(socket.is_open());
+    frame_channel channel(std::move(socket));
+    fleet::entry_frame frame;
+    const absl::Time last_word = boot_now();
+    frame.set_echo_us(absl::ToUnixMicros(last_word));
+    fleet::task_order* order = frame.add_orders();
+    order->set_job_id(job_id);
+    order->set_cpu_millicores(6200);
+    order->set_expected_run_ms(100000);
+    order->set_start_by_ms(1000);
+    order->set_late_start_by_ms(1000);
+    order->set_give_up_ms(200000);
+    order->set_service("adviser");
+    channel.send(frame);
+    asio::co_spawn(
+        context, [&]() -> asio::awaitable<void> { co_await channel.write_all(); }, asio::detached);
+    REQUIRE(run_until(
+        context, [&] { return agent.worker.active() == 1; }, absl::Milliseconds(300)));
+    CHECK(run_until(
+        context, [&] { return agent.worker.active() == 0; }, absl::Seconds(4)));
+    CHECK(boot_now() - last_word <= callers_resend_after);
+    CHECK(agent.worker.has_ended(run_end_kind::lapsed));
+}
+
+// Guards against a restarted agent that extends the lease of runs that its predecessor has left and
+// that it can't stop: entries place their tasks elsewhere.
+TEST_CASE("a restarted agent does not extend the lease of runs that it has not ordered")
+{
+    asio::io_context context{1};
+    memory_worker worker(context);
+    worker.run_time = absl::Seconds(30);
+    worker.mute_stops = true;
+    start_order left_over;
+    left_over.task = {job_id, 0, 1};
+    left_over.lease_end = absl::ToUnixMillis(boot_now() + absl::Milliseconds(400));
+    asio::co_spawn(
+        context, [&]() -> asio::awaitable<void> { co_await worker.start(left_over); },
+        asio::detached);
+    agent_process agent(context, "a", "2", worker, announcement_of("a"), "127.0.0.1:9");
+    context.run_for(std::chrono::milliseconds(200));
+    CHECK(worker.active() == 1);
+    CHECK(worker.stops >= 1);
+    context.run_for(std::chrono::milliseconds(300));
+    CHECK(worker.active() == 0);
+}
