Jobs: Release the tasks of a lost agent only when it says that their runs are gone

The record's first run lapsed and was stopped by nobody; the second began 570 ms after the last renewal of its lease.

Cause: an entry took an agent's first status with accepting=true on a new connection as proof that the agent was a new process which had found nothing on its worker. An agent that had only connected again said the same while the runs of the lost connection went on; with a worker that accepted no calls they went on until their lease ended.

Change: an agent says in each status whether a run of an earlier connection or process is left on its worker, and only that releases lost tasks before their time limit.

--- a/src/libs/carobfall/jobs/agent_service.cpp
+++ b/src/libs/carobfall/jobs/agent_service.cpp
@@ -398,7 +398,9 @@
     while (const auto next = ledger_.begin_stop()) {
         spawn(executor_, stop_task(*next));
     }
-    status_changed_ = status_changed_ || ledger_.has_events();
+    const bool past_runs_changed =
+        std::exchange(past_runs_reported_gone_, past_runs_gone()) != past_runs_gone();
+    status_changed_ = status_changed_ || past_runs_changed || ledger_.has_events();
     if (std::exchange(advance_posted_, true)) {
         return;
     }
@@ -436,6 +438,7 @@
         link.set_description_sent(description_number_);
     }
     status.set_accepting(accepts_orders());
+    status.set_past_runs_gone(past_runs_gone());
     status.set_orders_received(link.orders_received());
     describe_load(ledger_, now, status);
 }
--- a/src/libs/carobfall/jobs/agent_service.h
+++ b/src/libs/carobfall/jobs/agent_service.h
@@ -89,6 +89,7 @@
     /// The worker and its runs are gone, as the log line `event` says.
     void remove_worker(std::string_view id, std::string_view event, absl::Time now);
     [[nodiscard]] bool accepts_orders() const;
+    [[nodiscard]] bool past_runs_gone() const { return settled_ && !ledger_.has_past_runs(); }
     [[nodiscard]] entry_link::hooks link_hooks();
     /// Whether the entry has to be told what operators have decided.
     [[nodiscard]] bool has_news_for(const entry_link& link) const;
@@ -116,6 +117,7 @@
     std::uint64_t description_number_{0};
     absl::Time status_sent_{absl::InfinitePast()};
     bool status_changed_{false};
+    bool past_runs_reported_gone_{false};
 };
 
 } // namespace carobfall
--- a/src/libs/carobfall/jobs/entry_service.cpp
+++ b/src/libs/carobfall/jobs/entry_service.cpp
@@ -135,6 +135,11 @@
                        .add("agent", peer.agent)
                        .add("incarnation", peer.incarnation),
                    boot_now());
+    }
+    // Neither a new connection nor the wish for orders shows that earlier runs have ended: their
+    // worker may leave stop orders unanswered.
+    if (!peer.past_runs_gone && status.past_runs_gone()) {
+        peer.past_runs_gone = true;
         hooks_.on_settled(peer.agent);
     }
 }
--- a/src/libs/carobfall/jobs/entry_service.h
+++ b/src/libs/carobfall/jobs/entry_service.h
@@ -30,7 +30,7 @@
         std::function<void(const std::string& agent, const fleet::task_event&)> on_event;
         /// Runs at the agent are gone `runs_gone_after` after `last_heard`.
         std::function<void(const std::string& agent, absl::Time last_heard)> on_lost;
-        /// A later incarnation of the agent takes orders: no earlier run is left.
+        /// The agent is connected again, and no run that was ordered before is left.
         std::function<void(const std::string& agent)> on_settled;
     };
 
@@ -62,6 +62,7 @@
         std::string agent; ///< empty until it has described itself
         std::string incarnation;
         bool accepting{false};
+        bool past_runs_gone{false}; ///< has been said on this connection
         std::int64_t echo_us{0};
         absl::Time last_heard;
         absl::Time last_sent{absl::InfinitePast()};
--- a/src/libs/carobfall/jobs/worker_ledger.cpp
+++ b/src/libs/carobfall/jobs/worker_ledger.cpp
@@ -170,6 +170,7 @@
         if (current->second.phase == task_phase::waiting) {
             records_.erase(current);
         } else {
+            current->second.entry_lost = true;
             begin_stopping(current->second, "entry_lost");
         }
     }
@@ -488,6 +489,13 @@
     return sum / std::max(slowness(now), min_slowness);
 }
 
+bool worker_ledger::has_past_runs() const
+{
+    return std::any_of(records_.begin(), records_.end(), [](const auto& entry) {
+        return entry.second.session == 0 || entry.second.entry_lost;
+    });
+}
+
 std::size_t worker_ledger::waiting() const
 {
     return static_cast<std::size_t>(
--- a/src/libs/carobfall/jobs/worker_ledger.h
+++ b/src/libs/carobfall/jobs/worker_ledger.h
@@ -48,6 +48,7 @@
     /// Time of the worker's latest answer to an order; a report asked for later shows its effect.
     absl::Time answered_at{absl::InfiniteFuture()};
     bool stop_under_way{false};
+    bool entry_lost{false}; ///< the connection that ordered it has ended
     std::string stop_reason;
     /// Of a run that is done, if it was seen to end, or of one that is stopped because it would end
     /// too late; otherwise zero.
@@ -108,6 +109,8 @@
     [[nodiscard]] std::size_t waiting() const;
     /// Runs that are on the worker or may be.
     [[nodiscard]] std::size_t on_worker() const { return records_.size() - waiting(); }
+    /// Whether one of them was ordered on a connection that has ended, or by an earlier agent.
+    [[nodiscard]] bool has_past_runs() const;
     [[nodiscard]] double slowness(absl::Time now) const { return speed_.slowness(now); }
     [[nodiscard]] double failure_share(absl::Time now) const { return failures_.share(now); }
     [[nodiscard]] std::vector<session_event> take_events() { return std::exchange(events_, {}); }
