Jobs: Keep the runs of a worker that refuses connections until its lease has ended

Cause: a refused connection was taken as proof that the worker's process had ended. A worker behind a cut that refuses connections runs on until its lease ends.

Evidence: 'the runs of a worker that refuses connections are lost only with its lease' failed before (two runs at once) and passes now.

Change: a refused renewal only makes the agent suspect its worker: waiting tasks go back, runs are kept until the worker answers, its next incarnation announces itself, or its lease has ended on our clock.

--- a/src/libs/carobfall/jobs/agent_service.cpp
+++ b/src/libs/carobfall/jobs/agent_service.cpp
@@ -258,7 +258,7 @@
         return true;
     }
     if (reply.outcome == renewal_outcome::gone) {
-        lapse("worker_gone", now);
+        suspect_worker("worker_gone", now);
     }
     check_lapse(now);
     return false;
@@ -266,25 +266,26 @@
 
 void agent_service::check_lapse(absl::Time now)
 {
-    if (lease_.has_lapsed(now)) {
-        lapse("lease_lapsed", now);
+    if (!lease_.has_lapsed(now)) {
+        return;
     }
+    suspect_worker("lease_lapsed", now);
+    lease_.end();
+    ledger_.on_lapse("lease_lapsed");
+    advance(now);
 }
 
-void agent_service::lapse(const std::string& reason, absl::Time now)
+void agent_service::suspect_worker(std::string_view reason, absl::Time now)
 {
-    if (!worker_reachable_) {
+    if (!std::exchange(worker_reachable_, false)) {
         return;
     }
-    worker_reachable_ = false;
     status_changed_ = true;
-    lease_.drop_token();
     log_.write(log_fields("worker_unreachable")
                    .add("reason", reason)
                    .add("heard_ms_ago", absl::ToInt64Milliseconds(now - lease_.heard_at()))
                    .add("runs", ledger_.on_worker()),
                now);
-    ledger_.on_lapse(reason);
     ledger_.hand_back("worker_unreachable");
     advance(now);
 }
--- a/src/libs/carobfall/jobs/agent_service.h
+++ b/src/libs/carobfall/jobs/agent_service.h
@@ -83,8 +83,9 @@
     void update_description();
     /// Entries without events hear of changed room this often.
     [[nodiscard]] absl::Duration status_interval() const;
-    /// Nothing of the worker's runs is left.
-    void lapse(const std::string& reason, absl::Time now);
+    /// The worker gets nothing new until it answers again. Its runs may go on.
+    void suspect_worker(std::string_view reason, absl::Time now);
+    /// Nothing of the worker's runs is left once its lease has ended.
     void check_lapse(absl::Time now);
     /// The worker and its runs are gone, as the log line `event` says.
     void remove_worker(std::string_view id, std::string_view event, absl::Time now);
--- a/src/libs/carobfall/jobs/worker_lease.cpp
+++ b/src/libs/carobfall/jobs/worker_lease.cpp
@@ -35,6 +35,12 @@
     return lease_end(now);
 }
 
+void worker_lease::end()
+{
+    lease_until_ = absl::InfinitePast();
+    drop_token();
+}
+
 bool worker_lease::hears_worker(absl::Time now) const
 {
     return now - heard_at_ < worker_silence_limit;
--- a/src/libs/carobfall/jobs/worker_lease.h
+++ b/src/libs/carobfall/jobs/worker_lease.h
@@ -27,6 +27,8 @@
     void note_clock(const std::optional<worker_time>& clock, absl::Time now);
     /// Orders of the present token must not count any more.
     void drop_token() { fencing_token_.reset(); }
+    /// Every lease that was asked for has ended.
+    void end();
 
     [[nodiscard]] const std::optional<std::int64_t>& fencing_token() const
     {
--- a/src/libs/carobfall/jobs/worker_orders.h
+++ b/src/libs/carobfall/jobs/worker_orders.h
@@ -99,7 +99,7 @@
     fenced,
     other_incarnation,
     refused,
-    gone,        ///< nothing listens: the worker has ended and its runs with it
+    gone,        ///< nothing listens: the worker has ended, or is behind a cut and runs on
     unreachable, ///< not sent
     no_answer,   ///< may have extended the lease
 };
