Jobs: Extend a lease only while nothing on the worker has to stop

Cause: a lease is extended for everything on a worker, also for runs of a lost entry, for runs whose stop is unanswered, and for what a restarted agent finds. A start that was decided before its process stood still counted its lease from the moment it went on. Each limit was sound alone; together they allowed a run 1,329 ms, plus the time in which stops stay unanswered.

Change: renewals and starts extend the lease only once the agent has seen that it knows all runs, while the worker is heard, and while no run has had to stop for longer than 100 ms; permissions are looked at before each renewal, and a stop counts from their end. Lease 650 ms in place of 800 ms, so that the longest run is 1,276 ms; entries place lost tasks again after 1,300 ms in place of 1,700 ms. static_asserts hold both. The lease of a start counts from its decision. lease_withheld and lease_extended log why.

Calls that change: request_stop and drop_session take the time.

--- a/src/libs/carobfall/jobs/agent_service.cpp
+++ b/src/libs/carobfall/jobs/agent_service.cpp
@@ -178,7 +178,7 @@
         learn_entries({frame.entries().begin(), frame.entries().end()});
     }
     for (const fleet::task_stop& stop : frame.stops()) {
-        ledger_.request_stop(link.session(), stop);
+        ledger_.request_stop(link.session(), stop, now);
     }
     for (const fleet::task_order& order : frame.orders()) {
         ledger_.add(link.session(), order, now);
@@ -194,7 +194,7 @@
 {
     const absl::Time now = boot_now();
     log_.write(log_fields("entry_lost").add("session", session), now);
-    ledger_.drop_session(session);
+    ledger_.drop_session(session, now);
     advance(now);
 }
 
@@ -218,10 +218,13 @@
 
 asio::awaitable<void> agent_service::renew_lease(worker_announcement asked)
 {
+    const bool has_token = co_await lease_.ensure_token(ledger_.acknowledged_end());
     const absl::Time asked_at = boot_now();
-    const renewal_reply reply =
-        co_await lease_.renew(ledger_.acknowledged_end(), ledger_.on_worker() > 0,
-                              settled_ ? renewal_wait : absl::ZeroDuration());
+    renewal_reply reply;
+    if (has_token) {
+        reply = co_await lease_.renew(ledger_.acknowledged_end(), extends_lease(asked_at),
+                                      settled_ ? renewal_wait : absl::ZeroDuration(), asked_at);
+    }
     if (!take_renewal(reply, asked, asked_at, boot_now())) {
         asio::steady_timer pause(executor_, timer_duration(renewal_retry_pause));
         co_await pause.async_wait(asio::use_awaitable);
@@ -264,6 +267,33 @@
     return false;
 }
 
+std::string_view agent_service::lease_obstacle(absl::Time now) const
+{
+    if (!settled_) {
+        return "runs_unknown"; // those of an earlier agent, whose entries count on their end
+    }
+    if (!lease_.hears_worker(now)) {
+        return "worker_silent";
+    }
+    return ledger_.overdue_stop(now) != nullptr ? "stop_overdue" : "";
+}
+
+bool agent_service::extends_lease(absl::Time now)
+{
+    // The process may have stood still since the last look at the entries.
+    drop_silent_entries(now);
+    const std::string_view obstacle = lease_obstacle(now);
+    if (std::exchange(lease_obstacle_, obstacle) != obstacle && ledger_.on_worker() > 0) {
+        log_.write(log_fields(obstacle.empty() ? "lease_extended" : "lease_withheld")
+                       .add("reason", obstacle)
+                       .add("heard_ms_ago", absl::ToInt64Milliseconds(now - lease_.heard_at()))
+                       .add("runs", ledger_.on_worker()),
+                   now);
+        metrics_.add("lease_changes_total");
+    }
+    return obstacle.empty();
+}
+
 void agent_service::check_lapse(absl::Time now)
 {
     if (!lease_.has_lapsed(now)) {
@@ -302,7 +332,7 @@
     start_order order;
     order.task = run_of(*record);
     order.spec = record->order.spec();
-    order.lease_end = lease_.extend_with_order(boot_now());
+    order.lease_end = lease_.extend_with_order(ordered_at);
     order.fencing_token = *lease_.fencing_token();
     const start_reply reply = co_await orders_.start(order);
     const absl::Time now = boot_now();
@@ -367,13 +397,7 @@
         timer.expires_after(timer_duration(watch_interval));
         co_await timer.async_wait(asio::use_awaitable);
         const absl::Time now = boot_now();
-        links_.for_each_open([&](entry_link& link) {
-            if (!link.permits_starts(now)) {
-                log_.write(log_fields("entry_silent").add("address", link.address()), now);
-                link.close();
-                ledger_.drop_session(link.session());
-            }
-        });
+        drop_silent_entries(now);
         ledger_.expire(now);
         check_lapse(now);
         advance(now);
@@ -381,13 +405,24 @@
     }
 }
 
+void agent_service::drop_silent_entries(absl::Time now)
+{
+    links_.for_each_open([&](entry_link& link) {
+        if (!link.permits_starts(now)) {
+            log_.write(log_fields("entry_silent").add("address", link.address()), now);
+            link.close();
+            ledger_.drop_session(link.session(), link.permitted_until());
+        }
+    });
+}
+
 void agent_service::advance(absl::Time now)
 {
     const auto may_run = [this, now](session_number session) {
         const entry_link* link = links_.find(session);
         return link != nullptr && link->permits_starts(now);
     };
-    const bool in_service = settled_ && worker_reachable_ && lease_.hears_worker(now) &&
+    const bool in_service = worker_reachable_ && lease_obstacle(now).empty() &&
                             !operators_.is_out(identity_.data_centre);
     while (in_service) {
         const auto next = ledger_.begin_next(now, may_run);
--- a/src/libs/carobfall/jobs/agent_service.h
+++ b/src/libs/carobfall/jobs/agent_service.h
@@ -83,6 +83,13 @@
     void update_description();
     /// Entries without events hear of changed room this often.
     [[nodiscard]] absl::Duration status_interval() const;
+    /// Ends links to entries that no longer permit runs.
+    void drop_silent_entries(absl::Time now);
+    /// Why the lease must not be extended; empty if it may be. Whatever extends it keeps all runs
+    /// of the worker alive, also those that others count on to end.
+    [[nodiscard]] std::string_view lease_obstacle(absl::Time now) const;
+    /// Whether a renewal that is sent now extends the lease.
+    [[nodiscard]] bool extends_lease(absl::Time now);
     /// The worker gets nothing new until it answers again. Its runs may go on.
     void suspect_worker(std::string_view reason, absl::Time now);
     /// Nothing of the worker's runs is left once its lease has ended.
@@ -119,6 +126,7 @@
     absl::Time status_sent_{absl::InfinitePast()};
     bool status_changed_{false};
     bool past_runs_reported_gone_{false};
+    std::string_view lease_obstacle_; ///< of the latest renewal
 };
 
 } // namespace carobfall
--- a/src/libs/carobfall/jobs/entry_link.h
+++ b/src/libs/carobfall/jobs/entry_link.h
@@ -42,6 +42,7 @@
     {
         return is_open() && now < permitted_until_;
     }
+    [[nodiscard]] absl::Time permitted_until() const { return permitted_until_; }
     [[nodiscard]] bool is_open() const { return session_ != 0; }
     /// Whether the entry has sent a frame on this connection.
     [[nodiscard]] bool is_heard() const { return is_open() && heard_; }
--- a/src/libs/carobfall/jobs/run_bounds.h
+++ b/src/libs/carobfall/jobs/run_bounds.h
@@ -7,19 +7,29 @@
 namespace carobfall {
 
 /// Times after which a run is gone when its entry, its agent or its worker is silent.
+///
+/// An agent extends the lease of its worker only while every entry with runs there has been heard
+/// within the permission, and while no run has had to stop for longer than the grace. So each run
+/// ends within `longest_run_after_word_ms` of the last word that its entry has heard of the agent,
+/// whatever stands still or can't be reached meanwhile: the ends of leases are times on the
+/// worker's clock, worked out from the time of the decision.
 
 inline constexpr std::int64_t entry_permission_ms = 500;
-inline constexpr std::int64_t lease_time_ms = 800;
+inline constexpr std::int64_t stop_grace_ms = 100;
+inline constexpr std::int64_t lease_time_ms = 650;
 inline constexpr std::int64_t worker_silence_limit_ms = 450;
-inline constexpr std::int64_t runs_gone_after_ms = 1700;
+inline constexpr std::int64_t runs_gone_after_ms = 1300;
 /// Callers send a job again this long after they have lost their entry or were told that the
 /// outcome is unknown.
 inline constexpr std::int64_t callers_resend_after_ms = 1300;
 
 /// Longest time without a frame from an entry for which the agent goes on with its tasks.
 inline constexpr absl::Duration entry_permission = absl::Milliseconds(entry_permission_ms);
-/// Lease that an order or a renewal asks for. Shorter than the worker's longest one, so that the
-/// runs of a lost agent are gone before callers of its entries send their jobs again.
+/// A stop takes 50 ms at the worker and one round trip. After this time its answer counts as lost,
+/// and the end of the lease has to end the run.
+inline constexpr absl::Duration stop_grace = absl::Milliseconds(stop_grace_ms);
+/// Lease that an order or a renewal asks for. It outlasts `worker_silence_limit`, so that two lost
+/// renewals in a row end no run.
 inline constexpr absl::Duration lease_time = absl::Milliseconds(lease_time_ms);
 /// A worker without an answer for this long has lost two renewals in a row; its lease is not
 /// extended any more.
@@ -40,6 +50,10 @@
     longest_on_worker_ms(worker_silence_limit_ms) - worker_silence_limit_ms + 2;
 /// From the last word that an entry has heard of an agent to the end of the last run there.
 inline constexpr std::int64_t longest_run_after_word_ms =
-    entry_permission_ms + longest_on_worker_ms(lease_time_ms) + clock_error_ms;
+    entry_permission_ms + stop_grace_ms + longest_on_worker_ms(lease_time_ms) + clock_error_ms;
+
+static_assert(longest_run_after_word_ms <= runs_gone_after_ms);
+static_assert(longest_run_after_word_ms <= callers_resend_after_ms);
+static_assert(worker_silence_limit_ms < lease_time_ms);
 
 } // namespace carobfall
--- a/src/libs/carobfall/jobs/worker_lease.h
+++ b/src/libs/carobfall/jobs/worker_lease.h
@@ -16,13 +16,15 @@
 public:
     worker_lease(worker_orders& orders, event_log& log) : orders_(orders), log_(log) {}
 
-    /// Renews the lease and returns the worker's report. Takes a new token first if there is none.
-    /// The lease of a worker that is silent is not extended while it `has_runs`, so that it ends
-    /// and the tasks can run elsewhere. `wait`: the answer may wait this long for the end of a run.
-    boost::asio::awaitable<renewal_reply> renew(std::uint64_t acknowledged_end, bool has_runs,
-                                                absl::Duration wait);
-    /// Lease end for an order that is sent at `now`; the order extends the lease.
-    [[nodiscard]] worker_time extend_with_order(absl::Time now);
+    /// Takes a token unless there is one. False if the worker did not answer.
+    boost::asio::awaitable<bool> ensure_token(std::uint64_t acknowledged_end);
+    /// Asks for the worker's report and, with `extend`, for a longer lease. `wait`: the answer may
+    /// wait this long for the end of a run.
+    boost::asio::awaitable<renewal_reply> renew(std::uint64_t acknowledged_end, bool extend,
+                                                absl::Duration wait, absl::Time now);
+    /// Lease end for an order, which extends the lease. Counts from the decision, so that an order
+    /// of a process that stood still after it is refused by the worker as late.
+    [[nodiscard]] worker_time extend_with_order(absl::Time decided_at);
     /// Takes the worker's clock from an answer that arrived at `now`.
     void note_clock(const std::optional<worker_time>& clock, absl::Time now);
     /// Orders of the present token must not count any more.
@@ -40,7 +42,6 @@
     [[nodiscard]] bool has_lapsed(absl::Time now) const;
 
 private:
-    boost::asio::awaitable<void> acquire_token(std::uint64_t acknowledged_end);
     [[nodiscard]] worker_time lease_end(absl::Time now) const;
 
     worker_orders& orders_;
--- a/src/libs/carobfall/jobs/worker_ledger.cpp
+++ b/src/libs/carobfall/jobs/worker_ledger.cpp
@@ -2,6 +2,7 @@
 
 #include "carobfall/base/strings.h"
 #include "carobfall/jobs/job_timing.h"
+#include "carobfall/jobs/run_bounds.h"
 #include "carobfall/jobs/run_progress.h"
 
 #include <absl/strings/str_cat.h>
@@ -130,8 +131,9 @@
                          queue_rank(record.order.priority(), record.start_by - now));
 }
 
-void worker_ledger::begin_stopping(task_record& record, std::string_view reason)
+void worker_ledger::begin_stopping(task_record& record, std::string_view reason, absl::Time since)
 {
+    record.stop_since = std::min(record.stop_since, since);
     if (record.phase == task_phase::stopping) {
         return;
     }
@@ -143,7 +145,8 @@
     }
 }
 
-void worker_ledger::request_stop(session_number session, const fleet::task_stop& stop)
+void worker_ledger::request_stop(session_number session, const fleet::task_stop& stop,
+                                 absl::Time now)
 {
     for (auto record = records_.begin(); record != records_.end(); ++record) {
         const fleet::task_order& order = record->second.order;
@@ -154,13 +157,13 @@
         if (record->second.phase == task_phase::waiting) {
             finish(record, fleet::task_not_run, "withdrawn", absl::InfinitePast());
         } else {
-            begin_stopping(record->second, "stop_requested");
+            begin_stopping(record->second, "stop_requested", now);
         }
         return;
     }
 }
 
-void worker_ledger::drop_session(session_number session)
+void worker_ledger::drop_session(session_number session, absl::Time since)
 {
     for (auto record = records_.begin(); record != records_.end();) {
         const auto current = record++;
@@ -171,7 +174,7 @@
             records_.erase(current);
         } else {
             current->second.entry_lost = true;
-            begin_stopping(current->second, "entry_lost");
+            begin_stopping(current->second, "entry_lost", since);
         }
     }
 }
@@ -285,7 +288,7 @@
         record.phase = task_phase::running;
         record.answered_at = now;
         if (!record.stop_reason.empty()) {
-            begin_stopping(record, std::string(record.stop_reason));
+            begin_stopping(record, std::string(record.stop_reason), now);
         }
         return;
     case start_outcome::no_answer:
@@ -294,6 +297,7 @@
         if (record.stop_reason.empty()) {
             record.stop_reason = "order_unanswered";
         }
+        record.stop_since = std::min(record.stop_since, now);
         return;
     case start_outcome::no_room:
     case start_outcome::superseded:
@@ -368,7 +372,7 @@
     finish(found, event_kind_of(end.kind), name_of(end.kind), now);
 }
 
-void worker_ledger::stop_unknown_runs(const worker_report& report)
+void worker_ledger::stop_unknown_runs(const worker_report& report, absl::Time now)
 {
     for (const active_run& active : report.active) {
         if (find_run(active.task) != records_.end()) {
@@ -380,6 +384,7 @@
         record.run = active.task.run;
         record.phase = task_phase::stopping;
         record.stop_reason = "unknown_run";
+        record.stop_since = now;
         records_.emplace(++last_number_, std::move(record));
     }
 }
@@ -398,7 +403,7 @@
         if (ends_too_late(progress, now)) {
             record.known_run = *predicted_run(progress, now);
             speed_.record(record.known_run, expected, now);
-            begin_stopping(record, "too_late");
+            begin_stopping(record, "too_late", now);
         }
     }
 }
@@ -413,7 +418,7 @@
             acknowledged_end_ = end.number;
         }
     }
-    stop_unknown_runs(report);
+    stop_unknown_runs(report, now);
     check_progress(report, now);
     if (report.ends_cut) {
         return;
@@ -496,6 +501,15 @@
     });
 }
 
+const task_record* worker_ledger::overdue_stop(absl::Time now) const
+{
+    const auto overdue = std::find_if(records_.begin(), records_.end(), [now](const auto& entry) {
+        return entry.second.phase != task_phase::waiting &&
+               now - entry.second.stop_since > stop_grace;
+    });
+    return overdue == records_.end() ? nullptr : &overdue->second;
+}
+
 std::size_t worker_ledger::waiting() const
 {
     return static_cast<std::size_t>(
--- a/src/libs/carobfall/jobs/worker_ledger.h
+++ b/src/libs/carobfall/jobs/worker_ledger.h
@@ -50,6 +50,7 @@
     bool stop_under_way{false};
     bool entry_lost{false}; ///< the connection that ordered it has ended
     std::string stop_reason;
+    absl::Time stop_since{absl::InfiniteFuture()}; ///< with a stop reason
     /// Of a run that is done, if it was seen to end, or of one that is stopped because it would end
     /// too late; otherwise zero.
     absl::Duration known_run;
@@ -76,9 +77,9 @@
     void remove_worker(std::string_view id);
 
     void add(session_number session, const fleet::task_order& order, absl::Time now);
-    void request_stop(session_number session, const fleet::task_stop& stop);
-    /// The entry is gone or silent: nothing of it may go on.
-    void drop_session(session_number session);
+    void request_stop(session_number session, const fleet::task_stop& stop, absl::Time now);
+    /// The entry is gone or silent `since` then: nothing of it may go on.
+    void drop_session(session_number session, absl::Time since);
     /// Returns all waiting tasks to their entries.
     void hand_back(std::string_view reason);
     /// Returns waiting tasks whose caller no longer waits.
@@ -111,6 +112,8 @@
     [[nodiscard]] std::size_t on_worker() const { return records_.size() - waiting(); }
     /// Whether one of them was ordered on a connection that has ended, or by an earlier agent.
     [[nodiscard]] bool has_past_runs() const;
+    /// A run that has had to stop for longer than a stop takes; nothing if there is none.
+    [[nodiscard]] const task_record* overdue_stop(absl::Time now) const;
     [[nodiscard]] double slowness(absl::Time now) const { return speed_.slowness(now); }
     [[nodiscard]] double failure_share(absl::Time now) const { return failures_.share(now); }
     [[nodiscard]] std::vector<session_event> take_events() { return std::exchange(events_, {}); }
@@ -126,11 +129,11 @@
     record_map::iterator find_run(const task_run& run);
     void finish(record_map::iterator record, fleet::task_event_kind kind, std::string_view reason,
                 absl::Time now);
-    void begin_stopping(task_record& record, std::string_view reason);
+    void begin_stopping(task_record& record, std::string_view reason, absl::Time since);
     /// `exact`: the run has ended just now.
     void apply_end(const run_end& end, bool exact, absl::Time now);
     void check_progress(const worker_report& report, absl::Time now);
-    void stop_unknown_runs(const worker_report& report);
+    void stop_unknown_runs(const worker_report& report, absl::Time now);
     [[nodiscard]] bool has_run_elsewhere(record_number number, const task_record& record) const;
     [[nodiscard]] std::uint32_t next_run(const task_record& record) const;
 
--- a/tests/auto/jobs/load_replay.cpp
+++ b/tests/auto/jobs/load_replay.cpp
@@ -339,7 +339,7 @@
             stop.set_attempt(job.attempts[index]);
             const std::size_t agent = job.agents[index];
             at(now_ + one_way, [this, agent, stop, session = job.entry + 1] {
-                agents_[agent].ledger.request_stop(session, stop);
+                agents_[agent].ledger.request_stop(session, stop, now_);
                 advance(agent);
             });
         }
--- a/tests/auto/jobs/tst_worker_ledger.cpp
+++ b/tests/auto/jobs/tst_worker_ledger.cpp
@@ -1,3 +1,4 @@
+#include "carobfall/jobs/run_bounds.h"
 #include "carobfall/jobs/worker_ledger.h"
 
 #include <doctest/doctest.h>
@@ -198,7 +199,7 @@
 {
     started_ledger test;
     test.ledger.add(1, order(1), now);
-    test.ledger.drop_session(1);
+    test.ledger.drop_session(1, after(3));
     CHECK(test.ledger.waiting() == 0);
     CHECK(test.ledger.begin_stop() == test.number);
 }
@@ -207,7 +208,7 @@
 TEST_CASE("a task waits while an earlier run of it is left")
 {
     started_ledger test;
-    test.ledger.drop_session(1);
+    test.ledger.drop_session(1, after(3));
     test.ledger.add(2, order(0), after(3));
     CHECK(test.ledger.begin_next(after(3), permitted) == std::nullopt);
     test.ledger.begin_stop();
@@ -318,6 +319,23 @@
     CHECK(events[0].event.run_ms() == 2000);
 }
 
+// Guards against renewals that keep a run alive after its stop has stayed unanswered.
+TEST_CASE("a run is overdue when it has had to stop for longer than a stop takes")
+{
+    started_ledger test;
+    const absl::Time since = after(10);
+    test.ledger.drop_session(1, since);
+    CHECK(test.ledger.overdue_stop(since + stop_grace) == nullptr);
+    const task_record* overdue =
+        test.ledger.overdue_stop(since + stop_grace + absl::Milliseconds(1));
+    REQUIRE(overdue != nullptr);
+    CHECK(run_of(*overdue).job_id == job_id);
+    test.ledger.begin_stop();
+    test.ledger.on_stop_reply(test.number, true, after(200));
+    test.ledger.on_report({}, after(201), after(203));
+    CHECK(test.ledger.overdue_stop(after(500)) == nullptr);
+}
+
 TEST_CASE("a stop request for a waiting task says that it has not run")
 {
     worker_ledger ledger;
@@ -327,9 +345,9 @@
     stop.set_job_id(job_id);
     stop.set_index(0);
     stop.set_attempt(1);
-    ledger.request_stop(2, stop);
+    ledger.request_stop(2, stop, now);
     CHECK_FALSE(ledger.has_events());
-    ledger.request_stop(1, stop);
+    ledger.request_stop(1, stop, now);
     CHECK(ledger.take_events()[0].event.kind() == fleet::task_not_run);
 }
 
@@ -343,7 +361,7 @@
     fleet::task_stop stop;
     stop.set_job_id(job_id);
     stop.set_attempt(1);
-    ledger.request_stop(1, stop);
+    ledger.request_stop(1, stop, now);
     CHECK(ledger.begin_stop() == std::nullopt);
     ledger.on_start_reply(*number, {start_outcome::started, std::nullopt}, after(3));
     CHECK(ledger.begin_stop() == number);
--- a/tests/auto/jobs/tst_worker_ledger_random.cpp
+++ b/tests/auto/jobs/tst_worker_ledger_random.cpp
@@ -124,7 +124,7 @@
             }
             break;
         case 6:
-            ledger.drop_session(session);
+            ledger.drop_session(session, now);
             open.clear();
             ++session;
             break;
