Platform: Take an answer that can't be read for no proof that runs have ended

Cause: the answer to a renewal with status 200 and a body that can't be read was decoded as a report without runs, and rows that can't be read were left out. Every run that is not listed counts as gone, so its task was placed again while it went on. The same answer settled a restarted agent.

Evidence: reading only; the old code has no field that a test could look at. The new cases 'a report is complete only if all of it could be read' and 'a run is not gone because an incomplete report leaves it out' hold it. Change: worker_report::complete replaces ends_cut; the ledger and the agent draw conclusions from what a report leaves out only if it is complete. report_incomplete is logged.

--- a/src/libs/carobfall/jobs/agent_service.cpp
+++ b/src/libs/carobfall/jobs/agent_service.cpp
@@ -248,8 +248,15 @@
         if (reports_.take_over(asked_at)) {
             ledger_.on_report(reply.report, asked_at, now);
         }
+        if (!reply.report.complete) {
+            log_.write(log_fields("report_incomplete")
+                           .add("worker", asked.id)
+                           .add("runs", reply.report.active.size())
+                           .add("ends", reply.report.ends.size()),
+                       now);
+        }
         status_changed_ = status_changed_ || !settled_ || !worker_reachable_;
-        settled_ = settled_ || ledger_.on_worker() == 0;
+        settled_ = settled_ || (reply.report.complete && ledger_.on_worker() == 0);
         if (!std::exchange(worker_reachable_, true)) {
             log_.write(log_fields("worker_reachable").add("worker", asked.id), now);
         }
--- a/src/libs/carobfall/jobs/worker_ledger.cpp
+++ b/src/libs/carobfall/jobs/worker_ledger.cpp
@@ -420,7 +420,7 @@
     }
     stop_unknown_runs(report, now);
     check_progress(report, now);
-    if (report.ends_cut) {
+    if (!report.complete) {
         return;
     }
     for (auto record = records_.begin(); record != records_.end();) {
--- a/src/libs/carobfall/jobs/worker_orders.h
+++ b/src/libs/carobfall/jobs/worker_orders.h
@@ -91,7 +91,9 @@
     std::int64_t started_unix_ms{0};
     std::vector<active_run> active;
     std::vector<run_end> ends; ///< those after the acknowledged one, in order
-    bool ends_cut{false};      ///< there are more ends than one answer holds
+    /// Whether each run and each end is in the lists: an answer holds a limited number of ends, and
+    /// may have rows that can't be read. If not, a run that isn't listed may still be there.
+    bool complete{true};
 };
 
 enum class renewal_outcome {
--- a/tests/auto/adapter/tst_worker_messages.cpp
+++ b/tests/auto/adapter/tst_worker_messages.cpp
@@ -80,7 +80,22 @@
     REQUIRE(report.ends.size() == 2);
     CHECK(report.ends[0].kind == run_end_kind::done);
     CHECK(report.ends[1].kind == run_end_kind::lapsed);
-    CHECK_FALSE(report.ends_cut);
+    CHECK_FALSE(report.complete);
+}
+
+// Guards against runs that count as gone because an answer that can't be read lists none.
+TEST_CASE("a report is complete only if all of it could be read")
+{
+    CHECK(decode_report(R"({"clock_ms":1,"active":[],"finished":[]})").complete);
+    CHECK(decode_report(R"({"clock_ms":1,"active":[["5c0e7a21d94b36f8.0.0.1",2,"",41]],
+                            "finished":[[5,"5c0e7a21d94b36f8.0.0.9",1,"done",""]]})")
+              .complete);
+    CHECK_FALSE(decode_report("").complete);
+    CHECK_FALSE(decode_report("<html>").complete);
+    CHECK_FALSE(decode_report("{}").complete);
+    CHECK_FALSE(decode_report(R"({"clock_ms":1,"active":[["x",1]],"finished":[]})").complete);
+    CHECK_FALSE(decode_report(R"({"clock_ms":1,"active":[],"finished":[[1,"x"]]})").complete);
+    CHECK_FALSE(decode_report(R"({"clock_ms":1,"active":[],"finished":7})").complete);
 }
 
 TEST_CASE("what is kept of a worker is read back")
--- a/tests/auto/jobs/tst_worker_ledger.cpp
+++ b/tests/auto/jobs/tst_worker_ledger.cpp
@@ -319,6 +319,18 @@
     CHECK(events[0].event.run_ms() == 2000);
 }
 
+// Guards against two runs at once after an answer of the worker that lists too little.
+TEST_CASE("a run is not gone because an incomplete report leaves it out")
+{
+    started_ledger test;
+    test.ledger.on_start_reply(test.number, {start_outcome::started, std::nullopt}, after(2));
+    worker_report report;
+    report.complete = false;
+    test.ledger.on_report(report, after(3), after(5));
+    CHECK(test.ledger.on_worker() == 1);
+    CHECK_FALSE(test.ledger.has_events());
+}
+
 // Guards against renewals that keep a run alive after its stop has stayed unanswered.
 TEST_CASE("a run is overdue when it has had to stop for longer than a stop takes")
 {
