--- a/src/libs/carobfall/jobs/agent_service.cpp
+++ b/src/libs/carobfall/jobs/agent_service.cpp
@@ -369,21 +369,27 @@
     const absl::Time asked_at = boot_now();
     if (record != nullptr && lease_.fencing_token()) {
         const task_run task = run_of(*record);
-        log_.write(log_fields("stop_ordered")
-                       .add("job", task.job_id)
-                       .add("task", task.index)
-                       .add("run", task.run)
-                       .add("reason", record->stop_reason),
-                   asked_at);
+        // A worker that closes each connection is asked every 10 ms: only the first try is logged.
+        const bool first = record->stop_tries == 1;
+        if (first) {
+            log_.write(log_fields("stop_ordered")
+                           .add("job", task.job_id)
+                           .add("task", task.index)
+                           .add("run", task.run)
+                           .add("reason", record->stop_reason),
+                       asked_at);
+        }
         answered = co_await orders_.stop(task, *lease_.fencing_token());
         if (!answered) {
+            metrics_.add("stops_unanswered_total");
+        }
+        if (!answered && first) {
             log_.write(log_fields("stop_unanswered")
                            .add("job", task.job_id)
                            .add("task", task.index)
                            .add("run", task.run)
                            .add("waited_ms", absl::ToInt64Milliseconds(boot_now() - asked_at)),
                        boot_now());
-            metrics_.add("stops_unanswered_total");
         }
     }
     if (!answered) {
--- a/src/libs/carobfall/jobs/worker_ledger.cpp
+++ b/src/libs/carobfall/jobs/worker_ledger.cpp
@@ -326,6 +326,7 @@
         if (record.phase == task_phase::stopping && !record.stop_under_way &&
             record.answered_at == absl::InfiniteFuture()) {
             record.stop_under_way = true;
+            ++record.stop_tries;
             return number;
         }
     }
--- a/src/libs/carobfall/jobs/worker_ledger.h
+++ b/src/libs/carobfall/jobs/worker_ledger.h
@@ -48,6 +48,7 @@
     /// Time of the worker's latest answer to an order; a report asked for later shows its effect.
     absl::Time answered_at{absl::InfiniteFuture()};
     bool stop_under_way{false};
+    std::uint32_t stop_tries{0};
     bool entry_lost{false}; ///< the connection that ordered it has ended
     std::string stop_reason;
     absl::Time stop_since{absl::InfiniteFuture()}; ///< with a stop reason
