Agent: Keep the runs of a leaving worker until they have ended

Cause: a deregistration was taken for the end of all runs of the worker. It comes before the worker ends, and names only an id, which a later incarnation may have again: a late one ended the runs of a sound worker in the ledger, while they went on until their lease ended.

Evidence: 'the runs of a worker that leaves are lost only with its lease' failed before (two runs at once) and passes now.

--- a/src/libs/carobfall/jobs/agent_service.cpp
+++ b/src/libs/carobfall/jobs/agent_service.cpp
@@ -83,6 +83,7 @@
         orders_.set_target(worker);
         lease_.drop_token();
         settled_ = false;
+        worker_leaving_ = false;
         worker_known_.notify();
     }
     const bool changed = restarted || before->state != worker.state;
@@ -110,12 +111,26 @@
 
 void agent_service::worker_left(std::string_view id)
 {
-    remove_worker(id, "worker_left", boot_now());
+    const absl::Time now = boot_now();
+    if (!ledger_.worker() || ledger_.worker()->id != id) {
+        return;
+    }
+    if (ledger_.on_worker() == 0) {
+        remove_worker(id, "worker_left", now);
+        return;
+    }
+    worker_leaving_ = true;
+    status_changed_ = true;
+    log_.write(log_fields("worker_leaving").add("worker", id).add("runs", ledger_.on_worker()),
+               now);
+    ledger_.hand_back("worker_left");
+    advance(now);
 }
 
 void agent_service::remove_worker(std::string_view id, std::string_view event, absl::Time now)
 {
     log_.write(log_fields(event).add("worker", id), now);
+    worker_leaving_ = false;
     ledger_.remove_worker(id);
     update_description();
     status_changed_ = true;
@@ -151,7 +166,8 @@
 bool agent_service::accepts_orders() const
 {
     return ledger_.worker() && ledger_.worker()->state == worker_state::ready && settled_ &&
-           worker_reachable_ && !draining_ && !operators_.is_out(identity_.data_centre);
+           worker_reachable_ && !worker_leaving_ && !draining_ &&
+           !operators_.is_out(identity_.data_centre);
 }
 
 // ------------------------------------------------------------------- entries
@@ -268,6 +284,10 @@
         return true;
     }
     if (reply.outcome == renewal_outcome::gone) {
+        if (worker_leaving_ && same_worker) {
+            remove_worker(asked.id, "worker_left", now);
+            return true;
+        }
         suspect_worker("worker_gone", now);
     }
     check_lapse(now);
@@ -279,6 +299,9 @@
     if (!settled_) {
         return "runs_unknown"; // those of an earlier agent, whose entries count on their end
     }
+    if (worker_leaving_) {
+        return "worker_leaving";
+    }
     if (!lease_.hears_worker(now)) {
         return "worker_silent";
     }
@@ -431,6 +454,10 @@
 
 void agent_service::advance(absl::Time now)
 {
+    if (worker_leaving_ && ledger_.worker() && ledger_.on_worker() == 0) {
+        remove_worker(std::string(ledger_.worker()->id), "worker_left", now);
+        return;
+    }
     const auto may_run = [this, now](session_number session) {
         const entry_link* link = links_.find(session);
         return link != nullptr && link->permits_starts(now);
--- a/src/libs/carobfall/jobs/agent_service.h
+++ b/src/libs/carobfall/jobs/agent_service.h
@@ -50,6 +50,7 @@
     /// What an earlier agent knew of the worker. Counts until a heartbeat comes, and only if the
     /// worker is still the same one.
     void recall(const worker_announcement& worker);
+    /// The worker says that it ends. Its runs may go on until it has.
     void worker_left(std::string_view id);
     /// Connects to entries that were not known; the others are still in use. Ends links to entries
     /// that nobody has named for long.
@@ -119,6 +120,7 @@
 
     bool settled_{false}; ///< a report has shown that nothing of an earlier agent runs
     bool worker_reachable_{true};
+    bool worker_leaving_{false}; ///< it has said so; it is removed when none of its runs is left
     bool draining_{false};
     bool advance_posted_{false};
     fleet::agent_status description_; ///< only what doesn't change with every task
--- a/tests/auto/jobs/region_fixture.h
+++ b/tests/auto/jobs/region_fixture.h
@@ -123,6 +123,15 @@
     }
     void set_target(const worker_announcement&) override {}
 
+    /// The process ends: so do its runs, and nothing listens any more.
+    void crash()
+    {
+        while (!active_.empty()) {
+            end(task_run(active_.begin()->second), run_end_kind::broken);
+        }
+        refusing = true;
+    }
+
     [[nodiscard]] std::size_t active() const { return active_.size(); }
     [[nodiscard]] bool has_ended(run_end_kind kind) const
     {
--- a/tests/auto/jobs/tst_lost_runs.cpp
+++ b/tests/auto/jobs/tst_lost_runs.cpp
@@ -160,6 +160,31 @@
     CHECK(task.first.worker.has_ended(run_end_kind::lapsed));
 }
 
+// Guards against an agent that takes a worker's farewell for the end of its runs: the worker ends
+// some time later, or a late farewell of an earlier incarnation has the same id.
+TEST_CASE("the runs of a worker that leaves are lost only with its lease")
+{
+    region test;
+    running_task task(test);
+    task.first.service.worker_left(task.first.announcement.id);
+    CHECK(task.wait_for_second_run());
+    CHECK(test.watch.most_at_once() == 1);
+    CHECK(task.first.worker.has_ended(run_end_kind::lapsed));
+}
+
+// Guards against tasks that wait for the lease of a worker that has said that it ends, and has.
+TEST_CASE("the runs of a worker that has left and refuses connections are lost at once")
+{
+    region test;
+    running_task task(test);
+    task.first.service.worker_left(task.first.announcement.id);
+    task.first.worker.crash();
+    const absl::Time left_at = boot_now();
+    CHECK(task.wait_for_second_run());
+    CHECK(boot_now() - left_at < lease_time);
+    CHECK(test.watch.most_at_once() == 1);
+}
+
 // Guards against renewals that keep a run alive whose entry is lost and whose worker leaves stop
 // orders unanswered: the caller sends its job to another entry meanwhile.
 TEST_CASE("a run that can't be stopped ends with its lease before callers send their job again")
