Platform: Name limits of the settings that don't fit the bounds of runs

Cause: run_bounds.h holds for callers that send a job again after 1,300 ms, for leases of 650 ms and for stops of 50 ms, as the users' pages have them. A deployment with other limits would break the promise that a task has one run at a time without a word.

--- a/tests/auto/adapter/tst_platform_settings.cpp
+++ b/tests/auto/adapter/tst_platform_settings.cpp
@@ -1,3 +1,4 @@
+#include "carobfall/jobs/run_bounds.h"
 #include "platform/platform_settings.h"
 
 #include <doctest/doctest.h>
@@ -40,6 +41,23 @@
     CHECK(settings.value().entry_ips == std::vector<std::string>{"10.1.0.13", "10.2.0.30"});
 }
 
+// Guards against a deployment whose callers send jobs again while runs of the first time go on.
+TEST_CASE("limits of the platform that don't fit the bounds of runs are named")
+{
+    json document = entry_settings_document();
+    const auto unmet = [&] {
+        return parse_settings(document.dump(), process_role::entry).value().unmet_bounds;
+    };
+    CHECK(unmet().empty());
+    document["bounds"] = {{"retry_ms", 1300}, {"max_hold_ms", 1000}, {"stop_ms", 50}};
+    CHECK(unmet().empty());
+    document["bounds"] = {{"retry_ms", 1000}, {"max_hold_ms", 500}, {"stop_ms", 200}};
+    REQUIRE(unmet().size() == 3);
+    CHECK(unmet()[0].name == "retry_ms");
+    CHECK(unmet()[0].value_ms == 1000);
+    CHECK(unmet()[0].needed_ms == longest_run_after_word_ms);
+}
+
 TEST_CASE("the settings of an agent name its worker")
 {
     json document = entry_settings_document();
