Agent: Move what an agent tells entries into a class of its own

Change: status_sender describes the agent, sends ends of tasks at once and its status when it is due. It compares the agent's condition with the one sent last, in place of flags set in six places.

--- a/src/libs/carobfall/jobs/agent_service.cpp
+++ b/src/libs/carobfall/jobs/agent_service.cpp
@@ -3,7 +3,6 @@
 #include "carobfall/base/boot_clock.h"
 #include "carobfall/base/spawn.h"
 #include "carobfall/base/strings.h"
-#include "carobfall/jobs/worker_status.h"
 
 #include <absl/strings/str_cat.h>
 #include <boost/asio/post.hpp>
@@ -24,12 +23,6 @@
 constexpr absl::Duration renewal_wait = absl::Milliseconds(100);
 constexpr absl::Duration renewal_retry_pause = absl::Milliseconds(20);
 constexpr absl::Duration watch_interval = absl::Milliseconds(25);
-// With more entries each hears less often, so that what an entry has to read doesn't grow with
-// their number. 13 entries serve the replayed load as well with reports each 60 ms, since agents
-// return orders that would wait; 4 entries serve high load a little worse with 40 ms than with 20
-// ms.
-constexpr absl::Duration status_interval_per_link = absl::Milliseconds(5);
-constexpr absl::Duration min_status_interval = absl::Milliseconds(20);
 constexpr absl::Duration stop_retry_pause = absl::Milliseconds(10);
 
 } // namespace
@@ -46,20 +39,17 @@
       lease_(orders, log),
       links_(executor, link_hooks()),
       worker_known_(executor),
-      report_ended_(executor)
+      report_ended_(executor),
+      status_(identity_, ledger_, links_, operators, log, metrics, [this] {
+          return agent_condition{accepts_orders(), settled_ && !ledger_.has_past_runs()};
+      })
 {
-    update_description();
     operators_.on_change([this] {
         const absl::Time now = boot_now();
         if (operators_.is_out(identity_.data_centre)) {
             ledger_.hand_back("data_centre_out");
         }
-        links_.for_each_open([&](entry_link& link) {
-            if (has_news_for(link)) {
-                fleet::agent_frame frame;
-                send_status(link, frame, now);
-            }
-        });
+        status_.send_news(now);
     });
 }
 
@@ -76,7 +66,7 @@
     if (!ledger_.announce(worker)) {
         return announcement_effect::ignored;
     }
-    update_description();
+    status_.update_description();
     const bool restarted =
         !before || before->id != worker.id || before->started_unix_ms != worker.started_unix_ms;
     if (restarted) {
@@ -95,7 +85,7 @@
                        .add("cpu_millicores", worker.capacity.cpu_millicores)
                        .add("started_unix_ms", worker.started_unix_ms),
                    now);
-        status_changed_ = true;
+        status_.note_change();
     }
     advance(now);
     return changed ? announcement_effect::changed : announcement_effect::repeated;
@@ -120,7 +110,7 @@
         return;
     }
     worker_leaving_ = true;
-    status_changed_ = true;
+    status_.note_change();
     log_.write(log_fields("worker_leaving").add("worker", id).add("runs", ledger_.on_worker()),
                now);
     ledger_.hand_back("worker_left");
@@ -132,8 +122,8 @@
     log_.write(log_fields(event).add("worker", id), now);
     worker_leaving_ = false;
     ledger_.remove_worker(id);
-    update_description();
-    status_changed_ = true;
+    status_.update_description();
+    status_.note_change();
     advance(now);
 }
 
@@ -159,7 +149,7 @@
 {
     draining_ = true;
     ledger_.hand_back("agent_draining");
-    status_changed_ = true;
+    status_.note_change();
     advance(boot_now());
 }
 
@@ -180,7 +170,7 @@
     for (const std::string& address : links_.open_addresses()) {
         frame.add_entries(address);
     }
-    send_status(link, frame, now);
+    status_.send(link, frame, now);
 }
 
 void agent_service::on_frame(entry_link& link, fleet::entry_frame& frame)
@@ -198,7 +188,7 @@
     }
     for (const fleet::task_order& order : frame.orders()) {
         ledger_.add(link.session(), order, now);
-        status_changed_ = true;
+        status_.note_change();
     }
     if (!accepts_orders()) {
         ledger_.hand_back("not_accepting");
@@ -271,7 +261,6 @@
                            .add("ends", reply.report.ends.size()),
                        now);
         }
-        status_changed_ = status_changed_ || !settled_ || !worker_reachable_;
         settled_ = settled_ || (reply.report.complete && ledger_.on_worker() == 0);
         if (!std::exchange(worker_reachable_, true)) {
             log_.write(log_fields("worker_reachable").add("worker", asked.id), now);
@@ -340,7 +329,7 @@
     if (!std::exchange(worker_reachable_, false)) {
         return;
     }
-    status_changed_ = true;
+    status_.note_change();
     log_.write(log_fields("worker_unreachable")
                    .add("reason", reason)
                    .add("heard_ms_ago", absl::ToInt64Milliseconds(now - lease_.heard_at()))
@@ -474,102 +463,15 @@
     while (const auto next = ledger_.begin_stop()) {
         spawn(executor_, stop_task(*next));
     }
-    const bool past_runs_changed =
-        std::exchange(past_runs_reported_gone_, past_runs_gone()) != past_runs_gone();
-    status_changed_ = status_changed_ || past_runs_changed || ledger_.has_events();
     if (std::exchange(advance_posted_, true)) {
         return;
     }
     // What happens in one turn of the loop goes out in one frame.
     asio::post(executor_, [this] {
         advance_posted_ = false;
-        send_events(boot_now());
-    });
-}
-
-void agent_service::update_description()
-{
-    fleet::agent_status description;
-    description.set_name(identity_.name);
-    description.set_incarnation(identity_.incarnation);
-    description.set_data_centre(identity_.data_centre);
-    describe_worker(ledger_, description);
-    if (description.SerializeAsString() != description_.SerializeAsString()) {
-        description_ = std::move(description);
-        ++description_number_;
-        status_changed_ = true;
-    }
-}
-
-absl::Duration agent_service::status_interval() const
-{
-    return std::max(min_status_interval,
-                    status_interval_per_link * static_cast<std::int64_t>(open_links()));
-}
-
-void agent_service::fill_status(fleet::agent_status& status, entry_link& link, absl::Time now) const
-{
-    if (link.description_sent() != description_number_) {
-        status = description_;
-        link.set_description_sent(description_number_);
-    }
-    status.set_accepting(accepts_orders());
-    status.set_past_runs_gone(past_runs_gone());
-    status.set_orders_received(link.orders_received());
-    describe_load(ledger_, now, status);
-}
-
-bool agent_service::has_news_for(const entry_link& link) const
-{
-    return link.is_heard() && operators_.is_news_for(link.entry_knowledge());
-}
-
-void agent_service::send_status(entry_link& link, fleet::agent_frame& frame, absl::Time now)
-{
-    fill_status(*frame.mutable_status(), link, now);
-    set_knowledge(frame, operators_.knowledge());
-    if (has_news_for(link)) {
-        *frame.mutable_state() = operators_.state();
-    }
-    link.send(frame, now);
-}
-
-void agent_service::log_event(const session_event& event, absl::Time now)
-{
-    log_.write(log_fields("task_ended")
-                   .add("job", event.event.job_id())
-                   .add("task", event.event.index())
-                   .add("attempt", event.event.attempt())
-                   .add("kind", fleet::task_event_kind_Name(event.event.kind()))
-                   .add("reason", event.event.reason())
-                   .add("run_ms", event.event.run_ms()),
-               now);
-    metrics_.add(absl::StrCat("task_ends_total{kind=\"",
-                              fleet::task_event_kind_Name(event.event.kind()), "\"}"));
-}
-
-void agent_service::send_events(absl::Time now)
-{
-    std::map<session_number, fleet::agent_frame> frames;
-    for (session_event& event : ledger_.take_events()) {
-        log_event(event, now);
-        *frames[event.session].add_events() = std::move(event.event);
-    }
-    const bool all_due = status_changed_ && now - status_sent_ >= status_interval();
-    links_.for_each_open([&](entry_link& link) {
-        const auto frame = frames.find(link.session());
-        if (frame != frames.end()) {
-            send_status(link, frame->second, now);
-        } else if (all_due || now - link.last_sent() >= link_frame_interval) {
-            fleet::agent_frame empty;
-            send_status(link, empty, now);
-        }
+        status_.send_due(boot_now());
+        log_.flush();
     });
-    if (all_due) {
-        status_sent_ = now;
-        status_changed_ = false;
-    }
-    log_.flush();
 }
 
 std::string agent_service::state_text(absl::Time now) const
--- a/src/libs/carobfall/jobs/agent_service.h
+++ b/src/libs/carobfall/jobs/agent_service.h
@@ -5,7 +5,9 @@
 #include "carobfall/base/histogram.h"
 #include "carobfall/jobs/entry_link_set.h"
 #include "carobfall/jobs/operator_view.h"
+#include "carobfall/jobs/process_identity.h"
 #include "carobfall/jobs/report_schedule.h"
+#include "carobfall/jobs/status_sender.h"
 #include "carobfall/jobs/worker_lease.h"
 #include "carobfall/jobs/worker_ledger.h"
 #include "carobfall/jobs/worker_orders.h"
@@ -23,12 +25,6 @@
 
 namespace carobfall {
 
-struct process_identity {
-    std::string name;
-    std::string incarnation; ///< new at every start
-    std::string data_centre;
-};
-
 enum class announcement_effect {
     ignored, ///< late, or of a worker that has left
     repeated,
@@ -77,13 +73,6 @@
     void on_closed(session_number session);
     /// Gives the orders that are due and sends what entries have to hear.
     void advance(absl::Time now);
-    void send_events(absl::Time now);
-    void send_status(entry_link& link, fleet::agent_frame& frame, absl::Time now);
-    void fill_status(fleet::agent_status& status, entry_link& link, absl::Time now) const;
-    /// The worker has announced itself or has left.
-    void update_description();
-    /// Entries without events hear of changed room this often.
-    [[nodiscard]] absl::Duration status_interval() const;
     /// Ends links to entries that no longer permit runs.
     void drop_silent_entries(absl::Time now);
     /// Why the lease must not be extended; empty if it may be. Whatever extends it keeps all runs
@@ -98,11 +87,7 @@
     /// The worker and its runs are gone, as the log line `event` says.
     void remove_worker(std::string_view id, std::string_view event, absl::Time now);
     [[nodiscard]] bool accepts_orders() const;
-    [[nodiscard]] bool past_runs_gone() const { return settled_ && !ledger_.has_past_runs(); }
     [[nodiscard]] entry_link::hooks link_hooks();
-    /// Whether the entry has to be told what operators have decided.
-    [[nodiscard]] bool has_news_for(const entry_link& link) const;
-    void log_event(const session_event& event, absl::Time now);
 
     boost::asio::any_io_executor executor_;
     const process_identity identity_;
@@ -117,17 +102,13 @@
     async_event worker_known_;
     report_schedule reports_;
     async_event report_ended_;
+    status_sender status_;
 
     bool settled_{false}; ///< a report has shown that nothing of an earlier agent runs
     bool worker_reachable_{true};
     bool worker_leaving_{false}; ///< it has said so; it is removed when none of its runs is left
     bool draining_{false};
     bool advance_posted_{false};
-    fleet::agent_status description_; ///< only what doesn't change with every task
-    std::uint64_t description_number_{0};
-    absl::Time status_sent_{absl::InfinitePast()};
-    bool status_changed_{false};
-    bool past_runs_reported_gone_{false};
     std::string_view lease_obstacle_; ///< of the latest renewal
 };
 
--- /dev/null
+++ b/src/libs/carobfall/jobs/status_sender.cpp
@@ -0,0 +1,134 @@
+#include "carobfall/jobs/status_sender.h"
+
+#include "carobfall/jobs/worker_status.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace carobfall {
+namespace {
+
+// With more entries each hears less often, so that what an entry has to read doesn't grow with
+// their number. 13 entries serve the replayed load as well with reports each 60 ms, since agents
+// return orders that would wait; 4 entries serve high load a little worse with 40 ms than with 20
+// ms.
+constexpr absl::Duration status_interval_per_link = absl::Milliseconds(5);
+constexpr absl::Duration min_status_interval = absl::Milliseconds(20);
+
+} // namespace
+
+status_sender::status_sender(process_identity identity, worker_ledger& ledger,
+                             entry_link_set& links, operator_view& operators, event_log& log,
+                             metrics_registry& metrics, std::function<agent_condition()> condition)
+    : identity_(std::move(identity)),
+      ledger_(ledger),
+      links_(links),
+      operators_(operators),
+      log_(log),
+      metrics_(metrics),
+      condition_(std::move(condition))
+{
+    update_description();
+}
+
+void status_sender::update_description()
+{
+    fleet::agent_status description;
+    description.set_name(identity_.name);
+    description.set_incarnation(identity_.incarnation);
+    description.set_data_centre(identity_.data_centre);
+    describe_worker(ledger_, description);
+    if (description.SerializeAsString() != description_.SerializeAsString()) {
+        description_ = std::move(description);
+        ++description_number_;
+        changed_ = true;
+    }
+}
+
+absl::Duration status_sender::status_interval() const
+{
+    return std::max(min_status_interval,
+                    status_interval_per_link * static_cast<std::int64_t>(links_.open_count()));
+}
+
+void status_sender::fill_status(fleet::agent_status& status, entry_link& link, absl::Time now) const
+{
+    if (link.description_sent() != description_number_) {
+        status = description_;
+        link.set_description_sent(description_number_);
+    }
+    const agent_condition condition = condition_();
+    status.set_accepting(condition.accepting);
+    status.set_past_runs_gone(condition.past_runs_gone);
+    status.set_orders_received(link.orders_received());
+    describe_load(ledger_, now, status);
+}
+
+bool status_sender::has_news_for(const entry_link& link) const
+{
+    return link.is_heard() && operators_.is_news_for(link.entry_knowledge());
+}
+
+void status_sender::send(entry_link& link, fleet::agent_frame& frame, absl::Time now)
+{
+    fill_status(*frame.mutable_status(), link, now);
+    set_knowledge(frame, operators_.knowledge());
+    if (has_news_for(link)) {
+        *frame.mutable_state() = operators_.state();
+    }
+    link.send(frame, now);
+}
+
+void status_sender::send_news(absl::Time now)
+{
+    links_.for_each_open([&](entry_link& link) {
+        if (has_news_for(link)) {
+            fleet::agent_frame frame;
+            send(link, frame, now);
+        }
+    });
+}
+
+void status_sender::log_event(const session_event& event, absl::Time now)
+{
+    log_.write(log_fields("task_ended")
+                   .add("job", event.event.job_id())
+                   .add("task", event.event.index())
+                   .add("attempt", event.event.attempt())
+                   .add("kind", fleet::task_event_kind_Name(event.event.kind()))
+                   .add("reason", event.event.reason())
+                   .add("run_ms", event.event.run_ms()),
+               now);
+    metrics_.add(absl::StrCat("task_ends_total{kind=\"",
+                              fleet::task_event_kind_Name(event.event.kind()), "\"}"));
+}
+
+void status_sender::send_due(absl::Time now)
+{
+    changed_ = changed_ || ledger_.has_events() || condition_() != sent_condition_;
+    std::map<session_number, fleet::agent_frame> frames;
+    for (session_event& event : ledger_.take_events()) {
+        log_event(event, now);
+        *frames[event.session].add_events() = std::move(event.event);
+    }
+    const bool all_due = changed_ && now - sent_at_ >= status_interval();
+    links_.for_each_open([&](entry_link& link) {
+        const auto frame = frames.find(link.session());
+        if (frame != frames.end()) {
+            send(link, frame->second, now);
+        } else if (all_due || now - link.last_sent() >= link_frame_interval) {
+            fleet::agent_frame empty;
+            send(link, empty, now);
+        }
+    });
+    if (all_due) {
+        sent_at_ = now;
+        sent_condition_ = condition_();
+        changed_ = false;
+    }
+}
+
+} // namespace carobfall
