Agent: Take fencing tokens that rise over incarnations of a worker

Cause: a token was the time on the worker's clock, which starts anew with each incarnation. If a worker starts again under the same id, the orders to its earlier incarnation carry higher tokens than the agent's new ones: those on their way are carried out, and once one was, the agent's own orders are refused until the clock has passed that token.

Evidence: 'tokens rise over incarnations of a worker and over agents'; with the clock alone its second token is 300 after 60,000.

--- a/src/libs/carobfall/jobs/agent_service.cpp
+++ b/src/libs/carobfall/jobs/agent_service.cpp
@@ -71,7 +71,7 @@
         !before || before->id != worker.id || before->started_unix_ms != worker.started_unix_ms;
     if (restarted) {
         orders_.set_target(worker);
-        lease_.drop_token();
+        lease_.set_incarnation(worker.started_unix_ms);
         settled_ = false;
         worker_leaving_ = false;
         worker_known_.notify();
@@ -357,7 +357,7 @@
     const absl::Time now = boot_now();
     lease_.note_clock(reply.clock, now);
     if (reply.outcome == start_outcome::fenced) {
-        lease_.drop_token();
+        lease_.on_fenced();
     }
     log_.write(log_fields("start_ordered")
                    .add("job", order.task.job_id)
--- a/src/libs/carobfall/jobs/worker_lease.cpp
+++ b/src/libs/carobfall/jobs/worker_lease.cpp
@@ -52,20 +52,28 @@
     return lease_until_ != absl::InfinitePast() && now >= lease_until_ + lapse_margin;
 }
 
+void worker_lease::set_incarnation(std::int64_t started_unix_ms)
+{
+    started_unix_ms_ = started_unix_ms;
+    drop_token();
+}
+
 asio::awaitable<bool> worker_lease::ensure_token(std::uint64_t acknowledged_end)
 {
     if (fencing_token_) {
         co_return true;
     }
-    // The worker's clock rises for as long as the worker remembers tokens, so that a time on it is
-    // higher than the token of every earlier agent.
     renewal_order order;
     order.acknowledged_end = acknowledged_end;
     const renewal_reply reply = co_await orders_.renew(order);
     note_clock(reply.clock, boot_now());
-    if (reply.clock) {
-        // Another renewal may have taken one meanwhile.
-        fencing_token_ = std::max<std::int64_t>(*reply.clock, fencing_token_.value_or(1));
+    // Another renewal may have taken one meanwhile.
+    if (reply.clock && !fencing_token_) {
+        // The time at the worker is later than the token of every earlier agent, and than those of
+        // earlier incarnations with the same id, whose orders may still be on their way. The
+        // worker's clock alone starts anew with each incarnation.
+        last_token_ = std::max(started_unix_ms_ + *reply.clock, last_token_ + 1);
+        fencing_token_ = last_token_;
         log_.write(log_fields("fencing_token").add("token", *fencing_token_), boot_now());
     }
     co_return fencing_token_.has_value();
--- a/src/libs/carobfall/jobs/worker_lease.h
+++ b/src/libs/carobfall/jobs/worker_lease.h
@@ -16,6 +16,9 @@
 public:
     worker_lease(worker_orders& orders, event_log& log) : orders_(orders), log_(log) {}
 
+    /// The orders that follow are for the incarnation of the worker that was started then. Those of
+    /// the present token must not count for it.
+    void set_incarnation(std::int64_t started_unix_ms);
     /// Takes a token unless there is one. False if the worker did not answer.
     boost::asio::awaitable<bool> ensure_token(std::uint64_t acknowledged_end);
     /// Asks for the worker's report and, with `extend`, for a longer lease. `wait`: the answer may
@@ -27,10 +30,10 @@
     [[nodiscard]] worker_time extend_with_order(absl::Time decided_at);
     /// Takes the worker's clock from an answer that arrived at `now`.
     void note_clock(const std::optional<worker_time>& clock, absl::Time now);
-    /// Orders of the present token must not count any more.
-    void drop_token() { fencing_token_.reset(); }
     /// Every lease that was asked for has ended.
     void end();
+    /// A later holder of the lease has given orders.
+    void on_fenced() { drop_token(); }
 
     [[nodiscard]] const std::optional<std::int64_t>& fencing_token() const
     {
@@ -42,11 +45,15 @@
     [[nodiscard]] bool has_lapsed(absl::Time now) const;
 
 private:
+    /// Orders of the present token must not count any more.
+    void drop_token() { fencing_token_.reset(); }
     [[nodiscard]] worker_time lease_end(absl::Time now) const;
 
     worker_orders& orders_;
     event_log& log_;
     std::optional<std::int64_t> fencing_token_;
+    std::int64_t last_token_{0};
+    std::int64_t started_unix_ms_{0}; ///< of the worker
     std::int64_t clock_offset_ms_{0}; ///< worker's clock less ours
     absl::Time lease_until_{absl::InfinitePast()};
     absl::Time heard_at_{absl::InfinitePast()}; ///< latest answered renewal
--- a/tests/auto/jobs/region_fixture.h
+++ b/tests/auto/jobs/region_fixture.h
@@ -141,17 +141,18 @@
 
     absl::Duration run_time{absl::Milliseconds(30)};
     run_end_kind end_kind{run_end_kind::done};
-    bool unreachable{false};      ///< nothing is answered or done
-    bool refusing{false};         ///< connections are refused while runs go on
-    bool mute_stops{false};       ///< stops are neither answered nor done
-    std::size_t lost_renewals{0}; ///< of those asked for while a run is active
+    bool unreachable{false};                   ///< nothing is answered or done
+    bool refusing{false};                      ///< connections are refused while runs go on
+    bool mute_stops{false};                    ///< stops are neither answered nor done
+    absl::Time clock_start{absl::UnixEpoch()}; ///< when the worker's clock was 0
+    std::size_t lost_renewals{0};              ///< of those asked for while a run is active
     absl::Duration renewal_limit{absl::Milliseconds(230)};
     std::size_t starts{0};
     std::size_t stops{0};
     std::size_t most_at_once{0};
 
 private:
-    worker_time clock() const { return absl::ToUnixMillis(boot_now()); }
+    worker_time clock() const { return absl::ToInt64Milliseconds(boot_now() - clock_start); }
 
     asio::awaitable<void> finish(task_run run)
     {
--- a/tests/auto/jobs/tst_lost_runs.cpp
+++ b/tests/auto/jobs/tst_lost_runs.cpp
@@ -222,6 +222,36 @@
     CHECK(agent.worker.has_ended(run_end_kind::lapsed));
 }
 
+// Guards against orders to an earlier incarnation that its successor with the same id carries out
+// late: its clock starts anew, and a token from the clock alone would be lower than theirs.
+TEST_CASE("tokens rise over incarnations of a worker and over agents")
+{
+    asio::io_context context{1};
+    event_log log("a", "mapo");
+    memory_worker worker(context);
+    const auto token_of = [&](worker_lease& lease, std::int64_t started_unix_ms,
+                              absl::Duration clock) {
+        worker.clock_start = boot_now() - clock;
+        lease.set_incarnation(started_unix_ms);
+        context.restart(); // the loop ends when nothing is left to do
+        asio::co_spawn(
+            context, [&]() -> asio::awaitable<void> { co_await lease.ensure_token(0); },
+            asio::detached);
+        REQUIRE(run_until(
+            context, [&] { return lease.fencing_token().has_value(); }, absl::Seconds(2)));
+        return *lease.fencing_token();
+    };
+    worker_lease lease(worker, log);
+    const std::int64_t first = token_of(lease, 1000000, absl::Seconds(60));
+    const std::int64_t second = token_of(lease, 1070000, absl::Milliseconds(300));
+    CHECK(second > first);
+    worker_lease successor(worker, log);
+    const std::int64_t third = token_of(successor, 1070000, absl::Milliseconds(700));
+    CHECK(third > second);
+    // The time of day may have been set back between two starts of the worker.
+    CHECK(token_of(successor, 1069000, absl::Milliseconds(300)) > third);
+}
+
 // Guards against a restarted agent that extends the lease of runs that its predecessor has left and
 // that it can't stop: entries place their tasks elsewhere.
 TEST_CASE("a restarted agent does not extend the lease of runs that it has not ordered")
