--- a/tests/auto/jobs/tst_lost_runs.cpp
+++ b/tests/auto/jobs/tst_lost_runs.cpp
@@ -5,9 +5,11 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/endian/conversion.hpp>
 #include <doctest/doctest.h>
 
 #include <array>
+#include <thread>
 
 using namespace carobfall;
 using namespace carobfall::test;
@@ -104,6 +106,88 @@
     region& region_;
 };
 
+/// An entry that says only what a test makes it say, also while the agent stands still.
+class scripted_entry {
+public:
+    scripted_entry()
+        : acceptor_(context_, {asio::ip::make_address_v4("127.0.0.1"), 0}), socket_(context_)
+    {}
+
+    [[nodiscard]] std::string address() const
+    {
+        return absl::StrCat("127.0.0.1:", acceptor_.local_endpoint().port());
+    }
+    /// Takes the connection of an agent that has connected already.
+    void accept() { acceptor_.accept(socket_); }
+    /// Gives a word that permits runs, with an order for task `index` if there is one.
+    void send(std::optional<std::uint32_t> index = std::nullopt)
+    {
+        begin_frame(index);
+        end_frame();
+    }
+    /// Sends the length of the frame only; the rest follows with `end_frame`.
+    void begin_frame(std::optional<std::uint32_t> index)
+    {
+        fleet::entry_frame frame;
+        frame.set_echo_us(absl::ToUnixMicros(boot_now()));
+        if (index) {
+            fleet::task_order* order = frame.add_orders();
+            order->set_job_id(job_id);
+            order->set_index(*index);
+            order->set_cpu_millicores(6200);
+            order->set_expected_run_ms(100000);
+            order->set_start_by_ms(1000);
+            order->set_late_start_by_ms(1000);
+            order->set_give_up_ms(200000);
+            order->set_service("adviser");
+        }
+        body_ = frame.SerializeAsString();
+        std::array<unsigned char, 4> prefix{};
+        boost::endian::store_big_u32(prefix.data(), static_cast<std::uint32_t>(body_.size()));
+        asio::write(socket_, asio::buffer(prefix));
+    }
+    void end_frame() { asio::write(socket_, asio::buffer(body_)); }
+    void close()
+    {
+        acceptor_.close();
+        socket_.close();
+    }
+
+private:
+    asio::io_context context_;
+    asio::ip::tcp::acceptor acceptor_;
+    asio::ip::tcp::socket socket_;
+    std::string body_;
+};
+
+/// A worker whose answers to renewals wait as long as they may, as long as no run ends.
+class waiting_worker : public memory_worker {
+public:
+    explicit waiting_worker(asio::io_context& context) : memory_worker(context), context_(context)
+    {}
+
+    asio::awaitable<renewal_reply> renew(const renewal_order& order) override
+    {
+        renewal_reply reply = co_await memory_worker::renew(order);
+        if (reply.outcome != renewal_outcome::renewed) {
+            co_return reply;
+        }
+        asio::steady_timer pause(context_, timer_duration(order.wait));
+        co_await pause.async_wait(asio::use_awaitable);
+        reply.clock = absl::ToUnixMillis(boot_now());
+        co_return reply;
+    }
+
+private:
+    asio::io_context& context_;
+};
+
+/// Nothing on the loop of the agent runs for this long.
+void stand_still(absl::Duration duration)
+{
+    std::this_thread::sleep_for(absl::ToChronoMilliseconds(duration));
+}
+
 } // namespace
 
 // Guards against limits that are each plausible and together too long: the longest life of a run
@@ -273,3 +357,124 @@
     context.run_for(std::chrono::milliseconds(300));
     CHECK(worker.active() == 0);
 }
+
+// Guards against a stop that counts from the time at which the agent notices the end of a
+// connection: an agent that stood still notices it after the permission has ended.
+TEST_CASE("a run of an entry that ended while the agent stood still ends before callers retry")
+{
+    asio::io_context context{1};
+    scripted_entry entry;
+    agent_fixture agent(context, "a", "1", entry.address());
+    agent.worker.run_time = absl::Seconds(30);
+    agent.worker.mute_stops = true;
+    context.run_for(std::chrono::milliseconds(100));
+    entry.accept();
+    entry.send(0);
+    REQUIRE(run_until(
+        context, [&] { return agent.worker.active() == 1; }, absl::Milliseconds(300)));
+    entry.send();
+    context.run_for(std::chrono::milliseconds(20));
+    const absl::Time last_word = boot_now();
+    entry.close();
+    stand_still(absl::Milliseconds(600));
+    REQUIRE(run_until(
+        context, [&] { return agent.worker.active() == 0; }, absl::Seconds(4)));
+    const absl::Duration lived = boot_now() - last_word;
+    MESSAGE("run ended ", absl::ToInt64Milliseconds(lived), " ms after the entry's last word");
+    CHECK(lived <= callers_resend_after);
+}
+
+// Guards against a start for one entry that extends the lease although the permission of another
+// entry with a run there has ended and the agent, which stood still, has not looked at it yet.
+TEST_CASE("a start after a standstill does not extend the lease of a run that is not permitted")
+{
+    asio::io_context context{1};
+    scripted_entry silent;
+    scripted_entry other;
+    agent_fixture agent(context, "a", "1", silent.address());
+    agent.service.learn_entries({other.address()});
+    agent.worker.run_time = absl::Seconds(30);
+    agent.worker.mute_stops = true;
+    context.run_for(std::chrono::milliseconds(100));
+    silent.accept();
+    other.accept();
+    other.send();
+    const absl::Time last_word = boot_now();
+    silent.send(0);
+    REQUIRE(run_until(
+        context, [&] { return agent.worker.active() == 1; }, absl::Milliseconds(300)));
+    run_until(
+        context, [&] { return boot_now() - last_word > absl::Milliseconds(300); },
+        absl::Seconds(1));
+    other.send();
+    run_until(
+        context, [&] { return boot_now() - last_word > absl::Milliseconds(480); },
+        absl::Seconds(1));
+    REQUIRE(agent.worker.stops == 0);
+    // The rest of the frame is what the agent reads first when it goes on.
+    other.begin_frame(1);
+    context.run_for(std::chrono::milliseconds(5));
+    other.end_frame();
+    stand_still(absl::Milliseconds(320));
+    // The second run ends with the same lease.
+    REQUIRE(run_until(
+        context, [&] { return agent.worker.active() == 0; }, absl::Seconds(4)));
+    const absl::Duration lived = boot_now() - last_word;
+    MESSAGE("run ended ", absl::ToInt64Milliseconds(lived), " ms after the entry's last word, ",
+            agent.worker.starts, " starts");
+    CHECK(lived <= callers_resend_after);
+}
+
+// Guards against a renewal that was not sent and takes back the lease of an order that was sent
+// meanwhile: the run would be taken for lapsed while it goes on.
+TEST_CASE("a renewal that is not sent does not take back the lease of an order")
+{
+    asio::io_context context{1};
+    memory_worker worker(context);
+    event_log log("a", "mapo");
+    worker_lease lease(worker, log);
+    const absl::Time decided_at = boot_now();
+    asio::co_spawn(
+        context,
+        [&]() -> asio::awaitable<void> {
+            co_await lease.ensure_token(0);
+            co_await lease.renew(0, true, absl::ZeroDuration(),
+                                 decided_at - absl::Milliseconds(400));
+            worker.refusing = true;
+            co_await lease.renew(0, true, absl::ZeroDuration(), decided_at + absl::Milliseconds(1));
+        },
+        asio::detached);
+    REQUIRE(run_until(
+        context, [&] { return worker.refusing; }, absl::Seconds(1)));
+    static_cast<void>(lease.extend_with_order(decided_at));
+    context.run_for(std::chrono::milliseconds(50));
+    CHECK_FALSE(lease.has_lapsed(decided_at + lease_time));
+}
+
+// Guards against a lease that two lost renewals in a row end: up to three are under way at a time,
+// and the first one after them is not an extension if the worker counts as silent.
+TEST_CASE("two lost renewals in a row end no run of a worker whose answers wait for an end")
+{
+    asio::io_context context{1};
+    waiting_worker worker(context);
+    worker.run_time = absl::Seconds(30);
+    scripted_entry entry;
+    agent_process agent(context, "a", "1", worker, announcement_of("a"), entry.address());
+    context.run_for(std::chrono::milliseconds(300));
+    entry.accept();
+    entry.send(0);
+    REQUIRE(run_until(
+        context, [&] { return worker.active() == 1; }, absl::Milliseconds(300)));
+    const absl::Time lost_from = boot_now() + absl::Milliseconds(300);
+    while (boot_now() < lost_from + absl::Seconds(2)) {
+        if (worker.lost_renewals == 0 && boot_now() >= lost_from &&
+            boot_now() < lost_from + absl::Milliseconds(60)) {
+            worker.lost_renewals = 6;
+        }
+        entry.send();
+        context.run_for(std::chrono::milliseconds(50));
+    }
+    CHECK(worker.lost_renewals == 0);
+    CHECK(worker.active() == 1);
+    CHECK_FALSE(worker.has_ended(run_end_kind::lapsed));
+}
