Agent: Look at permissions before each start and count stops from their end

Cause: a start extends the lease of all runs on the worker, but only renewals looked whether each entry still permits its runs; and the stop of a run whose connection had ended counted from the moment the agent noticed it, not from the end of the permission.

Change: advance() looks at the permissions first; the end of a connection carries the time until which its entry had permitted runs.

--- a/src/libs/carobfall/jobs/agent_service.cpp
+++ b/src/libs/carobfall/jobs/agent_service.cpp
@@ -132,7 +132,9 @@
     entry_link::hooks hooks;
     hooks.on_open = [this](entry_link& link) { on_open(link); };
     hooks.on_frame = [this](entry_link& link, fleet::entry_frame& frame) { on_frame(link, frame); };
-    hooks.on_closed = [this](session_number session) { on_closed(session); };
+    hooks.on_closed = [this](session_number session, absl::Time permitted_until) {
+        on_closed(session, permitted_until);
+    };
     return hooks;
 }
 
@@ -196,11 +198,11 @@
     advance(now);
 }
 
-void agent_service::on_closed(session_number session)
+void agent_service::on_closed(session_number session, absl::Time permitted_until)
 {
     const absl::Time now = boot_now();
     log_.write(log_fields("entry_lost").add("session", session), now);
-    ledger_.drop_session(session, now);
+    ledger_.drop_session(session, std::min(now, permitted_until));
     advance(now);
 }
 
@@ -443,6 +445,8 @@
 
 void agent_service::advance(absl::Time now)
 {
+    // A start extends the lease of all runs; the process may have stood still since the last look.
+    drop_silent_entries(now);
     if (worker_leaving_ && ledger_.worker() && ledger_.on_worker() == 0) {
         remove_worker(std::string(ledger_.worker()->id), "worker_left", now);
         return;
--- a/src/libs/carobfall/jobs/agent_service.h
+++ b/src/libs/carobfall/jobs/agent_service.h
@@ -70,7 +70,7 @@
 
     void on_open(entry_link& link);
     void on_frame(entry_link& link, fleet::entry_frame& frame);
-    void on_closed(session_number session);
+    void on_closed(session_number session, absl::Time permitted_until);
     /// Gives the orders that are due and sends what entries have to hear.
     void advance(absl::Time now);
     /// Ends links to entries that no longer permit runs.
--- a/src/libs/carobfall/jobs/entry_link.cpp
+++ b/src/libs/carobfall/jobs/entry_link.cpp
@@ -94,7 +94,7 @@
             co_await read_frames();
             channel_->close();
             last_connected_ = boot_now();
-            hooks_.on_closed(std::exchange(session_, 0));
+            hooks_.on_closed(std::exchange(session_, 0), permitted_until_);
         }
         if (stopped_) {
             break;
--- a/src/libs/carobfall/jobs/entry_link.h
+++ b/src/libs/carobfall/jobs/entry_link.h
@@ -24,7 +24,9 @@
         std::function<session_number()> new_session;
         std::function<void(entry_link&)> on_open;
         std::function<void(entry_link&, fleet::entry_frame&)> on_frame;
-        std::function<void(session_number)> on_closed;
+        /// The entry has permitted its runs until then; the end of the connection may be noticed
+        /// later.
+        std::function<void(session_number, absl::Time permitted_until)> on_closed;
     };
 
     entry_link(const boost::asio::any_io_executor& executor, std::string address, hooks handlers);
