Agent: Keep the leases of orders and of renewals apart

Cause: one time stood for all leases that were asked for. A renewal that was not sent took its own back, and with it the lease of an order that had been decided just before. The times also survived the worker's incarnation, and a late answer of an earlier one could set its clock.

Change: orders and renewals have a time each; both, the last answer and the token start anew with each incarnation of the worker, and answers of earlier ones are left out.

--- a/src/libs/carobfall/jobs/agent_service.cpp
+++ b/src/libs/carobfall/jobs/agent_service.cpp
@@ -355,9 +355,10 @@
     order.spec = record->order.spec();
     order.lease_end = lease_.extend_with_order(ordered_at);
     order.fencing_token = *lease_.fencing_token();
+    const std::uint64_t incarnation = lease_.incarnation();
     const start_reply reply = co_await orders_.start(order);
     const absl::Time now = boot_now();
-    lease_.note_clock(reply.clock, now);
+    lease_.note_clock(reply.clock, incarnation, now);
     if (reply.outcome == start_outcome::fenced) {
         lease_.on_fenced();
     }
--- a/src/libs/carobfall/jobs/worker_lease.cpp
+++ b/src/libs/carobfall/jobs/worker_lease.cpp
@@ -18,9 +18,10 @@
 
 } // namespace
 
-void worker_lease::note_clock(const std::optional<worker_time>& clock, absl::Time now)
+void worker_lease::note_clock(const std::optional<worker_time>& clock, std::uint64_t incarnation,
+                              absl::Time now)
 {
-    if (clock) {
+    if (clock && incarnation == incarnation_) {
         clock_offset_ms_ = *clock - absl::ToUnixMillis(now);
     }
 }
@@ -32,13 +33,14 @@
 
 worker_time worker_lease::extend_with_order(absl::Time decided_at)
 {
-    lease_until_ = std::max(lease_until_, decided_at + lease_time);
+    ordered_until_ = std::max(ordered_until_, decided_at + lease_time);
     return lease_end(decided_at);
 }
 
 void worker_lease::end()
 {
-    lease_until_ = absl::InfinitePast();
+    renewed_until_ = absl::InfinitePast();
+    ordered_until_ = absl::InfinitePast();
     drop_token();
 }
 
@@ -49,13 +51,16 @@
 
 bool worker_lease::has_lapsed(absl::Time now) const
 {
-    return lease_until_ != absl::InfinitePast() && now >= lease_until_ + lapse_margin;
+    const absl::Time until = std::max(renewed_until_, ordered_until_);
+    return until != absl::InfinitePast() && now >= until + lapse_margin;
 }
 
 void worker_lease::set_incarnation(std::int64_t started_unix_ms)
 {
     started_unix_ms_ = started_unix_ms;
-    drop_token();
+    ++incarnation_;
+    heard_at_ = absl::InfinitePast();
+    end();
 }
 
 asio::awaitable<bool> worker_lease::ensure_token(std::uint64_t acknowledged_end)
@@ -65,8 +70,12 @@
     }
     renewal_order order;
     order.acknowledged_end = acknowledged_end;
+    const std::uint64_t incarnation = incarnation_;
     const renewal_reply reply = co_await orders_.renew(order);
-    note_clock(reply.clock, boot_now());
+    note_clock(reply.clock, incarnation, boot_now());
+    if (incarnation != incarnation_) {
+        co_return false;
+    }
     // Another renewal may have taken one meanwhile.
     if (reply.clock && !fencing_token_) {
         // The time at the worker is later than the token of every earlier agent, and than those of
@@ -82,24 +91,28 @@
 asio::awaitable<renewal_reply> worker_lease::renew(std::uint64_t acknowledged_end, bool extend,
                                                    absl::Duration wait, absl::Time now)
 {
-    const absl::Time lease_before = lease_until_;
+    const absl::Time renewed_before = renewed_until_;
+    const std::uint64_t incarnation = incarnation_;
     renewal_order order;
     order.fencing_token = *fencing_token_;
     order.acknowledged_end = acknowledged_end;
     order.wait = wait;
     if (extend) {
         order.lease_end = lease_end(now);
-        lease_until_ = std::max(lease_until_, now + lease_time);
+        renewed_until_ = std::max(renewed_until_, now + lease_time);
     }
     renewal_reply reply = co_await orders_.renew(order);
-    note_clock(reply.clock, boot_now());
+    if (incarnation != incarnation_) {
+        co_return reply;
+    }
+    note_clock(reply.clock, incarnation, boot_now());
     if (reply.outcome == renewal_outcome::renewed) {
         heard_at_ = boot_now();
     } else if (reply.outcome == renewal_outcome::unreachable ||
                reply.outcome == renewal_outcome::gone) {
         // Another renewal may have extended the lease meanwhile.
-        if (extend && lease_until_ == now + lease_time) {
-            lease_until_ = lease_before;
+        if (extend && renewed_until_ == now + lease_time) {
+            renewed_until_ = renewed_before;
         }
     } else if (reply.outcome == renewal_outcome::fenced && fencing_token_ == order.fencing_token) {
         drop_token();
--- a/src/libs/carobfall/jobs/worker_lease.h
+++ b/src/libs/carobfall/jobs/worker_lease.h
@@ -28,8 +28,12 @@
     /// Lease end for an order, which extends the lease. Counts from the decision, so that an order
     /// of a process that stood still after it is refused by the worker as late.
     [[nodiscard]] worker_time extend_with_order(absl::Time decided_at);
-    /// Takes the worker's clock from an answer that arrived at `now`.
-    void note_clock(const std::optional<worker_time>& clock, absl::Time now);
+    /// Takes the worker's clock from an answer that arrived at `now`, unless it came from an
+    /// incarnation before the present one.
+    void note_clock(const std::optional<worker_time>& clock, std::uint64_t incarnation,
+                    absl::Time now);
+    /// Counts incarnations.
+    [[nodiscard]] std::uint64_t incarnation() const { return incarnation_; }
     /// Every lease that was asked for has ended.
     void end();
     /// A later holder of the lease has given orders.
@@ -55,7 +59,9 @@
     std::int64_t last_token_{0};
     std::int64_t started_unix_ms_{0}; ///< of the worker
     std::int64_t clock_offset_ms_{0}; ///< worker's clock less ours
-    absl::Time lease_until_{absl::InfinitePast()};
+    std::uint64_t incarnation_{0};
+    absl::Time renewed_until_{absl::InfinitePast()}; ///< without renewals that were not sent
+    absl::Time ordered_until_{absl::InfinitePast()}; ///< by orders
     absl::Time heard_at_{absl::InfinitePast()}; ///< latest answered renewal
 };
 
