Agent: Let two lost renewals in a row end no run

Cause: with 650 ms of lease two lost renewals in a row ended the runs of a sound worker: the next renewal came 470 ms after the last answer, past the silence limit of 450 ms, was no extension and waited for the end of a run meanwhile. Besides, a run whose stop was unanswered withheld the lease from all others even if its entry was there and waited for the agent's word, and an older report could settle an agent.

Change: silence limit 520 ms; static_asserts hold that it and the lease outlast two lost renewals, whose limits are now in run_bounds.h; a renewal that doesn't extend the lease is answered at once; only runs on whose end others count withhold the lease; only the latest complete report settles an agent; stops are repeated after 10 to 50 ms in place of 10 ms.

--- a/src/libs/carobfall/jobs/agent_service.cpp
+++ b/src/libs/carobfall/jobs/agent_service.cpp
@@ -3,6 +3,7 @@
 #include "carobfall/base/boot_clock.h"
 #include "carobfall/base/spawn.h"
 #include "carobfall/base/strings.h"
+#include "carobfall/jobs/run_bounds.h"
 
 #include <absl/strings/str_cat.h>
 #include <boost/asio/post.hpp>
@@ -18,12 +19,9 @@
 
 namespace {
 
-// A renewal waits this long for the end of a run, so that two lost answers in a row don't end the
-// lease.
-constexpr absl::Duration renewal_wait = absl::Milliseconds(100);
-constexpr absl::Duration renewal_retry_pause = absl::Milliseconds(20);
 constexpr absl::Duration watch_interval = absl::Milliseconds(25);
 constexpr absl::Duration stop_retry_pause = absl::Milliseconds(10);
+constexpr absl::Duration max_stop_retry_pause = absl::Milliseconds(50);
 
 } // namespace
 
@@ -230,8 +228,10 @@
     const absl::Time asked_at = boot_now();
     renewal_reply reply;
     if (has_token) {
-        reply = co_await lease_.renew(ledger_.acknowledged_end(), extends_lease(asked_at),
-                                      settled_ ? renewal_wait : absl::ZeroDuration(), asked_at);
+        const bool extend = extends_lease(asked_at);
+        // An agent that does not extend the lease has to learn soon how things are.
+        reply = co_await lease_.renew(ledger_.acknowledged_end(), extend,
+                                      extend ? renewal_wait : absl::ZeroDuration(), asked_at);
     }
     if (!take_renewal(reply, asked, asked_at, boot_now())) {
         asio::steady_timer pause(executor_, timer_duration(renewal_retry_pause));
@@ -253,7 +253,8 @@
             remove_worker(asked.id, "worker_replaced", now);
             return true;
         }
-        if (reports_.take_over(asked_at)) {
+        const bool latest = reports_.take_over(asked_at);
+        if (latest) {
             ledger_.on_report(reply.report, asked_at, now);
         }
         if (!reply.report.complete) {
@@ -263,7 +264,7 @@
                            .add("ends", reply.report.ends.size()),
                        now);
         }
-        settled_ = settled_ || (reply.report.complete && ledger_.on_worker() == 0);
+        settled_ = settled_ || (latest && reply.report.complete && ledger_.on_worker() == 0);
         if (!std::exchange(worker_reachable_, true)) {
             log_.write(log_fields("worker_reachable").add("worker", asked.id), now);
         }
@@ -381,11 +382,12 @@
 {
     const task_record* record = ledger_.find(number);
     bool answered = false;
+    const std::uint32_t tries = record == nullptr ? 0 : record->stop_tries;
     const absl::Time asked_at = boot_now();
     if (record != nullptr && lease_.fencing_token()) {
         const task_run task = run_of(*record);
-        // A worker that closes each connection is asked every 10 ms: only the first try is logged.
-        const bool first = record->stop_tries == 1;
+        // A worker that closes each connection is asked often: only the first try is logged.
+        const bool first = tries == 1;
         if (first) {
             log_.write(log_fields("stop_ordered")
                            .add("job", task.job_id)
@@ -408,7 +410,8 @@
         }
     }
     if (!answered) {
-        asio::steady_timer pause(executor_, timer_duration(stop_retry_pause));
+        const absl::Duration wait = tries * stop_retry_pause;
+        asio::steady_timer pause(executor_, timer_duration(std::min(wait, max_stop_retry_pause)));
         co_await pause.async_wait(asio::use_awaitable);
     }
     const absl::Time now = boot_now();
--- a/src/libs/carobfall/jobs/run_bounds.h
+++ b/src/libs/carobfall/jobs/run_bounds.h
@@ -17,7 +17,10 @@
 inline constexpr std::int64_t entry_permission_ms = 500;
 inline constexpr std::int64_t stop_grace_ms = 100;
 inline constexpr std::int64_t lease_time_ms = 650;
-inline constexpr std::int64_t worker_silence_limit_ms = 450;
+inline constexpr std::int64_t worker_silence_limit_ms = 520;
+inline constexpr std::int64_t renewal_wait_ms = 100;
+inline constexpr std::int64_t answer_limit_ms = 130;
+inline constexpr std::int64_t renewal_retry_pause_ms = 20;
 inline constexpr std::int64_t runs_gone_after_ms = 1300;
 /// Callers send a job again this long after they have lost their entry or were told that the
 /// outcome is unknown.
@@ -28,11 +31,16 @@
 /// A stop takes 50 ms at the worker and one round trip. After this time its answer counts as lost,
 /// and the end of the lease has to end the run.
 inline constexpr absl::Duration stop_grace = absl::Milliseconds(stop_grace_ms);
-/// Lease that an order or a renewal asks for. It outlasts `worker_silence_limit`, so that two lost
-/// renewals in a row end no run.
+/// Lease that an order or a renewal asks for. Two lost renewals in a row end no run.
 inline constexpr absl::Duration lease_time = absl::Milliseconds(lease_time_ms);
-/// A worker without an answer for this long has lost two renewals in a row; its lease is not
-/// extended any more.
+/// A renewal waits this long for the end of a run.
+inline constexpr absl::Duration renewal_wait = absl::Milliseconds(renewal_wait_ms);
+/// Workers answer within some milliseconds or, after a fault, not at all. An agent whose share of a
+/// core is a quota may itself stand still for a tenth of a second.
+inline constexpr absl::Duration answer_limit = absl::Milliseconds(answer_limit_ms);
+inline constexpr absl::Duration renewal_retry_pause = absl::Milliseconds(renewal_retry_pause_ms);
+/// A worker without an answer for this long has lost more than two renewals in a row; its lease is
+/// not extended any more.
 inline constexpr absl::Duration worker_silence_limit = absl::Milliseconds(worker_silence_limit_ms);
 /// After the last word of an agent, the time after which its entry may place the tasks elsewhere.
 inline constexpr absl::Duration runs_gone_after = absl::Milliseconds(runs_gone_after_ms);
@@ -52,8 +60,14 @@
 inline constexpr std::int64_t longest_run_after_word_ms =
     entry_permission_ms + stop_grace_ms + longest_on_worker_ms(lease_time_ms) + clock_error_ms;
 
+/// After an answer, the time until a renewal can be answered that follows two lost ones.
+inline constexpr std::int64_t two_lost_renewals_ms =
+    2 * (renewal_wait_ms + answer_limit_ms + renewal_retry_pause_ms);
+
 static_assert(longest_run_after_word_ms <= runs_gone_after_ms);
 static_assert(longest_run_after_word_ms <= callers_resend_after_ms);
-static_assert(worker_silence_limit_ms < lease_time_ms);
+static_assert(two_lost_renewals_ms < worker_silence_limit_ms);
+// The lease counts from the sending of the answered renewal, which may have waited.
+static_assert(renewal_wait_ms + two_lost_renewals_ms < lease_time_ms);
 
 } // namespace carobfall
--- a/src/libs/carobfall/jobs/worker_lease.h
+++ b/src/libs/carobfall/jobs/worker_lease.h
@@ -62,7 +62,7 @@
     std::uint64_t incarnation_{0};
     absl::Time renewed_until_{absl::InfinitePast()}; ///< without renewals that were not sent
     absl::Time ordered_until_{absl::InfinitePast()}; ///< by orders
-    absl::Time heard_at_{absl::InfinitePast()}; ///< latest answered renewal
+    absl::Time heard_at_{absl::InfinitePast()};      ///< latest answered renewal
 };
 
 } // namespace carobfall
--- a/src/libs/carobfall/jobs/worker_ledger.cpp
+++ b/src/libs/carobfall/jobs/worker_ledger.cpp
@@ -288,7 +288,7 @@
         record.phase = task_phase::running;
         record.answered_at = now;
         if (!record.stop_reason.empty()) {
-            begin_stopping(record, std::string(record.stop_reason), now);
+            begin_stopping(record, std::string(record.stop_reason), record.stop_since);
         }
         return;
     case start_outcome::no_answer:
@@ -297,7 +297,6 @@
         if (record.stop_reason.empty()) {
             record.stop_reason = "order_unanswered";
         }
-        record.stop_since = std::min(record.stop_since, now);
         return;
     case start_outcome::no_room:
     case start_outcome::superseded:
@@ -404,7 +403,7 @@
         if (ends_too_late(progress, now)) {
             record.known_run = *predicted_run(progress, now);
             speed_.record(record.known_run, expected, now);
-            begin_stopping(record, "too_late", now);
+            begin_stopping(record, "too_late", absl::InfiniteFuture());
         }
     }
 }
--- a/src/libs/carobfall/jobs/worker_ledger.h
+++ b/src/libs/carobfall/jobs/worker_ledger.h
@@ -51,7 +51,9 @@
     std::uint32_t stop_tries{0};
     bool entry_lost{false}; ///< the connection that ordered it has ended
     std::string stop_reason;
-    absl::Time stop_since{absl::InfiniteFuture()}; ///< with a stop reason
+    /// Since when others count on the end of the run. Never while its entry is there and waits for
+    /// the agent's word, however long a stop takes.
+    absl::Time stop_since{absl::InfiniteFuture()};
     /// Of a run that is done, if it was seen to end, or of one that is stopped because it would end
     /// too late; otherwise zero.
     absl::Duration known_run;
@@ -113,7 +115,8 @@
     [[nodiscard]] std::size_t on_worker() const { return records_.size() - waiting(); }
     /// Whether one of them was ordered on a connection that has ended, or by an earlier agent.
     [[nodiscard]] bool has_past_runs() const;
-    /// A run that has had to stop for longer than a stop takes; nothing if there is none.
+    /// A run on whose end others have counted for longer than a stop takes; nothing if there is
+    /// none.
     [[nodiscard]] const task_record* overdue_stop(absl::Time now) const;
     [[nodiscard]] double slowness(absl::Time now) const { return speed_.slowness(now); }
     [[nodiscard]] double failure_share(absl::Time now) const { return failures_.share(now); }
@@ -130,7 +133,7 @@
     record_map::iterator find_run(const task_run& run);
     void finish(record_map::iterator record, fleet::task_event_kind kind, std::string_view reason,
                 absl::Time now);
-    void begin_stopping(task_record& record, std::string_view reason, absl::Time since);
+    static void begin_stopping(task_record& record, std::string_view reason, absl::Time since);
     /// `exact`: the run has ended just now.
     void apply_end(const run_end& end, bool exact, absl::Time now);
     void check_progress(const worker_report& report, absl::Time now);
--- a/tests/auto/jobs/tst_worker_ledger.cpp
+++ b/tests/auto/jobs/tst_worker_ledger.cpp
@@ -348,6 +348,20 @@
     CHECK(test.ledger.overdue_stop(after(500)) == nullptr);
 }
 
+// Guards against a lease that is withheld from all runs of a worker because of one that nobody else
+// will start before the agent has told its end.
+TEST_CASE("a run whose entry waits for the agent's word is never overdue")
+{
+    started_ledger test(start_outcome::no_answer);
+    CHECK(test.ledger.overdue_stop(after(5000)) == nullptr);
+    fleet::task_stop stop;
+    stop.set_job_id(job_id);
+    stop.set_attempt(1);
+    test.ledger.request_stop(1, stop, after(6000));
+    CHECK(test.ledger.overdue_stop(after(6050)) == nullptr);
+    CHECK(test.ledger.overdue_stop(after(6150)) != nullptr);
+}
+
 TEST_CASE("a stop request for a waiting task says that it has not run")
 {
     worker_ledger ledger;
