Jobs: Give runs and obstacles to a lease files of their own

Two packages defined different structs of the name task_record in one namespace, which a program that links both must not have.

Change: run_record (was task_record of jobs) with what changes a record alone, and the enum lease_obstacle with its names.

--- a/src/libs/carobfall/jobs/agent_service.cpp
+++ b/src/libs/carobfall/jobs/agent_service.cpp
@@ -286,34 +286,36 @@
     return false;
 }
 
-std::string_view agent_service::lease_obstacle(absl::Time now) const
+lease_obstacle agent_service::obstacle_to_lease(absl::Time now) const
 {
     if (!settled_) {
-        return "runs_unknown"; // those of an earlier agent, whose entries count on their end
+        return lease_obstacle::runs_unknown;
     }
     if (worker_leaving_) {
-        return "worker_leaving";
+        return lease_obstacle::worker_leaving;
     }
     if (!lease_.hears_worker(now)) {
-        return "worker_silent";
+        return lease_obstacle::worker_silent;
     }
-    return ledger_.overdue_stop(now) != nullptr ? "stop_overdue" : "";
+    return ledger_.overdue_stop(now) != nullptr ? lease_obstacle::stop_overdue
+                                                : lease_obstacle::none;
 }
 
 bool agent_service::extends_lease(absl::Time now)
 {
     // The process may have stood still since the last look at the entries.
     drop_silent_entries(now);
-    const std::string_view obstacle = lease_obstacle(now);
+    const lease_obstacle obstacle = obstacle_to_lease(now);
+    const bool extended = obstacle == lease_obstacle::none;
     if (std::exchange(lease_obstacle_, obstacle) != obstacle && ledger_.on_worker() > 0) {
-        log_.write(log_fields(obstacle.empty() ? "lease_extended" : "lease_withheld")
-                       .add("reason", obstacle)
+        log_.write(log_fields(extended ? "lease_extended" : "lease_withheld")
+                       .add("reason", name_of(obstacle))
                        .add("heard_ms_ago", absl::ToInt64Milliseconds(now - lease_.heard_at()))
                        .add("runs", ledger_.on_worker()),
                    now);
         metrics_.add("lease_changes_total");
     }
-    return obstacle.empty();
+    return extended;
 }
 
 void agent_service::check_lapse(absl::Time now)
@@ -344,7 +346,7 @@
 
 asio::awaitable<void> agent_service::start_task(worker_ledger::record_number number)
 {
-    const task_record* record = ledger_.find(number);
+    const run_record* record = ledger_.find(number);
     if (record == nullptr || !lease_.fencing_token()) {
         ledger_.on_start_reply(number, {start_outcome::not_sent, std::nullopt}, boot_now());
         co_return;
@@ -380,7 +382,7 @@
 
 asio::awaitable<void> agent_service::stop_task(worker_ledger::record_number number)
 {
-    const task_record* record = ledger_.find(number);
+    const run_record* record = ledger_.find(number);
     bool answered = false;
     const std::uint32_t tries = record == nullptr ? 0 : record->stop_tries;
     const absl::Time asked_at = boot_now();
@@ -459,7 +461,7 @@
         const entry_link* link = links_.find(session);
         return link != nullptr && link->permits_starts(now);
     };
-    const bool in_service = worker_reachable_ && lease_obstacle(now).empty() &&
+    const bool in_service = worker_reachable_ && obstacle_to_lease(now) == lease_obstacle::none &&
                             !operators_.is_out(identity_.data_centre);
     while (in_service) {
         const auto next = ledger_.begin_next(now, may_run);
--- a/src/libs/carobfall/jobs/agent_service.h
+++ b/src/libs/carobfall/jobs/agent_service.h
@@ -4,6 +4,7 @@
 #include "carobfall/base/event_log.h"
 #include "carobfall/base/histogram.h"
 #include "carobfall/jobs/entry_link_set.h"
+#include "carobfall/jobs/lease_obstacle.h"
 #include "carobfall/jobs/operator_view.h"
 #include "carobfall/jobs/process_identity.h"
 #include "carobfall/jobs/report_schedule.h"
@@ -75,9 +76,9 @@
     void advance(absl::Time now);
     /// Ends links to entries that no longer permit runs.
     void drop_silent_entries(absl::Time now);
-    /// Why the lease must not be extended; empty if it may be. Whatever extends it keeps all runs
-    /// of the worker alive, also those that others count on to end.
-    [[nodiscard]] std::string_view lease_obstacle(absl::Time now) const;
+    /// Whatever extends the lease keeps all runs of the worker alive, also those that others count
+    /// on to end.
+    [[nodiscard]] lease_obstacle obstacle_to_lease(absl::Time now) const;
     /// Whether a renewal that is sent now extends the lease.
     [[nodiscard]] bool extends_lease(absl::Time now);
     /// The worker gets nothing new until it answers again. Its runs may go on.
@@ -109,7 +110,7 @@
     bool worker_leaving_{false}; ///< it has said so; it is removed when none of its runs is left
     bool draining_{false};
     bool advance_posted_{false};
-    std::string_view lease_obstacle_; ///< of the latest renewal
+    lease_obstacle lease_obstacle_{lease_obstacle::none}; ///< of the latest renewal
 };
 
 } // namespace carobfall
--- /dev/null
+++ b/src/libs/carobfall/jobs/run_record.cpp
@@ -0,0 +1,31 @@
+#include "carobfall/jobs/run_record.h"
+
+#include <algorithm>
+
+namespace carobfall {
+
+task_run run_of(const run_record& record)
+{
+    return {record.order.job_id(), record.order.index(), record.run};
+}
+
+resource_amounts demand_of(const fleet::task_order& order)
+{
+    return {order.cpu_millicores(), order.memory_mib(), order.accelerators()};
+}
+
+void begin_stopping(run_record& record, std::string_view reason, absl::Time since)
+{
+    record.stop_since = std::min(record.stop_since, since);
+    if (record.phase == task_phase::stopping) {
+        return;
+    }
+    // An order that is under way is stopped after its answer, see on_start_reply.
+    record.stop_reason = reason;
+    if (record.phase == task_phase::running) {
+        record.phase = task_phase::stopping;
+        record.answered_at = absl::InfiniteFuture();
+    }
+}
+
+} // namespace carobfall
--- a/src/libs/carobfall/jobs/worker_ledger.cpp
+++ b/src/libs/carobfall/jobs/worker_ledger.cpp
@@ -26,11 +26,6 @@
 // Pause after a refusal for want of room, about the time in which a run ends.
 constexpr absl::Duration room_pause = absl::Milliseconds(20);
 
-resource_amounts demand_of(const fleet::task_order& order)
-{
-    return {order.cpu_millicores(), order.memory_mib(), order.accelerators()};
-}
-
 fleet::task_event_kind event_kind_of(run_end_kind kind)
 {
     switch (kind) {
@@ -45,11 +40,6 @@
 
 } // namespace
 
-task_run run_of(const task_record& record)
-{
-    return {record.order.job_id(), record.order.index(), record.run};
-}
-
 bool worker_ledger::announce(const worker_announcement& worker)
 {
     if (worker.id == left_id_ && worker.started_unix_ms <= left_started_unix_ms_) {
@@ -91,7 +81,7 @@
 
 void worker_ledger::add(session_number session, const fleet::task_order& order, absl::Time now)
 {
-    task_record record;
+    run_record record;
     record.session = session;
     record.order = order;
     record.demand = demand_of(order);
@@ -106,7 +96,7 @@
     }
 }
 
-std::string_view worker_ledger::refusal_of(const task_record& record, absl::Time now) const
+std::string_view worker_ledger::refusal_of(const run_record& record, absl::Time now) const
 {
     if (!worker_) {
         return "no_worker";
@@ -124,27 +114,13 @@
     return "";
 }
 
-absl::Duration worker_ledger::wait_of(const task_record& record, absl::Time now) const
+absl::Duration worker_ledger::wait_of(const run_record& record, absl::Time now) const
 {
     const agent_load load{free_room(), waiting_room(now), released_millicores_per_s(now)};
     return expected_wait(worker_->capacity, load, record.demand,
                          queue_rank(record.order.priority(), record.start_by - now));
 }
 
-void worker_ledger::begin_stopping(task_record& record, std::string_view reason, absl::Time since)
-{
-    record.stop_since = std::min(record.stop_since, since);
-    if (record.phase == task_phase::stopping) {
-        return;
-    }
-    // An order that is under way is stopped after its answer, see on_start_reply.
-    record.stop_reason = reason;
-    if (record.phase == task_phase::running) {
-        record.phase = task_phase::stopping;
-        record.answered_at = absl::InfiniteFuture();
-    }
-}
-
 void worker_ledger::request_stop(session_number session, const fleet::task_stop& stop,
                                  absl::Time now)
 {
@@ -205,7 +181,7 @@
 void worker_ledger::finish(record_map::iterator record, fleet::task_event_kind kind,
                            std::string_view reason, absl::Time now)
 {
-    const task_record& task = record->second;
+    const run_record& task = record->second;
     if (task.run > 0) {
         past_runs_.remember(run_of(task), now);
     }
@@ -224,7 +200,7 @@
     records_.erase(record);
 }
 
-bool worker_ledger::has_run_elsewhere(record_number number, const task_record& record) const
+bool worker_ledger::has_run_elsewhere(record_number number, const run_record& record) const
 {
     return std::any_of(records_.begin(), records_.end(), [&](const auto& other) {
         return other.first != number && other.second.phase != task_phase::waiting &&
@@ -233,7 +209,7 @@
     });
 }
 
-std::uint32_t worker_ledger::next_run(const task_record& record) const
+std::uint32_t worker_ledger::next_run(const run_record& record) const
 {
     const std::uint32_t past = past_runs_.highest(record.order.job_id(), record.order.index());
     return std::max({record.order.attempt(), past + 1, record.run + 1});
@@ -269,7 +245,7 @@
     if (!next) {
         return std::nullopt;
     }
-    task_record& record = records_.at(numbers[*next]);
+    run_record& record = records_.at(numbers[*next]);
     record.phase = task_phase::starting;
     record.run = next_run(record);
     record.ordered_at = now;
@@ -282,7 +258,7 @@
     if (found == records_.end()) {
         return; // a report has shown its end already
     }
-    task_record& record = found->second;
+    run_record& record = found->second;
     switch (reply.outcome) {
     case start_outcome::started:
         record.phase = task_phase::running;
@@ -358,7 +334,7 @@
         past_runs_.remember(end.task, now);
         return;
     }
-    task_record& record = found->second;
+    run_record& record = found->second;
     if (end.kind == run_end_kind::done) {
         record.known_run =
             exact ? std::max(now - record.ordered_at, shortest_run) : absl::ZeroDuration();
@@ -378,7 +354,7 @@
         if (find_run(active.task) != records_.end()) {
             continue;
         }
-        task_record record;
+        run_record record;
         record.order.set_job_id(active.task.job_id);
         record.order.set_index(active.task.index);
         record.run = active.task.run;
@@ -396,7 +372,7 @@
         if (found == records_.end() || found->second.phase != task_phase::running) {
             continue;
         }
-        task_record& record = found->second;
+        run_record& record = found->second;
         const absl::Duration expected = absl::Milliseconds(record.order.expected_run_ms());
         const run_progress progress{record.ordered_at, expected, record.give_up,
                                     active.percent_done};
@@ -425,7 +401,7 @@
     }
     for (auto record = records_.begin(); record != records_.end();) {
         const auto current = record++;
-        const task_record& task = current->second;
+        const run_record& task = current->second;
         const bool settled =
             (task.phase == task_phase::running || task.phase == task_phase::stopping) &&
             task.answered_at < asked_at;
@@ -450,7 +426,7 @@
     }
 }
 
-const task_record* worker_ledger::find(record_number number) const
+const run_record* worker_ledger::find(record_number number) const
 {
     const auto found = records_.find(number);
     return found == records_.end() ? nullptr : &found->second;
@@ -501,7 +477,7 @@
     });
 }
 
-const task_record* worker_ledger::overdue_stop(absl::Time now) const
+const run_record* worker_ledger::overdue_stop(absl::Time now) const
 {
     const auto overdue = std::find_if(records_.begin(), records_.end(), [now](const auto& entry) {
         return entry.second.phase != task_phase::waiting &&
--- a/src/libs/carobfall/jobs/worker_ledger.h
+++ b/src/libs/carobfall/jobs/worker_ledger.h
@@ -5,6 +5,7 @@
 #include "carobfall/jobs/failure_rate.h"
 #include "carobfall/jobs/past_runs.h"
 #include "carobfall/jobs/run_queue.h"
+#include "carobfall/jobs/run_record.h"
 #include "carobfall/jobs/waiting_profile.h"
 #include "carobfall/jobs/worker_orders.h"
 #include "carobfall/jobs/worker_speed.h"
@@ -23,42 +24,6 @@
 
 namespace carobfall {
 
-/// Identifies a connection to an entry. 0: none; the run is left over from an earlier agent.
-using session_number = std::uint64_t;
-
-enum class task_phase {
-    waiting,
-    starting, ///< the order is under way
-    running,
-    stopping, ///< must end; stop orders are sent until one is answered
-};
-
-struct task_record {
-    session_number session{0};
-    fleet::task_order order;
-    std::uint32_t run{0};
-    resource_amounts demand;
-    task_phase phase{task_phase::waiting};
-    absl::Time received;
-    absl::Time start_by;
-    absl::Time late_start_by;
-    absl::Time give_up;
-    absl::Time not_before{absl::InfinitePast()}; ///< after a refusal for want of room
-    absl::Time ordered_at;
-    /// Time of the worker's latest answer to an order; a report asked for later shows its effect.
-    absl::Time answered_at{absl::InfiniteFuture()};
-    bool stop_under_way{false};
-    std::uint32_t stop_tries{0};
-    bool entry_lost{false}; ///< the connection that ordered it has ended
-    std::string stop_reason;
-    /// Since when others count on the end of the run. Never while its entry is there and waits for
-    /// the agent's word, however long a stop takes.
-    absl::Time stop_since{absl::InfiniteFuture()};
-    /// Of a run that is done, if it was seen to end, or of one that is stopped because it would end
-    /// too late; otherwise zero.
-    absl::Duration known_run;
-};
-
 struct session_event {
     session_number session{0};
     fleet::task_event event;
@@ -102,7 +67,7 @@
     /// Every lease that was ever given has ended.
     void on_lapse(std::string_view reason);
 
-    [[nodiscard]] const task_record* find(record_number number) const;
+    [[nodiscard]] const run_record* find(record_number number) const;
     [[nodiscard]] const std::optional<worker_announcement>& worker() const { return worker_; }
     [[nodiscard]] std::uint64_t acknowledged_end() const { return acknowledged_end_; }
     [[nodiscard]] resource_amounts free_room() const;
@@ -117,29 +82,28 @@
     [[nodiscard]] bool has_past_runs() const;
     /// A run on whose end others have counted for longer than a stop takes; nothing if there is
     /// none.
-    [[nodiscard]] const task_record* overdue_stop(absl::Time now) const;
+    [[nodiscard]] const run_record* overdue_stop(absl::Time now) const;
     [[nodiscard]] double slowness(absl::Time now) const { return speed_.slowness(now); }
     [[nodiscard]] double failure_share(absl::Time now) const { return failures_.share(now); }
     [[nodiscard]] std::vector<session_event> take_events() { return std::exchange(events_, {}); }
     [[nodiscard]] bool has_events() const { return !events_.empty(); }
 
 private:
-    using record_map = std::map<record_number, task_record>;
+    using record_map = std::map<record_number, run_record>;
 
     /// Why an order that has just come can't be taken; empty if it can.
-    [[nodiscard]] std::string_view refusal_of(const task_record& record, absl::Time now) const;
+    [[nodiscard]] std::string_view refusal_of(const run_record& record, absl::Time now) const;
     /// Until a task that joins those that wait now can be expected to start.
-    [[nodiscard]] absl::Duration wait_of(const task_record& record, absl::Time now) const;
+    [[nodiscard]] absl::Duration wait_of(const run_record& record, absl::Time now) const;
     record_map::iterator find_run(const task_run& run);
     void finish(record_map::iterator record, fleet::task_event_kind kind, std::string_view reason,
                 absl::Time now);
-    static void begin_stopping(task_record& record, std::string_view reason, absl::Time since);
     /// `exact`: the run has ended just now.
     void apply_end(const run_end& end, bool exact, absl::Time now);
     void check_progress(const worker_report& report, absl::Time now);
     void stop_unknown_runs(const worker_report& report, absl::Time now);
-    [[nodiscard]] bool has_run_elsewhere(record_number number, const task_record& record) const;
-    [[nodiscard]] std::uint32_t next_run(const task_record& record) const;
+    [[nodiscard]] bool has_run_elsewhere(record_number number, const run_record& record) const;
+    [[nodiscard]] std::uint32_t next_run(const run_record& record) const;
 
     std::optional<worker_announcement> worker_;
     std::int64_t left_started_unix_ms_{0}; ///< incarnation that has left
@@ -154,6 +118,4 @@
     std::vector<session_event> events_;
 };
 
-[[nodiscard]] task_run run_of(const task_record& record);
-
 } // namespace carobfall
--- a/tests/auto/jobs/tst_worker_ledger.cpp
+++ b/tests/auto/jobs/tst_worker_ledger.cpp
@@ -338,7 +338,7 @@
     const absl::Time since = after(10);
     test.ledger.drop_session(1, since);
     CHECK(test.ledger.overdue_stop(since + stop_grace) == nullptr);
-    const task_record* overdue =
+    const run_record* overdue =
         test.ledger.overdue_stop(since + stop_grace + absl::Milliseconds(1));
     REQUIRE(overdue != nullptr);
     CHECK(run_of(*overdue).job_id == job_id);
