Tests: Give the stand-in worker faults on the way of its orders

Cause: the stand-in could lose answers to starts only.

The runs obey the protocol throughout: leases end them, run numbers and tokens are checked. A run ends at the time at which its lease or its work was over, not when a thread of the stand-in gets its turn, so that a busy machine makes no run longer. A second run of a task on one worker no longer replaces the first one in its list; each run has its start and its end. A started run counts for the check of run numbers at once.

--- a/tests/standins/fleet/peers.py
+++ b/tests/standins/fleet/peers.py
@@ -6,6 +6,7 @@
 import base64
 import http.client
 import json
+import random
 import socket
 import sys
 import threading
@@ -38,6 +39,9 @@
     daemon_threads = True
     request_queue_size = 128
 
+    def serve_forever(self, poll_interval=0.02):
+        super().serve_forever(poll_interval)
+
     def handle_error(self, request, client_address):
         """Programs under test are killed in the middle of calls; anything else is shown."""
         if not isinstance(sys.exc_info()[1], (BrokenPipeError, ConnectionResetError)):
@@ -119,14 +123,23 @@
 
 
 class Worker:
-    """Runs tasks by sleeping. `run_ms` is the time of each run; `ends` how the runs end."""
+    """Runs tasks by sleeping. `run_ms` is the time of each run; `how` says how the runs end.
+
+    Faults on the way to the worker; its runs go on and obey the lease, run numbers and tokens:
+    `closing` closes each connection without an answer, `refuse` closes the listening socket as
+    well, requests in `unanswered` (start, stop, hold) are neither carried out nor answered, and
+    those in `late` are never answered and carried out after a time within `late_s`.
+    """
 
-    def __init__(self, address, announce_to, data_centre, cpu=64000):
+    def __init__(self, address, announce_to, data_centre, cpu=64000, clock_rate=1.0):
         self.address, self.announce_to, self.data_centre = address, announce_to, data_centre
         self.cpu, self.run_ms, self.how, self.state = cpu, 60, "done", "ready"
-        self.lost_answers = 0
+        self.lost_answers, self.clock_rate = 0, clock_rate
+        self.closing, self.unanswered, self.late, self.late_s = False, set(), set(), (0.3, 2)
+        self.random = random.Random(address[1])
         self.active, self.highest, self.finished = {}, {}, []
         self.started = []  # (time, task, run)
+        self.intervals = {}  # (task, run): [start, end or None, how it ended]
         self.sequence, self.lease, self.token = 0, 0, 0
         self.born = int(time.time() * 1000)
         self.begun = time.monotonic()
@@ -137,22 +150,51 @@
         class Handler(JsonHandler):
             def do_POST(self):
                 body = self.body()
-                status, document = worker.handle(self.path, body)
-                if status is None:
+                status, document = worker.receive(self.path, body)
+                if status == "silence":
+                    self.rfile.read(1)  # until the client gives up
+                if status in (None, "silence"):
                     self.close_connection = True
                     self.connection.shutdown(socket.SHUT_RDWR)
                     return
                 self.reply(status, document)
 
+        self.handler = Handler
         self.server = Server(address, Handler)
         for task in (self.server.serve_forever, self.beat, self.work):
             threading.Thread(target=task, daemon=True).start()
 
     def clock(self):
-        return int((time.monotonic() - self.begun) * 1000)
+        return int((time.monotonic() - self.begun) * 1000 * self.clock_rate)
+
+    def refuse(self, seconds):
+        """Refuses connections for this long, and closes open ones at their next request."""
+        self.closing = True
+        self.server.shutdown()
+        self.server.server_close()
+        time.sleep(seconds)
+        self.closing = False
+        self.server = Server(self.address, self.handler)
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+
+    def receive(self, path, body):
+        kind = path.rsplit("-", 1)[-1].rsplit("/", 1)[-1]
+        if self.closing:
+            return None, None
+        if kind in self.late:
+            delay = self.random.uniform(*self.late_s)
+            later = threading.Timer(delay, self.handle, (path, body | {"wait_ms": 0}))
+            later.daemon = True
+            later.start()
+        if kind in self.late or kind in self.unanswered:
+            return "silence", None
+        answer = self.handle(path, body)
+        # A connection that is closed meanwhile loses the answer.
+        return (None, None) if self.closing else answer
 
     def handle(self, path, body):
         with self.changed:
+            self.end_due()
             if body.get("fencing_token", 0) < self.token:
                 return 409, {"clock_ms": self.clock(), "reason": "fence"}
             self.token = max(self.token, body.get("fencing_token", 0))
@@ -161,8 +203,9 @@
             if path == "/api/run-stop":
                 key = body["task"]
                 self.highest[key] = max(self.highest.get(key, 0), body["run"])
-                if key in self.active and self.active[key][0] <= body["run"]:
-                    self.end(key, "stopped")
+                for task, run in list(self.active):
+                    if task == key and run <= body["run"]:
+                        self.end((task, run), "stopped", time.monotonic())
                 return 200, {"clock_ms": self.clock()}
             self.extend(body)
             end = time.monotonic() + body.get("wait_ms", 0) / 1000
@@ -170,12 +213,12 @@
             while not any(e[0] > through for e in self.finished) and time.monotonic() < end:
                 self.changed.wait(0.01)
             return 200, {"clock_ms": self.clock(), "born": self.born,
-                         "active": [[k, run, "", self.percent(k)]
-                                    for k, (run, _) in self.active.items()],
+                         "active": [[task, run, "", self.percent((task, run))]
+                                    for task, run in self.active],
                          "finished": [e for e in self.finished if e[0] > through]}
 
     def percent(self, key):
-        return min(99, int((time.monotonic() - self.active[key][1]) * 100000 / self.run_ms))
+        return min(99, int((time.monotonic() - self.active[key]) * 100000 / self.run_ms))
 
     def start(self, body):
         key, run = body["task"], body["run"]
@@ -186,8 +229,11 @@
             return 409, {"clock_ms": self.clock(), "reason": "old"}
         if (len(self.active) + 1) * 6200 > self.cpu:
             return 409, {"clock_ms": self.clock(), "reason": "room"}
-        self.active[key] = (run, time.monotonic())
-        self.started.append((time.monotonic(), key, run))
+        now = time.monotonic()
+        self.active[key, run] = now
+        self.highest[key] = run
+        self.started.append((now, key, run))
+        self.intervals[key, run] = [now, None, ""]
         if self.lost_answers > 0:
             self.lost_answers -= 1
             return None, None
@@ -197,20 +243,25 @@
         if "expiry_ms" in body:
             self.lease = max(self.lease, min(body["expiry_ms"], self.clock() + 1000))
 
-    def end(self, key, how):
-        run, _ = self.active.pop(key)
-        self.highest[key] = max(self.highest.get(key, 0), run)
-        self.finished.append([len(self.finished) + 1, key, run, how, ""])
+    def end(self, key, how, at):
+        task, run = key
+        del self.active[key]
+        self.intervals[key][1:] = [at, how]
+        self.finished.append([len(self.finished) + 1, task, run, how, ""])
         self.changed.notify_all()
 
+    def end_due(self):
+        """Ends runs at the time at which they were due, however late this thread gets its turn."""
+        lapse = self.begun + (self.lease + 1) / 1000 / self.clock_rate
+        for key, begun in list(self.active.items()):
+            done = begun + self.run_ms / 1000
+            if min(lapse, done) <= time.monotonic():
+                self.end(key, "lapsed" if lapse < done else self.how, min(lapse, done))
+
     def work(self):
         while not self.stopped:
             with self.changed:
-                for key, (_, begun) in list(self.active.items()):
-                    if self.clock() > self.lease:
-                        self.end(key, "lapsed")
-                    elif time.monotonic() - begun > self.run_ms / 1000:
-                        self.end(key, self.how)
+                self.end_due()
             time.sleep(0.005)
 
     def heartbeat(self):
