--- /dev/null
+++ b/tests/process/test_lost_runs.py
@@ -0,0 +1,236 @@
+"""No task may have two runs at once on workers, whatever entries, agents and workers suffer.
+
+Judged by what the stand-in workers saw: the time of each run from its start to its end. The worker
+of agent-1 has a clock that is 2% slow, so that its leases last longer than asked for.
+"""
+import os
+import random
+import signal
+import threading
+import time
+import unittest
+
+from platform_case import AGENTS, ENTRIES, HOST, PlatformCase, send
+from relay import ENTRY_NET, RELAY_NET, Relay, RelayStore
+
+SEED = int(os.environ.get("CAROBFALL_SEED", "14"))
+RANDOM_SECONDS = float(os.environ.get("CAROBFALL_RANDOM_SECONDS", "16"))
+RESEND_AFTER = 1.3  # callers_resend_after of run_bounds.h
+# Longer than the times after which entries and callers count a run as gone, so that a run that goes
+# on for longer meets the next one.
+RUN_MS = 2500
+ROUND_SECONDS = 3.0
+
+
+class LostRunsTest(PlatformCase):
+    store_type = RelayStore
+    seed_ip = RELAY_NET + "1"
+
+    def prepare(self):
+        self.relays = [Relay((RELAY_NET + str(i + 1), self.link_port),
+                             (ENTRY_NET + str(i + 1), self.link_port)) for i in range(ENTRIES)]
+        for relay in self.relays:
+            self.addCleanup(relay.stop)
+        self.workers[1].clock_rate = 0.98
+        self.callers, self.last_job, self.answers = [], 0x1000, []
+
+    def setUp(self):
+        super().setUp()
+        for worker in self.workers:
+            worker.run_ms = RUN_MS
+
+    # ------------------------------------------------------------------ callers
+
+    def call(self, entry, give_up=ROUND_SECONDS, count=3, seconds=ROUND_SECONDS):
+        """Sends a job in the background, and again until it has succeeded or time is over."""
+        self.last_job += 1
+        self.callers.append(threading.Thread(
+            target=self.call_until_answered,
+            args=("%016x" % self.last_job, entry, give_up, count, time.monotonic() + seconds)))
+        self.callers[-1].start()
+
+    def call_until_answered(self, job, entry, give_up, count, end):
+        step = {"count": count, "cpu": 6200, "mem_mb": 64, "estimated_ms": RUN_MS}
+        while (left := end - time.monotonic()) > 0:
+            status, _, _ = send(self.entries[entry], "POST", "/check/" + job,
+                                {"spec": "text", "best_effort": True, "steps": [step]},
+                                {"Host": HOST, "Carobfall-Deadline-Ms": "9000"},
+                                timeout=min(give_up, left))
+            self.answers.append(status)
+            if status == 200 or time.monotonic() > end:
+                return
+            # 503 promises that nothing runs, so that the job may come again at once.
+            time.sleep(0.1 if status == 503 else RESEND_AFTER)
+            entry, give_up = 1 - entry, left
+
+    # ------------------------------------------------------------------- faults
+
+    def pause(self, name, seconds):
+        self.processes[name].send_signal(signal.SIGSTOP)
+        time.sleep(seconds)
+        self.processes[name].send_signal(signal.SIGCONT)
+
+    def restart(self, name, absent=0.0):
+        self.processes[name].kill()
+        self.processes[name].wait()
+        time.sleep(absent)
+        self.start(name)
+
+    def reset(self, times=1, pause=0.2):
+        for _ in range(times):
+            for relay in self.relays:
+                relay.reset()
+            time.sleep(pause)
+
+    def disturb(self, worker, seconds, **changes):
+        """Sets attributes of a stand-in worker for this long."""
+        before = {name: getattr(worker, name) for name in changes}
+        for name, value in changes.items():
+            setattr(worker, name, value)
+        time.sleep(seconds)
+        for name, value in before.items():
+            setattr(worker, name, value)
+
+    def at_once(self, *faults):
+        """Runs faults side by side; returns when the last one is over."""
+        threads = [threading.Thread(target=fault) for fault in faults]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+
+    def set_unanswered(self, *kinds):
+        for worker in self.workers:
+            worker.unanswered = set(kinds)
+
+    # -------------------------------------------------------------------- check
+
+    def begin(self, give_up=ROUND_SECONDS, entries=(0, 1)):
+        """Sends jobs and waits until their tasks run."""
+        for _ in range(3):
+            for entry in entries:
+                self.call(entry, give_up)
+        time.sleep(0.4)
+
+    def finish(self):
+        """Waits for callers and workers, then compares the times of all runs."""
+        for caller in self.callers:
+            caller.join()
+        self.callers.clear()
+        self.set_unanswered()
+        self.wait_for(lambda: not any(w.active for w in self.workers), "all runs end", 5)
+        runs = {}
+        for number, worker in enumerate(self.workers):
+            for (task, run), (begun, ended, how) in list(worker.intervals.items()):
+                runs.setdefault(task, []).append((begun, ended, how, number, run))
+        wall = time.time() - time.monotonic()
+        overlaps = []
+        for task, times in sorted(runs.items()):
+            times.sort()
+            for first, second in zip(times, times[1:]):
+                if second[0] < first[1]:
+                    overlaps.append("%s ran %.0f ms twice at once: %s" % (
+                        task, (first[1] - second[0]) * 1000, "; ".join(
+                            "agent-%d run %d from %.3f to %.3f %s" % (
+                                number, run, begun + wall, ended + wall, how)
+                            for begun, ended, how, number, run in times)))
+        repeated = sum(1 for times in runs.values() if len(times) > 1)
+        print("%s: %d tasks, %d with several runs, answers 200: %d of %d, logs in %s" % (
+            self.id().rsplit(".", 1)[-1], len(runs), repeated, self.answers.count(200),
+            len(self.answers), self.directory), flush=True)
+        self.assertEqual(overlaps, [], "seed %d, logs in %s" % (SEED, self.directory))
+
+    def test_resets_while_worker_closes_connections(self):
+        """Guards against tasks that are released since their agent connects again."""
+        self.begin()
+        self.at_once(lambda: self.disturb(self.workers[0], 0.8, closing=True),
+                     lambda: self.disturb(self.workers[1], 0.8, closing=True),
+                     lambda: self.reset(4))
+        self.finish()
+
+    def test_worker_refuses_connections(self):
+        """Guards against runs that count as ended since nothing listens on their worker's port."""
+        self.begin()
+        self.at_once(lambda: self.workers[0].refuse(0.8), lambda: self.workers[1].refuse(0.8))
+        self.finish()
+
+    def test_agent_paused(self):
+        """Guards against leases that an agent extends after it stood still."""
+        for unanswered in ((), ("stop",)):
+            self.begin()
+            self.set_unanswered(*unanswered)
+            self.at_once(lambda: self.pause("agent-1", 0.6), lambda: self.pause("agent-2", 2))
+            self.finish()
+
+    def test_entry_paused(self):
+        """Guards against runs of an entry that stands still beside those of the next try."""
+        for seconds, unanswered in ((0.6, ()), (2, ("stop",))):
+            self.set_unanswered(*unanswered)
+            self.begin(give_up=0.41, entries=(0, 0))
+            self.pause("entry-0", seconds)
+            self.finish()
+
+    def test_agent_killed(self):
+        """Guards against a successor of an agent that extends the lease of runs it can't stop."""
+        self.begin()
+        self.set_unanswered("stop")
+        self.at_once(lambda: self.restart("agent-1"), lambda: self.restart("agent-2", 0.5))
+        self.finish()
+
+    def test_entry_killed(self):
+        """Guards against runs of a lost entry that go on when its caller sends the job again."""
+        self.set_unanswered("stop")
+        self.begin(entries=(0, 0))
+        self.restart("entry-0", 0.3)
+        self.finish()
+
+    def test_late_orders_and_resets(self):
+        """Guards against orders without an answer that are done after their task was released."""
+        for worker in self.workers[:2]:
+            worker.late = {"start", "stop"}
+        self.begin()
+        self.reset(3, 0.4)
+        for worker in self.workers:
+            worker.late = set()
+        self.finish()
+
+    def random_fault(self, choice):
+        """Name of what suffers, and the fault."""
+        long, pause = choice.uniform(0.2, 2.2), choice.uniform(0.05, 0.4)
+        times = choice.randint(1, 4)
+        number = choice.randrange(AGENTS)
+        worker, agent, orders = self.workers[number], "agent-%d" % number, "worker-%d" % number
+        entry = "entry-%d" % choice.randrange(ENTRIES)
+        kinds = set(choice.sample(["start", "stop", "hold"], choice.randint(1, 2)))
+        return choice.choice([
+            ("links", lambda: self.reset(times, pause)),
+            (entry, lambda: self.pause(entry, long)),
+            (entry, lambda: self.restart(entry, long / 4)),
+            (agent, lambda: self.pause(agent, long)),
+            (agent, lambda: self.restart(agent, long / 4)),
+            (orders, lambda: self.disturb(worker, long / 2, closing=True)),
+            (orders, lambda: worker.refuse(long / 2)),
+            (orders, lambda: self.disturb(worker, long, unanswered={"stop"})),
+            (orders, lambda: self.disturb(worker, long, unanswered=kinds)),
+            (orders, lambda: self.disturb(worker, long, late=kinds))])
+
+    def test_random_faults(self):
+        """Guards against series of faults that no other case has, overlapping, from a seed."""
+        choice, under_way = random.Random(SEED), {}
+        end = time.monotonic() + RANDOM_SECONDS
+        while time.monotonic() < end:
+            give_up = choice.choice([6.0, 6.0, choice.uniform(0.3, 2.0)])
+            self.call(choice.randrange(ENTRIES), give_up, choice.randint(1, 4), 5)
+            sufferer, fault = self.random_fault(choice)
+            # A process that is paused can't be restarted at the same time, for example.
+            if sufferer not in under_way or not under_way[sufferer].is_alive():
+                under_way[sufferer] = threading.Thread(target=fault)
+                under_way[sufferer].start()
+            time.sleep(choice.uniform(0.1, 0.6))
+        for thread in under_way.values():
+            thread.join()
+        self.finish()
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/standins/fleet/relay.py
@@ -0,0 +1,77 @@
+"""A loopback relay between agents and an entry, and a store that leads agents to it."""
+import select
+import socket
+import struct
+import threading
+
+from peers import Store
+
+ENTRY_NET, RELAY_NET = "127.0.1.", "127.0.3."
+
+
+class RelayStore(Store):
+    """Names the relays in place of the entries."""
+
+    def put(self, table, key, value):
+        super().put(table, key.replace(ENTRY_NET, RELAY_NET), value)
+
+
+class Relay:
+    """Passes frames between agents and one entry, and resets their connections when told to."""
+
+    def __init__(self, address, entry):
+        self.entry, self.generation = entry, 0
+        self.listener = socket.create_server(address, backlog=64)
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            try:
+                agent = self.listener.accept()[0]
+            except OSError:
+                return
+            threading.Thread(target=self.carry, args=(agent, self.generation), daemon=True).start()
+
+    def reset(self):
+        self.generation += 1
+
+    def stop(self):
+        self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+        self.reset()
+
+    def carry(self, agent, generation):
+        ends, unread = [agent], b""
+        try:
+            entry = socket.create_connection(self.entry, timeout=1)
+            ends.append(entry)
+            for end in ends:
+                end.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            while generation == self.generation:
+                for source in select.select(ends, [], [], 0.01)[0]:
+                    data = source.recv(65536)
+                    if not data:
+                        return
+                    if source is agent:
+                        entry.sendall(data)
+                        continue
+                    # Entries name their own addresses to agents, which would go round the relay.
+                    whole, unread = self.split(unread + data)
+                    agent.sendall(whole.replace(ENTRY_NET.encode(), RELAY_NET.encode()))
+        except OSError:
+            pass  # one side has gone; the other one is closed below
+        finally:
+            for end in ends:
+                end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                end.close()
+
+    @staticmethod
+    def split(data):
+        """Whole frames, each behind its length, and the rest."""
+        end = 0
+        while len(data) >= end + 4:
+            following = end + 4 + int.from_bytes(data[end:end + 4], "big")
+            if following > len(data):
+                break
+            end = following
+        return data[:end], data[end:]
