Agent: Pause between renewals that do not extend the lease

Cause: such a renewal is answered at once, so that an agent asked its worker again without a pause for as long as a stop was overdue or the worker was leaving. A link to a silent entry was closed, and logged, again by each look at the permissions until its end was noticed.

--- a/src/libs/carobfall/jobs/agent_service.cpp
+++ b/src/libs/carobfall/jobs/agent_service.cpp
@@ -227,13 +227,16 @@
     const bool has_token = co_await lease_.ensure_token(ledger_.acknowledged_end());
     const absl::Time asked_at = boot_now();
     renewal_reply reply;
+    bool extend = false;
     if (has_token) {
-        const bool extend = extends_lease(asked_at);
+        extend = extends_lease(asked_at);
         // An agent that does not extend the lease has to learn soon how things are.
         reply = co_await lease_.renew(ledger_.acknowledged_end(), extend,
                                       extend ? renewal_wait : absl::ZeroDuration(), asked_at);
     }
-    if (!take_renewal(reply, asked, asked_at, boot_now())) {
+    const bool heard = take_renewal(reply, asked, asked_at, boot_now());
+    // Answers that don't wait for the end of a run would follow each other without a pause.
+    if (!heard || (settled_ && !extend)) {
         asio::steady_timer pause(executor_, timer_duration(renewal_retry_pause));
         co_await pause.async_wait(asio::use_awaitable);
     }
@@ -303,7 +306,6 @@
 
 bool agent_service::extends_lease(absl::Time now)
 {
-    // The process may have stood still since the last look at the entries.
     drop_silent_entries(now);
     const lease_obstacle obstacle = obstacle_to_lease(now);
     const bool extended = obstacle == lease_obstacle::none;
@@ -441,9 +443,8 @@
 void agent_service::drop_silent_entries(absl::Time now)
 {
     links_.for_each_open([&](entry_link& link) {
-        if (!link.permits_starts(now)) {
+        if (!link.permits_starts(now) && link.close()) {
             log_.write(log_fields("entry_silent").add("address", link.address()), now);
-            link.close();
             ledger_.drop_session(link.session(), link.permitted_until());
         }
     });
--- a/src/libs/carobfall/jobs/agent_service.h
+++ b/src/libs/carobfall/jobs/agent_service.h
@@ -74,7 +74,8 @@
     void on_closed(session_number session, absl::Time permitted_until);
     /// Gives the orders that are due and sends what entries have to hear.
     void advance(absl::Time now);
-    /// Ends links to entries that no longer permit runs.
+    /// Ends links to entries that no longer permit runs. Comes before each extension of the lease,
+    /// because the process may have stood still since the last look.
     void drop_silent_entries(absl::Time now);
     /// Whatever extends the lease keeps all runs of the worker alive, also those that others count
     /// on to end.
--- a/src/libs/carobfall/jobs/entry_link.cpp
+++ b/src/libs/carobfall/jobs/entry_link.cpp
@@ -124,11 +124,13 @@
     last_sent_ = now;
 }
 
-void entry_link::close()
+bool entry_link::close()
 {
-    if (channel_) {
-        channel_->close();
+    if (!channel_ || !channel_->is_open()) {
+        return false;
     }
+    channel_->close();
+    return true;
 }
 
 } // namespace carobfall
--- a/src/libs/carobfall/jobs/entry_link.h
+++ b/src/libs/carobfall/jobs/entry_link.h
@@ -35,7 +35,8 @@
     boost::asio::awaitable<void> run();
     void stop();
     void send(fleet::agent_frame& frame, absl::Time now);
-    void close();
+    /// Ends the connection. False if it has been ended already.
+    bool close();
 
     /// Whether the entry has been heard recently enough to start its tasks. The time counts from
     /// the sending of the frame that the entry has echoed, so that frames that were held up on
