--- a/tests/auto/jobs/tst_lost_runs.cpp
+++ b/tests/auto/jobs/tst_lost_runs.cpp
@@ -244,8 +244,8 @@
     CHECK(task.first.worker.has_ended(run_end_kind::lapsed));
 }
 
-// Guards against an agent that takes a worker's farewell for the end of its runs: the worker ends
-// some time later, or a late farewell of an earlier incarnation has the same id.
+// Guards against an agent that takes a worker's deregistration for the end of its runs: the worker
+// ends some time later, or a late one of an earlier incarnation has the same id.
 TEST_CASE("the runs of a worker that leaves are lost only with its lease")
 {
     region test;
@@ -274,30 +274,14 @@
 TEST_CASE("a run that can't be stopped ends with its lease before callers send their job again")
 {
     asio::io_context context{1};
-    asio::ip::tcp::acceptor silent(context, {asio::ip::make_address_v4("127.0.0.1"), 0});
-    const std::string address = absl::StrCat("127.0.0.1:", silent.local_endpoint().port());
-    agent_fixture agent(context, "a", "1", address);
+    scripted_entry entry;
+    agent_fixture agent(context, "a", "1", entry.address());
     agent.worker.run_time = absl::Seconds(30);
     agent.worker.mute_stops = true;
-    asio::ip::tcp::socket socket(context);
-    silent.async_accept(socket, [](const boost::system::error_code&) {});
     context.run_for(std::chrono::milliseconds(100));
-    REQUIRE(socket.is_open());
-    frame_channel channel(std::move(socket));
-    fleet::entry_frame frame;
+    entry.accept();
     const absl::Time last_word = boot_now();
-    frame.set_echo_us(absl::ToUnixMicros(last_word));
-    fleet::task_order* order = frame.add_orders();
-    order->set_job_id(job_id);
-    order->set_cpu_millicores(6200);
-    order->set_expected_run_ms(100000);
-    order->set_start_by_ms(1000);
-    order->set_late_start_by_ms(1000);
-    order->set_give_up_ms(200000);
-    order->set_service("adviser");
-    channel.send(frame);
-    asio::co_spawn(
-        context, [&]() -> asio::awaitable<void> { co_await channel.write_all(); }, asio::detached);
+    entry.send(0);
     REQUIRE(run_until(
         context, [&] { return agent.worker.active() == 1; }, absl::Milliseconds(300)));
     CHECK(run_until(
