Jobs: Speak of the last contact in the bounds of runs

The name longest_run_after_word_ms and some comments spoke of words; the field's terms are contact, frame and report.

--- a/src/libs/carobfall/jobs/run_bounds.h
+++ b/src/libs/carobfall/jobs/run_bounds.h
@@ -6,13 +6,13 @@
 
 namespace carobfall {
 
-/// Times after which a run is gone when its entry, its agent or its worker is silent.
-///
-/// An agent extends the lease of its worker only while every entry with runs there has been heard
-/// within the permission, and while no run has had to stop for longer than the grace. So each run
-/// ends within `longest_run_after_word_ms` of the last word that its entry has heard of the agent,
-/// whatever stands still or can't be reached meanwhile: the ends of leases are times on the
-/// worker's clock, worked out from the time of the decision.
+// Times after which a run is gone when its entry, its agent or its worker is silent.
+//
+// An agent extends the lease of its worker only while every entry with runs there has been heard
+// within the permission, and while no run has had to stop for longer than the grace. So each run
+// ends within longest_run_after_contact_ms of the last frame that its entry has received from the
+// agent, whatever stands still or can't be reached meanwhile: the ends of leases are times on the
+// worker's clock, worked out from the time of the decision.
 
 inline constexpr std::int64_t entry_permission_ms = 500;
 inline constexpr std::int64_t stop_grace_ms = 100;
@@ -42,7 +42,7 @@
 /// A worker without an answer for this long has lost more than two renewals in a row; its lease is
 /// not extended any more.
 inline constexpr absl::Duration worker_silence_limit = absl::Milliseconds(worker_silence_limit_ms);
-/// After the last word of an agent, the time after which its entry may place the tasks elsewhere.
+/// After the last frame of an agent, the time after which its entry may place the tasks elsewhere.
 inline constexpr absl::Duration runs_gone_after = absl::Milliseconds(runs_gone_after_ms);
 inline constexpr absl::Duration callers_resend_after = absl::Milliseconds(callers_resend_after_ms);
 
@@ -56,16 +56,16 @@
 /// What is known of the worker's clock is as old as its last answer, and in whole milliseconds.
 inline constexpr std::int64_t clock_error_ms =
     longest_on_worker_ms(worker_silence_limit_ms) - worker_silence_limit_ms + 2;
-/// From the last word that an entry has heard of an agent to the end of the last run there.
-inline constexpr std::int64_t longest_run_after_word_ms =
+/// From the last frame that an entry has received from an agent to the end of the last run there.
+inline constexpr std::int64_t longest_run_after_contact_ms =
     entry_permission_ms + stop_grace_ms + longest_on_worker_ms(lease_time_ms) + clock_error_ms;
 
 /// After an answer, the time until a renewal can be answered that follows two lost ones.
 inline constexpr std::int64_t two_lost_renewals_ms =
     2 * (renewal_wait_ms + answer_limit_ms + renewal_retry_pause_ms);
 
-static_assert(longest_run_after_word_ms <= runs_gone_after_ms);
-static_assert(longest_run_after_word_ms <= callers_resend_after_ms);
+static_assert(longest_run_after_contact_ms <= runs_gone_after_ms);
+static_assert(longest_run_after_contact_ms <= callers_resend_after_ms);
 static_assert(two_lost_renewals_ms < worker_silence_limit_ms);
 // The lease counts from the sending of the answered renewal, which may have waited.
 static_assert(renewal_wait_ms + two_lost_renewals_ms < lease_time_ms);
--- a/src/libs/carobfall/jobs/run_record.h
+++ b/src/libs/carobfall/jobs/run_record.h
@@ -42,7 +42,7 @@
     bool entry_lost{false}; ///< the connection that ordered it has ended
     std::string stop_reason;
     /// Since when others count on the end of the run. Never while its entry is there and waits for
-    /// the agent's word, however long a stop takes.
+    /// the agent's report, however long a stop takes.
     absl::Time stop_since{absl::InfiniteFuture()};
     /// Of a run that is done, if it was seen to end, or of one that is stopped because it would end
     /// too late; otherwise zero.
@@ -52,7 +52,7 @@
 [[nodiscard]] task_run run_of(const run_record& record);
 [[nodiscard]] resource_amounts demand_of(const fleet::task_order& order);
 /// The run has to end. `since`: others have counted on it since then, never if they wait for the
-/// agent's word.
+/// agent's report.
 void begin_stopping(run_record& record, std::string_view reason, absl::Time since);
 
 } // namespace carobfall
--- a/tests/auto/adapter/tst_platform_settings.cpp
+++ b/tests/auto/adapter/tst_platform_settings.cpp
@@ -55,7 +55,7 @@
     REQUIRE(unmet().size() == 3);
     CHECK(unmet()[0].name == "retry_ms");
     CHECK(unmet()[0].value_ms == 1000);
-    CHECK(unmet()[0].needed_ms == longest_run_after_word_ms);
+    CHECK(unmet()[0].needed_ms == longest_run_after_contact_ms);
 }
 
 TEST_CASE("the settings of an agent name its worker")
--- a/tests/auto/jobs/tst_lost_runs.cpp
+++ b/tests/auto/jobs/tst_lost_runs.cpp
@@ -119,7 +119,7 @@
     }
     /// Takes the connection of an agent that has connected already.
     void accept() { acceptor_.accept(socket_); }
-    /// Gives a word that permits runs, with an order for task `index` if there is one.
+    /// Sends a frame that permits runs, with an order for task `index` if there is one.
     void send(std::optional<std::uint32_t> index = std::nullopt)
     {
         begin_frame(index);
@@ -194,8 +194,8 @@
 // that nobody hears of has to fit into the times after which others start its task again.
 TEST_CASE("runs of silent processes are gone before their tasks start again")
 {
-    CHECK(longest_run_after_word_ms <= runs_gone_after_ms);
-    CHECK(longest_run_after_word_ms <= callers_resend_after_ms);
+    CHECK(longest_run_after_contact_ms <= runs_gone_after_ms);
+    CHECK(longest_run_after_contact_ms <= callers_resend_after_ms);
 }
 
 // Guards against an entry that takes an agent that has only connected again for one whose runs are
@@ -280,14 +280,14 @@
     agent.worker.mute_stops = true;
     context.run_for(std::chrono::milliseconds(100));
     entry.accept();
-    const absl::Time last_word = boot_now();
+    const absl::Time last_contact = boot_now();
     entry.send(0);
     REQUIRE(run_until(
         context, [&] { return agent.worker.active() == 1; }, absl::Milliseconds(300)));
     CHECK(run_until(
         context, [&] { return agent.worker.active() == 0; }, absl::Seconds(4)));
     CHECK(agent.worker.has_ended(run_end_kind::lapsed));
-    CHECK(agent.worker.lease_end() - last_word <= callers_resend_after);
+    CHECK(agent.worker.lease_end() - last_contact <= callers_resend_after);
 }
 
 // Guards against orders to an earlier incarnation that its successor with the same id carries out
@@ -358,14 +358,14 @@
         context, [&] { return agent.worker.active() == 1; }, absl::Milliseconds(300)));
     entry.send();
     context.run_for(std::chrono::milliseconds(20));
-    const absl::Time last_word = boot_now();
+    const absl::Time last_contact = boot_now();
     entry.close();
     stand_still(absl::Milliseconds(600));
     REQUIRE(run_until(
         context, [&] { return agent.worker.active() == 0; }, absl::Seconds(4)));
     CHECK(agent.worker.has_ended(run_end_kind::lapsed));
-    const absl::Duration lived = agent.worker.lease_end() - last_word;
-    MESSAGE("run ended ", absl::ToInt64Milliseconds(lived), " ms after the entry's last word");
+    const absl::Duration lived = agent.worker.lease_end() - last_contact;
+    MESSAGE("run ended ", absl::ToInt64Milliseconds(lived), " ms after the last contact");
     CHECK(lived <= callers_resend_after);
 }
 
@@ -384,16 +384,16 @@
     silent.accept();
     other.accept();
     other.send();
-    const absl::Time last_word = boot_now();
+    const absl::Time last_contact = boot_now();
     silent.send(0);
     REQUIRE(run_until(
         context, [&] { return agent.worker.active() == 1; }, absl::Milliseconds(300)));
     run_until(
-        context, [&] { return boot_now() - last_word > absl::Milliseconds(300); },
+        context, [&] { return boot_now() - last_contact > absl::Milliseconds(300); },
         absl::Seconds(1));
     other.send();
     run_until(
-        context, [&] { return boot_now() - last_word > absl::Milliseconds(480); },
+        context, [&] { return boot_now() - last_contact > absl::Milliseconds(480); },
         absl::Seconds(1));
     REQUIRE(agent.worker.stops == 0);
     // The rest of the frame is what the agent reads first when it goes on.
@@ -405,8 +405,8 @@
     REQUIRE(run_until(
         context, [&] { return agent.worker.active() == 0; }, absl::Seconds(4)));
     CHECK(agent.worker.has_ended(run_end_kind::lapsed));
-    const absl::Duration lived = agent.worker.lease_end() - last_word;
-    MESSAGE("run ended ", absl::ToInt64Milliseconds(lived), " ms after the entry's last word, ",
+    const absl::Duration lived = agent.worker.lease_end() - last_contact;
+    MESSAGE("run ended ", absl::ToInt64Milliseconds(lived), " ms after the last contact, ",
             agent.worker.starts, " starts");
     CHECK(lived <= callers_resend_after);
 }
--- a/tests/auto/jobs/tst_worker_ledger.cpp
+++ b/tests/auto/jobs/tst_worker_ledger.cpp
@@ -350,7 +350,7 @@
 
 // Guards against a lease that is withheld from all runs of a worker because of one that nobody else
 // will start before the agent has told its end.
-TEST_CASE("a run whose entry waits for the agent's word is never overdue")
+TEST_CASE("a run whose entry waits for the agent's report is never overdue")
 {
     started_ledger test(start_outcome::no_answer);
     CHECK(test.ledger.overdue_stop(after(5000)) == nullptr);
