--- a/src/libs/carobfall/jobs/run_time_estimator.cpp
+++ b/src/libs/carobfall/jobs/run_time_estimator.cpp
@@ -15,10 +15,12 @@
 // Limits the memory for averages of removed routes. A configuration has far fewer routes.
 constexpr std::size_t max_routes = 10000;
 constexpr absl::Duration min_duration = absl::Milliseconds(1);
+// Upper bound that keeps the logarithm finite: one infinite value would invalidate the averages.
+constexpr absl::Duration max_duration = absl::Hours(24);
 
 double log_seconds(absl::Duration duration)
 {
-    return std::log(absl::ToDoubleSeconds(std::max(duration, min_duration)));
+    return std::log(absl::ToDoubleSeconds(std::clamp(duration, min_duration, max_duration)));
 }
 
 } // namespace
--- a/tests/auto/jobs/tst_estimates.cpp
+++ b/tests/auto/jobs/tst_estimates.cpp
@@ -94,3 +94,17 @@
     }
     CHECK(failures.share(start) < 0.15);
 }
+
+// Guards against an average that is no number after one infinite declared run time: all later jobs
+// of the route would be refused.
+TEST_CASE("an infinite declared run time does not invalidate the estimates of a route")
+{
+    run_time_estimator estimator;
+    for (int i = 0; i < 20; ++i) {
+        const absl::Duration declared =
+            i % 5 == 0 ? absl::InfiniteDuration() : absl::Milliseconds(60);
+        estimator.record("check", declared, absl::Milliseconds(60));
+    }
+    CHECK(estimator.expected("check", absl::Milliseconds(60)) > absl::ZeroDuration());
+    CHECK(estimator.expected("check", absl::Milliseconds(60)) < absl::Hours(1));
+}
