Agent: Link each agent to at most 12 entries

Cause: every agent kept a link to every entry. With 160 agents and 35 entries the frames that keep links alive and report room took most of the processor time of the entries, and reports went to each entry only every 175 ms. Change: an agent links to the first 12 entries in an order of its own (rendezvous hashing), and to one more for each of them that has sent nothing for a second. A link that is no longer selected takes no orders, and ends after a second without tasks. With 12 entries or fewer nothing changes.

--- a/src/libs/carobfall/jobs/agent_service.cpp
+++ b/src/libs/carobfall/jobs/agent_service.cpp
@@ -35,7 +35,7 @@
       log_(log),
       metrics_(metrics),
       lease_(orders, log),
-      links_(executor, link_hooks()),
+      links_(executor, identity_.name, link_hooks()),
       worker_announced_(executor),
       report_ended_(executor),
       status_sender_(identity_, ledger_, links_, operators, log, metrics, [this] {
@@ -160,8 +160,6 @@
            !operators_.is_out(identity_.data_centre);
 }
 
-// ------------------------------------------------------------------- entries
-
 void agent_service::on_open(entry_link& link)
 {
     const absl::Time now = boot_now();
@@ -204,8 +202,6 @@
     advance(now);
 }
 
-// -------------------------------------------------------------------- worker
-
 asio::awaitable<void> agent_service::renew_leases()
 {
     while (true) {
@@ -423,8 +419,6 @@
     advance(now);
 }
 
-// ---------------------------------------------------------------------- time
-
 asio::awaitable<void> agent_service::run_periodic_checks()
 {
     asio::steady_timer timer(executor_);
@@ -433,6 +427,8 @@
         co_await timer.async_wait(asio::use_awaitable);
         const absl::Time now = boot_now();
         drop_silent_entries(now);
+        links_.update_selection(
+            now, [this](session_number session) { return ledger_.has_tasks(session); });
         ledger_.expire(now);
         check_lapse(now);
         advance(now);
--- a/src/libs/carobfall/jobs/agent_service.h
+++ b/src/libs/carobfall/jobs/agent_service.h
@@ -49,8 +49,8 @@
     void restore_worker(const worker_announcement& worker);
     /// Handles the deregistration of the worker. Its runs may go on until its process ends.
     void worker_left(std::string_view id);
-    /// Connects to entries that are not known yet, and ends links to entries whose addresses have
-    /// expired.
+    /// Records the addresses of entries, connects to those that are selected, and ends links to
+    /// entries whose addresses have expired.
     void add_entries(const std::vector<std::string>& addresses);
     /// Accepts no more orders and returns the waiting tasks. Active runs go on.
     void drain();
--- a/src/libs/carobfall/jobs/entry_link.cpp
+++ b/src/libs/carobfall/jobs/entry_link.cpp
@@ -37,8 +37,12 @@
 
 } // namespace
 
-entry_link::entry_link(const asio::any_io_executor& executor, std::string address, hooks handlers)
-    : executor_(executor), address_(std::move(address)), hooks_(std::move(handlers))
+entry_link::entry_link(const asio::any_io_executor& executor, std::string address, hooks handlers,
+                       absl::Time now)
+    : executor_(executor),
+      address_(std::move(address)),
+      hooks_(std::move(handlers)),
+      last_contact_(now)
 {}
 
 asio::awaitable<bool> entry_link::connect(asio::ip::tcp::socket& socket)
@@ -69,6 +73,7 @@
             std::max(permitted_until_, absl::FromUnixMicros(frame.echo_us()) + entry_permission);
         entry_name_ = frame.entry();
         frame_received_ = true;
+        last_contact_ = boot_now();
         orders_received_ += static_cast<std::uint64_t>(frame.orders_size());
         entry_stamp_.update(stamp_of(frame));
         hooks_.on_frame(*this, frame);
@@ -81,7 +86,7 @@
     const absl::Time started_at = boot_now();
     while (!stopped_) {
         asio::ip::tcp::socket socket(executor_);
-        if (co_await connect(socket)) {
+        if (co_await connect(socket) && !stopped_) {
             channel_ = open_frame_channel(std::move(socket));
             const absl::Time now = boot_now();
             session_ = hooks_.new_session();
--- a/src/libs/carobfall/jobs/entry_link.h
+++ b/src/libs/carobfall/jobs/entry_link.h
@@ -29,7 +29,8 @@
         std::function<void(session_number, absl::Time permitted_until)> on_closed;
     };
 
-    entry_link(const boost::asio::any_io_executor& executor, std::string address, hooks handlers);
+    entry_link(const boost::asio::any_io_executor& executor, std::string address, hooks handlers,
+               absl::Time now);
 
     /// Connects and reads until `stop` is called.
     boost::asio::awaitable<void> run();
@@ -47,6 +48,11 @@
     }
     [[nodiscard]] absl::Time permitted_until() const { return permitted_until_; }
     [[nodiscard]] bool is_open() const { return session_ != 0; }
+    /// When the entry last sent a frame, or when this link was created.
+    [[nodiscard]] absl::Time last_contact() const { return last_contact_; }
+    /// Whether the entry may order tasks on this link; sent with each status.
+    [[nodiscard]] bool takes_orders() const { return takes_orders_; }
+    void set_takes_orders(bool takes_orders) { takes_orders_ = takes_orders; }
     /// Whether the entry has sent a frame on this connection.
     [[nodiscard]] bool has_received_frame() const { return is_open() && frame_received_; }
     [[nodiscard]] session_number session() const { return session_; }
@@ -78,6 +84,8 @@
     operator_state_stamp entry_stamp_;
     bool frame_received_{false};
     std::uint64_t description_sent_{0};
+    absl::Time last_contact_;
+    bool takes_orders_{true};
     bool stopped_{false};
 };
 
--- a/src/libs/carobfall/jobs/status_sender.cpp
+++ b/src/libs/carobfall/jobs/status_sender.cpp
@@ -61,7 +61,7 @@
         link.set_description_sent(description_number_);
     }
     const agent_condition condition = condition_();
-    status.set_accepting(condition.accepting);
+    status.set_accepting(condition.accepting && link.takes_orders());
     status.set_past_runs_gone(condition.past_runs_gone);
     status.set_orders_received(link.orders_received());
     describe_load(ledger_, now, status);
--- a/src/libs/carobfall/jobs/worker_ledger.h
+++ b/src/libs/carobfall/jobs/worker_ledger.h
@@ -13,6 +13,7 @@
 #include <absl/container/flat_hash_map.h>
 #include <absl/time/time.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -83,6 +84,13 @@
     /// Whether a run on the worker was ordered on a connection that has ended, or by an earlier
     /// agent.
     [[nodiscard]] bool has_past_runs() const;
+    /// Whether tasks that were ordered in the session wait or run.
+    [[nodiscard]] bool has_tasks(session_number session) const
+    {
+        return std::any_of(records_.begin(), records_.end(), [session](const auto& entry) {
+            return entry.second.session == session;
+        });
+    }
     /// Returns a run whose `stop_since` is more than `stop_grace` ago, or null if there is none.
     [[nodiscard]] const run_record* overdue_stop(absl::Time now) const;
     [[nodiscard]] double slowness(absl::Time now) const { return speed_.slowness(now); }
