Jobs: Let a run go on that a report lists when its start is unanswered

The table of agents was searched linearly for each report and order. Change: a report that lists a run as active counts as the answer to its start. The table finds agents by a hash of their names. Load pattern: a share of the workers loses a share of its answers.

--- a/src/libs/carobfall/jobs/agent_table.cpp
+++ b/src/libs/carobfall/jobs/agent_table.cpp
@@ -1,5 +1,6 @@
 #include "carobfall/jobs/agent_table.h"
 
+#include "carobfall/base/strings.h"
 #include "carobfall/jobs/run_queue.h"
 
 #include <algorithm>
@@ -21,21 +22,14 @@
 
 } // namespace
 
-agent_view& agent_table::view_of(const std::string& agent)
-{
-    const auto known = std::find_if(views_.begin(), views_.end(),
-                                    [&](const agent_view& view) { return view.name == agent; });
-    if (known != views_.end()) {
-        return *known;
-    }
-    views_.emplace_back().name = agent;
-    return views_.back();
-}
-
 void agent_table::describe(const fleet::agent_status& description)
 {
-    records_.try_emplace(description.name());
-    agent_view& view = view_of(description.name());
+    const auto [known, added] = records_.try_emplace(description.name());
+    if (added) {
+        known->second.position = views_.size();
+        views_.emplace_back().name = description.name();
+    }
+    agent_view& view = views_[known->second.position];
     view.data_centre = description.data_centre();
     view.rack = description.rack();
     view.labels.assign(description.labels().begin(), description.labels().end());
@@ -55,7 +49,7 @@
            known.unreported.front().number <= status.orders_received()) {
         known.unreported.pop_front();
     }
-    agent_view& view = view_of(agent);
+    agent_view& view = views_[known.position];
     view.usable = known.accepting && !is_out_(view.data_centre);
     view.load.free = amounts_of(status.free());
     view.load.waiting = waiting_profile::from_classes(
@@ -77,13 +71,22 @@
     const resource_amounts demand{order.cpu_millicores(), order.memory_mib(), order.accelerators()};
     const task_time time = time_of(order);
     known->second.unreported.push_back({++known->second.orders_sent, demand, time});
-    count_order(view_of(agent).load, demand, time);
+    count_order(views_[known->second.position].load, demand, time);
 }
 
 void agent_table::remove(const std::string& agent)
 {
-    records_.erase(agent);
-    std::erase_if(views_, [&](const agent_view& view) { return view.name == agent; });
+    const auto known = records_.find(agent);
+    if (known == records_.end()) {
+        return;
+    }
+    const std::size_t position = known->second.position;
+    records_.erase(known);
+    if (position + 1 < views_.size()) {
+        views_[position] = std::move(views_.back());
+        records_.at(views_[position].name).position = position;
+    }
+    views_.pop_back();
 }
 
 void agent_table::refresh()
@@ -95,9 +98,8 @@
 
 const agent_view* agent_table::find(std::string_view agent) const
 {
-    const auto known = std::find_if(views_.begin(), views_.end(),
-                                    [&](const agent_view& view) { return view.name == agent; });
-    return known == views_.end() ? nullptr : &*known;
+    const auto known = records_.find(to_absl(agent));
+    return known == records_.end() ? nullptr : &views_[known->second.position];
 }
 
 std::size_t agent_table::usable() const
--- a/src/libs/carobfall/jobs/agent_table.h
+++ b/src/libs/carobfall/jobs/agent_table.h
@@ -3,10 +3,12 @@
 #include "carobfall/fleet/fleet.pb.h"
 #include "carobfall/jobs/task_placement.h"
 
+#include <absl/container/flat_hash_map.h>
+
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <functional>
-#include <map>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -45,15 +47,14 @@
         task_time time;
     };
     struct record {
+        std::size_t position{0}; ///< in `views_`
         bool accepting{false};
         std::uint64_t orders_sent{0};
         std::deque<sent_order> unreported; ///< orders not received before the last report
     };
 
-    [[nodiscard]] agent_view& view_of(const std::string& agent);
-
     out_of_service is_out_;
-    std::map<std::string, record> records_; ///< by name
+    absl::flat_hash_map<std::string, record> records_; ///< by name
     std::vector<agent_view> views_;
 };
 
--- a/src/libs/carobfall/jobs/run_record.h
+++ b/src/libs/carobfall/jobs/run_record.h
@@ -38,6 +38,7 @@
     /// Time of the worker's latest answer to a start or stop order. Reports that are requested
     /// later show the effect of the order.
     absl::Time answered_at{absl::InfiniteFuture()};
+    bool listed_active{false}; ///< a report has listed the run, so the start was carried out
     bool stop_under_way{false};
     std::uint32_t stop_tries{0};
     bool entry_lost{false}; ///< the connection that carried the order has ended
--- a/src/libs/carobfall/jobs/worker_ledger.cpp
+++ b/src/libs/carobfall/jobs/worker_ledger.cpp
@@ -260,7 +260,10 @@
         return; // a report has already listed its end
     }
     run_record& record = found->second;
-    switch (reply.outcome) {
+    // Load pattern: a worker carries orders out and their answers are lost. A run that a report
+    // lists goes on.
+    const bool only_answer_lost = reply.outcome == start_outcome::no_answer && record.listed_active;
+    switch (only_answer_lost ? start_outcome::started : reply.outcome) {
     case start_outcome::started:
         record.phase = task_phase::running;
         record.answered_at = now;
@@ -316,9 +319,7 @@
         return;
     }
     found->second.stop_under_way = false;
-    if (answered) {
-        found->second.answered_at = now;
-    }
+    found->second.answered_at = answered ? now : found->second.answered_at;
 }
 
 worker_ledger::record_map::iterator worker_ledger::find_run(const task_run& run)
@@ -370,10 +371,14 @@
 {
     for (const active_run& active : report.active) {
         const auto found = find_run(active.task);
-        if (found == records_.end() || found->second.phase != task_phase::running) {
+        if (found == records_.end()) {
             continue;
         }
         run_record& record = found->second;
+        record.listed_active = true;
+        if (record.phase != task_phase::running) {
+            continue;
+        }
         const absl::Duration expected = absl::Milliseconds(record.order.expected_run_ms());
         const run_progress progress{record.ordered_at, expected, record.give_up,
                                     active.percent_done};
@@ -487,11 +492,4 @@
     return overdue == records_.end() ? nullptr : &overdue->second;
 }
 
-std::size_t worker_ledger::waiting() const
-{
-    return static_cast<std::size_t>(
-        std::count_if(records_.begin(), records_.end(),
-                      [](const auto& entry) { return entry.second.phase == task_phase::waiting; }));
-}
-
 } // namespace carobfall
--- a/src/libs/carobfall/jobs/worker_ledger.h
+++ b/src/libs/carobfall/jobs/worker_ledger.h
@@ -78,7 +78,13 @@
     [[nodiscard]] waiting_profile waiting_room(absl::Time now) const;
     /// Thousandths of a core that runs are expected to release per second.
     [[nodiscard]] double released_millicores_per_s(absl::Time now) const;
-    [[nodiscard]] std::size_t waiting() const;
+    [[nodiscard]] std::size_t waiting() const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(records_.begin(), records_.end(), [](const auto& entry) {
+                return entry.second.phase == task_phase::waiting;
+            }));
+    }
     /// Number of runs that are or may be on the worker.
     [[nodiscard]] std::size_t on_worker() const { return records_.size() - waiting(); }
     /// Whether a run on the worker was ordered on a connection that has ended, or by an earlier
--- a/tests/auto/jobs/tst_worker_ledger.cpp
+++ b/tests/auto/jobs/tst_worker_ledger.cpp
@@ -172,6 +172,40 @@
 
 // Guards against treating a run as ended because a report does not list it. A report that was
 // requested before the start can't list the run.
+// Load pattern: a worker carries orders out and their answers are lost. Guards against a run that
+// is stopped, and started again elsewhere, though it goes on undisturbed.
+TEST_CASE("a run that a report lists goes on when the answer to its start is lost")
+{
+    worker_ledger ledger;
+    ledger.announce(worker());
+    ledger.add(1, order(0), now);
+    const worker_ledger::record_number number = ledger.begin_next(now, permitted).value();
+    ledger.on_report(report_with_active(20), after(20), after(25));
+    ledger.on_start_reply(number, {start_outcome::no_answer, std::nullopt}, after(130));
+    CHECK_FALSE(ledger.begin_stop());
+    CHECK(ledger.on_worker() == 1);
+    ledger.on_report(report_with_end(1, run_end_kind::done), after(140), after(180));
+    const std::vector<session_event> events = ledger.take_events();
+    REQUIRE(events.size() == 1);
+    CHECK(events[0].event.kind() == fleet::task_done);
+}
+
+// A stop that was requested meanwhile is not forgotten.
+TEST_CASE("a listed run is stopped after its unanswered start if its entry has asked for it")
+{
+    worker_ledger ledger;
+    ledger.announce(worker());
+    ledger.add(1, order(0), now);
+    const worker_ledger::record_number number = ledger.begin_next(now, permitted).value();
+    ledger.on_report(report_with_active(20), after(20), after(25));
+    fleet::task_stop stop;
+    stop.set_job_id(job_id);
+    stop.set_attempt(1);
+    ledger.request_stop(1, stop, after(30));
+    ledger.on_start_reply(number, {start_outcome::no_answer, std::nullopt}, after(130));
+    CHECK(ledger.begin_stop() == number);
+}
+
 TEST_CASE("a report that was requested before the start of a run does not end it")
 {
     started_ledger test;
