Jobs: Wait for a report before a start without an answer is stopped

Cause: workers that lose answers close the connection, so that a start had no answer after 0 ms, before any report could list its run. The agent stopped the run at once, and its task started again elsewhere. Change: such a run is unconfirmed until a report lists it (it goes on) or a complete report, requested later, doesn't (it is stopped, as before); without a report it is stopped after 120 ms. If such a report has come before the start timed out, it is stopped at once. Totals over the records of an agent moved to run_record.cpp. Load pattern: a share of the workers loses a share of its answers.

--- a/src/libs/carobfall/jobs/run_record.cpp
+++ b/src/libs/carobfall/jobs/run_record.cpp
@@ -1,8 +1,15 @@
 #include "carobfall/jobs/run_record.h"
 
+#include "carobfall/jobs/run_queue.h"
+
 #include <algorithm>
 
 namespace carobfall {
+namespace {
+
+constexpr double milliseconds_per_second = 1000;
+
+} // namespace
 
 task_run run_of(const run_record& record)
 {
@@ -20,13 +27,48 @@
     if (record.phase == task_phase::stopping) {
         return;
     }
-    // While the start is unanswered, only the reason is set. `worker_ledger::on_start_reply` stops
+    // While the start is under way, only the reason is set. `worker_ledger::on_start_reply` stops
     // the run after the answer.
     record.stop_reason = reason;
-    if (record.phase == task_phase::running) {
+    if (record.phase == task_phase::running || record.phase == task_phase::unconfirmed) {
         record.phase = task_phase::stopping;
         record.answered_at = absl::InfiniteFuture();
     }
 }
 
+resource_amounts used_room(const run_record_map& records)
+{
+    resource_amounts used;
+    for (const auto& [number, record] : records) {
+        if (record.phase != task_phase::waiting) {
+            used += record.demand;
+        }
+    }
+    return used;
+}
+
+waiting_profile waiting_room_of(const run_record_map& records, absl::Time now)
+{
+    waiting_profile profile;
+    for (const auto& [number, record] : records) {
+        if (record.phase == task_phase::waiting) {
+            profile.add(queue_rank(record.order.priority(), record.start_by - now),
+                        record.demand.cpu_millicores);
+        }
+    }
+    return profile;
+}
+
+double expected_release(const run_record_map& records)
+{
+    double sum = 0;
+    for (const auto& [number, record] : records) {
+        if (record.phase != task_phase::waiting && record.order.expected_run_ms() > 0) {
+            sum += static_cast<double>(record.demand.cpu_millicores) * milliseconds_per_second /
+                   record.order.expected_run_ms();
+        }
+    }
+    return sum;
+}
+
 } // namespace carobfall
--- a/src/libs/carobfall/jobs/run_record.h
+++ b/src/libs/carobfall/jobs/run_record.h
@@ -2,11 +2,13 @@
 
 #include "carobfall/fleet/fleet.pb.h"
 #include "carobfall/jobs/job_request.h"
+#include "carobfall/jobs/waiting_profile.h"
 #include "carobfall/jobs/worker_orders.h"
 
 #include <absl/time/time.h>
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 
@@ -17,7 +19,8 @@
 
 enum class task_phase {
     waiting,
-    starting, ///< the start order is unanswered
+    starting,    ///< the start order is under way
+    unconfirmed, ///< the start order got no answer; a report shows whether it was carried out
     running,
     stopping, ///< has to end; stop orders are sent until one is answered
 };
@@ -39,6 +42,7 @@
     /// later show the effect of the order.
     absl::Time answered_at{absl::InfiniteFuture()};
     bool listed_active{false}; ///< a report has listed the run, so the start was carried out
+    absl::Time unconfirmed_since{absl::InfiniteFuture()};
     bool stop_under_way{false};
     std::uint32_t stop_tries{0};
     bool entry_lost{false}; ///< the connection that carried the order has ended
@@ -51,10 +55,20 @@
     absl::Duration known_run;
 };
 
+/// Records of an agent by number, in the order in which the tasks were ordered.
+using run_record_map = std::map<std::uint64_t, run_record>;
+
 [[nodiscard]] task_run run_of(const run_record& record);
 [[nodiscard]] resource_amounts demand_of(const fleet::task_order& order);
 /// Marks the run as due to stop. `since`: time since which other processes rely on its end;
 /// infinite if they wait for the report of the agent.
 void begin_stopping(run_record& record, std::string_view reason, absl::Time since);
 
+/// Room that the runs use on the worker.
+[[nodiscard]] resource_amounts used_room(const run_record_map& records);
+/// Room that the waiting tasks demand.
+[[nodiscard]] waiting_profile waiting_room_of(const run_record_map& records, absl::Time now);
+/// Thousandths of a core that ending runs release per second if they take the expected time.
+[[nodiscard]] double expected_release(const run_record_map& records);
+
 } // namespace carobfall
--- a/src/libs/carobfall/jobs/worker_ledger.cpp
+++ b/src/libs/carobfall/jobs/worker_ledger.cpp
@@ -16,7 +16,6 @@
 // Lower bound of the slowness, the ratio of measured to expected run times. A lower value is an
 // error of the estimates.
 constexpr double min_slowness = 0.5;
-constexpr double milliseconds_per_second = 1000;
 // Longest time between a report and the request for the next one, which lists the runs that have
 // ended in between. A longer gap means that a report was lost.
 constexpr absl::Duration max_report_gap = absl::Milliseconds(15);
@@ -27,6 +26,18 @@
 // Delay after a refusal for lack of room, about the time until a run ends.
 constexpr absl::Duration no_room_retry_delay = absl::Milliseconds(20);
 
+// Time for a report that lists a run whose start got no answer. The worker delays reports by at
+// most `renewal_wait`.
+constexpr absl::Duration start_confirmation_time = absl::Milliseconds(renewal_wait_ms + 20);
+
+/// Stops a run whose start has neither been answered nor been confirmed by a report. The worker may
+/// still carry the start out until it has answered a stop order.
+void stop_unconfirmed(run_record& record)
+{
+    const std::string reason = record.stop_reason.empty() ? "order_unanswered" : record.stop_reason;
+    begin_stopping(record, reason, record.stop_since);
+}
+
 fleet::task_event_kind event_kind_of(run_end_kind kind)
 {
     switch (kind) {
@@ -171,6 +182,10 @@
     for (auto record = records_.begin(); record != records_.end();) {
         const auto current = record++;
         const absl::Duration expected = absl::Milliseconds(current->second.order.expected_run_ms());
+        if (current->second.phase == task_phase::unconfirmed &&
+            now - current->second.unconfirmed_since > start_confirmation_time) {
+            stop_unconfirmed(current->second);
+        }
         if (current->second.phase == task_phase::waiting &&
             (current->second.late_start_by <= now ||
              !can_still_end(expected, now, current->second.give_up))) {
@@ -272,10 +287,10 @@
         }
         return;
     case start_outcome::no_answer:
-        record.phase = task_phase::stopping;
-        record.answered_at = absl::InfiniteFuture();
-        if (record.stop_reason.empty()) {
-            record.stop_reason = "order_unanswered";
+        record.phase = task_phase::unconfirmed;
+        record.unconfirmed_since = now;
+        if (complete_report_requested_at_ > record.ordered_at || !record.stop_reason.empty()) {
+            stop_unconfirmed(record);
         }
         return;
     case start_outcome::no_room:
@@ -376,6 +391,10 @@
         }
         run_record& record = found->second;
         record.listed_active = true;
+        if (record.phase == task_phase::unconfirmed) {
+            record.phase = task_phase::running;
+            record.answered_at = now;
+        }
         if (record.phase != task_phase::running) {
             continue;
         }
@@ -405,9 +424,14 @@
     if (!report.complete) {
         return;
     }
+    complete_report_requested_at_ = requested_at;
     for (auto record = records_.begin(); record != records_.end();) {
         const auto current = record++;
-        const run_record& task = current->second;
+        run_record& task = current->second;
+        if (task.phase == task_phase::unconfirmed && task.unconfirmed_since < requested_at) {
+            stop_unconfirmed(task);
+            continue;
+        }
         const bool answer_precedes_report =
             (task.phase == task_phase::running || task.phase == task_phase::stopping) &&
             task.answered_at < requested_at;
@@ -444,36 +468,13 @@
         return {};
     }
     resource_amounts room = worker_->capacity;
-    for (const auto& [number, record] : records_) {
-        if (record.phase != task_phase::waiting) {
-            room -= record.demand;
-        }
-    }
+    room -= used_room(records_);
     return room;
 }
 
-waiting_profile worker_ledger::waiting_room(absl::Time now) const
-{
-    waiting_profile profile;
-    for (const auto& [number, record] : records_) {
-        if (record.phase == task_phase::waiting) {
-            profile.add(queue_rank(record.order.priority(), record.start_by - now),
-                        record.demand.cpu_millicores);
-        }
-    }
-    return profile;
-}
-
 double worker_ledger::released_millicores_per_s(absl::Time now) const
 {
-    double sum = 0;
-    for (const auto& [number, record] : records_) {
-        if (record.phase != task_phase::waiting && record.order.expected_run_ms() > 0) {
-            sum += static_cast<double>(record.demand.cpu_millicores) * milliseconds_per_second /
-                   record.order.expected_run_ms();
-        }
-    }
-    return sum / std::max(slowness(now), min_slowness);
+    return expected_release(records_) / std::max(slowness(now), min_slowness);
 }
 
 bool worker_ledger::has_past_runs() const
--- a/src/libs/carobfall/jobs/worker_ledger.h
+++ b/src/libs/carobfall/jobs/worker_ledger.h
@@ -75,7 +75,10 @@
     [[nodiscard]] std::uint64_t acknowledged_end() const { return acknowledged_end_; }
     [[nodiscard]] resource_amounts free_room() const;
     /// Room that waiting tasks demand.
-    [[nodiscard]] waiting_profile waiting_room(absl::Time now) const;
+    [[nodiscard]] waiting_profile waiting_room(absl::Time now) const
+    {
+        return waiting_room_of(records_, now);
+    }
     /// Thousandths of a core that runs are expected to release per second.
     [[nodiscard]] double released_millicores_per_s(absl::Time now) const;
     [[nodiscard]] std::size_t waiting() const
@@ -105,7 +108,7 @@
     [[nodiscard]] bool has_events() const { return !events_.empty(); }
 
 private:
-    using record_map = std::map<record_number, run_record>;
+    using record_map = run_record_map;
 
     /// Returns why a new order is refused, or an empty string if it is accepted.
     [[nodiscard]] std::string_view refusal_of(const run_record& record, absl::Time now) const;
@@ -127,7 +130,8 @@
     record_map records_;
     record_number last_number_{0};
     std::uint64_t acknowledged_end_{0};
-    absl::Time reported_at_{absl::InfinitePast()}; ///< time of the latest report
+    absl::Time reported_at_{absl::InfinitePast()};                  ///< time of the latest report
+    absl::Time complete_report_requested_at_{absl::InfinitePast()}; ///< of the latest complete one
     past_runs past_runs_;
     worker_speed speed_;
     failure_rate failures_;
--- a/tests/auto/jobs/tst_worker_ledger.cpp
+++ b/tests/auto/jobs/tst_worker_ledger.cpp
@@ -190,6 +190,40 @@
     CHECK(events[0].event.kind() == fleet::task_done);
 }
 
+// Load pattern: as above, where the worker closes the connection in place of an answer.
+TEST_CASE("a run whose start got no answer goes on when the next report lists it")
+{
+    started_ledger test(start_outcome::no_answer);
+    CHECK_FALSE(test.ledger.begin_stop());
+    test.ledger.on_report(report_with_active(20), now, after(10));
+    test.ledger.on_report(report_with_active(50), after(12), after(50));
+    test.ledger.expire(after(400));
+    CHECK_FALSE(test.ledger.begin_stop());
+    test.ledger.on_report(report_with_end(1, run_end_kind::done), after(52), after(120));
+    CHECK(test.events() == event_list{{fleet::task_done, "done"}});
+}
+
+TEST_CASE("a run whose start got no answer is stopped when no report confirms it in time")
+{
+    started_ledger test(start_outcome::no_answer);
+    test.ledger.expire(after(100));
+    CHECK_FALSE(test.ledger.begin_stop());
+    test.ledger.expire(after(150));
+    CHECK(test.ledger.begin_stop() == test.number);
+}
+
+// Guards against a wait for a report that has come already: the order has been lost.
+TEST_CASE("a run that a later report does not list is stopped when its start times out")
+{
+    worker_ledger ledger;
+    ledger.announce(worker());
+    ledger.add(1, order(0), now);
+    const worker_ledger::record_number number = ledger.begin_next(now, permitted).value();
+    ledger.on_report({}, after(20), after(25));
+    ledger.on_start_reply(number, {start_outcome::no_answer, std::nullopt}, after(130));
+    CHECK(ledger.begin_stop() == number);
+}
+
 // A stop that was requested meanwhile is not forgotten.
 TEST_CASE("a listed run is stopped after its unanswered start if its entry has asked for it")
 {
