Adapter: Keep the sequence of a worker's announcement over a restart of its agent

Cause: the stored announcement lacked the sequence number, so that after a restart of the agent a delayed heartbeat from before the announcement of the worker's end (state ready) would have replaced the stored state (draining): a server that was leaving was in use again.

--- a/tests/auto/adapter/tst_worker_messages.cpp
+++ b/tests/auto/adapter/tst_worker_messages.cpp
@@ -108,6 +108,7 @@
     CHECK(read->state == worker_state::draining);
     CHECK(read->rack == worker.rack);
     CHECK(read->started_unix_ms == worker.started_unix_ms);
+    CHECK(read->sequence == worker.sequence);
     CHECK(read->capacity.cpu_millicores == worker.capacity.cpu_millicores);
     CHECK_FALSE(decode_worker("{}"));
 }
--- a/tests/auto/jobs/tst_entry_and_agent.cpp
+++ b/tests/auto/jobs/tst_entry_and_agent.cpp
@@ -365,3 +365,28 @@
         [&] { return test.entry.agents().find("a")->load.free.cpu_millicores == 6000; },
         absl::Milliseconds(300)));
 }
+
+// Guards against a worker that has left, or is leaving, and is in use again after a restart of its
+// agent: a heartbeat from before the announcement of its end may arrive late.
+TEST_CASE("a restarted agent does not use a worker that was leaving when the agent stopped")
+{
+    region test;
+    fake_worker worker(test.context, &test.counter);
+    operator_view operators;
+    event_log log("a", "mapo");
+    metrics_registry metrics;
+    agent_service agent(test.context.get_executor(), {"a", "2", "mapo"}, worker, operators, log,
+                        metrics);
+    agent.start();
+    worker_announcement stored = announcement_of("a");
+    stored.state = worker_state::draining;
+    stored.sequence = 5;
+    agent.restore_worker(stored);
+    agent.add_entries({test.address});
+    REQUIRE(test.run_until([&] { return agent.open_links() == 1; }));
+    worker_announcement delayed = announcement_of("a");
+    delayed.sequence = 4;
+    CHECK(agent.announce(delayed) == announcement_effect::ignored);
+    CHECK_FALSE(
+        test.run_until([&] { return test.entry.usable_agents() > 0; }, absl::Milliseconds(400)));
+}
