--- a/src/libs/carobfall/jobs/entry_link_set.h
+++ b/src/libs/carobfall/jobs/entry_link_set.h
@@ -44,13 +44,15 @@
 private:
     struct known_entry {
         std::uint64_t rank{0};
-        std::shared_ptr<entry_link> link; ///< null if the entry has never been selected or not now
+        std::shared_ptr<entry_link> link; ///< null while the agent is not linked to the entry
         absl::Time deselected_at{absl::InfiniteFuture()}; ///< infinite while it is selected
-        absl::Time idle_since{absl::InfiniteFuture()};    ///< while the link takes no orders
+        /// Since when a link that takes no orders has had no tasks.
+        absl::Time idle_since{absl::InfiniteFuture()};
     };
 
     [[nodiscard]] std::vector<bool> select(absl::Time now) const;
     void ensure_linked(const std::string& address, known_entry& entry, absl::Time now);
+    /// Takes the next step towards the end of a link that is not selected.
     void retire(known_entry& entry, absl::Time now, const task_check& has_tasks);
 
     boost::asio::any_io_executor executor_;
