--- a/tests/auto/adapter/tst_entry_table.cpp
+++ b/tests/auto/adapter/tst_entry_table.cpp
@@ -38,6 +38,14 @@
     }
 
     [[nodiscard]] const asio::ip::tcp::endpoint& endpoint() const { return endpoint_; }
+    /// Waits until all connections have ended: the server counts them until then.
+    void wait_for_idle(asio::io_context& context) const
+    {
+        for (int i = 0; i < 500 && server_.connections() > 0; ++i) {
+            context.run_for(std::chrono::milliseconds(10));
+        }
+        CHECK(server_.connections() == 0);
+    }
 
     std::map<std::string, std::string> rows; ///< value by key
     std::size_t rows_per_page{500};
@@ -118,13 +126,16 @@
     store.rows["9:9"] = "\xff";
     event_log log("agent", "mapo");
     metrics_registry metrics;
-    store_client client(context.get_executor(), store.endpoint());
-    entry_directory directory(context.get_executor(), client, log, metrics);
     store.rows["10.0.0.3:7340"] = R"({"written_ms":1e308})";
     store.rows["10.0.0.4:65536"] = "{}";
     store.rows["99.0.0.9:7340"] = R"({"written_ms":5})";
-    CHECK(read_addresses(context, directory) ==
-          std::vector<std::string>{"10.0.0.3:7340", "99.0.0.9:7340"});
+    {
+        store_client client(context.get_executor(), store.endpoint());
+        entry_directory directory(context.get_executor(), client, log, metrics);
+        CHECK(read_addresses(context, directory) ==
+              std::vector<std::string>{"10.0.0.3:7340", "99.0.0.9:7340"});
+    }
+    store.wait_for_idle(context);
     CHECK(store.reads > 1);
     CHECK(metrics.to_text().find("rows_malformed_total{table=\"entries\"} 45") !=
           std::string::npos);
