--- a/review/1/run.py
+++ b/review/1/run.py
@@ -26,7 +26,7 @@
 def send_odd_heartbeat(deployment, record):
     """A whole heartbeat of another writer, whose service isn't named in the configuration."""
     worker = max(deployment.workers, key=lambda w: len(w.active))
-    odd = worker.heartbeat() | {"service": "night-batch", "address": "127.0.2.200:8080",
+    odd = worker.heartbeat() | {"service": "night-batch", "address": "127.0.0.9:8080",
                                 "born": int(time.time() * 1000), "sequence": 1}
     status = send(worker.agent, "POST", "/api/Instances.Heartbeat/i-0dd0dd00", odd)[0]
     record.write("odd heartbeat to the agent of %s: %s" % (worker.name, status))
--- a/review/2/run.py
+++ b/review/2/run.py
@@ -11,8 +11,8 @@
 from deployment import RETRY_S, TROUBLE, Deployment, LoadBalancer, Record  # noqa: E402
 
 FREEZE_S = 4.0  # node_freeze of the site file: for_s = 4.0
-RATE = 100      # jobs a second at both entries
-TASKS, TASK_MS, TASK_CPU, DEADLINE_MS = 2, 900, 400, 1500
+RATE = 80       # jobs a second; three of four callers are sent to entry-0 (the share is uneven)
+TASKS, TASK_MS, TASK_CPU, DEADLINE_MS = 1, 900, 400, 1500
 TRAFFIC_S, FREEZE_AT_S = 8.0, 1.0
 ROUNDS = 3  # one freeze each; further ones only if the rule held
 
@@ -36,8 +36,9 @@
     for timer in (freeze, wake) if TROUBLE else ():
         timer.start()
     for number in range(int(TRAFFIC_S * RATE)):
-        callers.append(threading.Thread(
-            target=call, args=(deployment, balancer, number % 20, "%016x" % (0x20000 * number_of_round + number))))
+        job = "%016x" % (0x20000 * number_of_round + number)
+        client = 1 if number % 4 == 0 else 0
+        callers.append(threading.Thread(target=call, args=(deployment, balancer, client, job)))
         callers[-1].start()
         time.sleep(max(0, begun + (number + 1) / RATE - time.monotonic()))
     for caller in callers:
--- a/review/3/run.py
+++ b/review/3/run.py
@@ -46,15 +46,17 @@
         self.ends = {name: 0 for name in deployment.processes}
 
     def run(self):
+        start_at = {}
         while not self.stopped:
             for name, process in list(self.deployment.processes.items()):
-                if process.poll() is not None:
+                if process.poll() is not None and name not in start_at:
                     self.ends[name] += 1
                     self.record.write("%s has ended by itself, exit status %d" % (
                         name, process.returncode))
-                    time.sleep(RESTART_DELAY_S)
-                    if not self.stopped:
-                        self.deployment.start(name)
+                    start_at[name] = time.monotonic() + RESTART_DELAY_S
+                elif start_at.get(name, float("inf")) <= time.monotonic():
+                    self.deployment.start(name)
+                    del start_at[name]
             time.sleep(0.02)
 
 
