--- a/review/4/run.py
+++ b/review/4/run.py
@@ -13,8 +13,8 @@
 DARK_S = 0.3          # srv_crash: for_s = 4.5 at most
 FIRST_BEAT_S = 0.5    # a third of heartbeat_ms (1,500)
 RATE = 120           # jobs a second at both entries
-TASKS, TASK_MS, TASK_CPU, DEADLINE_MS = 2, 900, 1000, 1500
-ROUNDS, ROUND_S = 6, 4.0  # one crash each; further ones only if the rule held
+TASKS, TASK_MS, TASK_CPU, DEADLINE_MS = 2, 900, 200, 1500
+ROUNDS, ROUND_S = 10, 4.0  # one crash each; further ones only if the rule held
 
 
 def call(deployment, balancer, client, job):
