--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -286,8 +286,14 @@
                     "listen_addrs": {"control": "%s:%d" % (ip, control)}}
             self.workers.append(Worker(record, "worker-%d" % i, (ip, app), (ip, control), zone,
                                        kinds[i % len(kinds)]))
-        for name in self.settings:
-            self.start(name)
+        # A script that is told to end, ends its processes too.
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+        try:
+            for name in self.settings:
+                self.start(name)
+        except BaseException:
+            self.stop()
+            raise
 
     @staticmethod
     def free_ports(ip, count):
