Agent: Adopt another incarnation only after the worker confirms it

Cause: the agent took a well-formed heartbeat with another id, or a later start time, for the next life of its worker and reported the runs of the earlier one as ended. Anyone may send a heartbeat; the worker went on.

In the agent's log worker_announced names the foreign id right before the runs end.

Ruled out: the service as a criterion (a foreign heartbeat may name one that exists, and a new worker one whose configuration has not arrived yet).

Change: an incarnation is adopted, from a heartbeat or from the stored row, only after the process at the worker's address has answered a report request that is addressed to the announced id. Why it works: only that process can answer for the id, and its report states its start time.

--- a/src/libs/carobfall/jobs/agent_service.cpp
+++ b/src/libs/carobfall/jobs/agent_service.cpp
@@ -5,6 +5,7 @@
 #include "carobfall/base/strings.h"
 #include "carobfall/jobs/run_bounds.h"
 
+#include <absl/cleanup/cleanup.h>
 #include <absl/strings/str_cat.h>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -22,6 +23,10 @@
 constexpr absl::Duration periodic_check_interval = absl::Milliseconds(25);
 constexpr absl::Duration stop_retry_delay = absl::Milliseconds(10);
 constexpr absl::Duration max_stop_retry_delay = absl::Milliseconds(50);
+// Longest time for the check of an announcement. The sender of a heartbeat waits for 1 s.
+constexpr absl::Duration confirmation_time = absl::Milliseconds(700);
+// Number of announcements that are checked at the same time.
+constexpr std::size_t max_open_checks = 4;
 
 } // namespace
 
@@ -57,16 +62,68 @@
     spawn(executor_, run_periodic_checks());
 }
 
-announcement_effect agent_service::announce(const worker_announcement& worker)
+bool agent_service::is_present_worker(const worker_announcement& worker) const
+{
+    const std::optional<worker_announcement>& present = ledger_.worker();
+    return present && present->id == worker.id &&
+           present->started_unix_ms == worker.started_unix_ms;
+}
+
+asio::awaitable<incarnation_check>
+agent_service::check_incarnation(const worker_announcement& worker)
+{
+    if (open_checks_ >= max_open_checks) {
+        co_return incarnation_check::unanswered;
+    }
+    ++open_checks_;
+    const absl::Cleanup closed = [this] { --open_checks_; };
+    const absl::Time end = boot_now() + confirmation_time;
+    asio::steady_timer pause(executor_);
+    while (true) {
+        const renewal_reply reply = co_await lease_.identify(worker.id);
+        const bool id_in_use = ledger_.worker() && ledger_.worker()->id == worker.id;
+        const incarnation_check check = check_announcement(worker, reply, id_in_use);
+        const absl::Time now = boot_now();
+        if (check != incarnation_check::unanswered || now >= end) {
+            log_.write(log_fields("incarnation_checked")
+                           .add("worker", worker.id)
+                           .add("service", worker.service)
+                           .add("started_unix_ms", worker.started_unix_ms)
+                           .add("outcome", name_of(check)),
+                       now);
+            co_return check;
+        }
+        pause.expires_after(timer_duration(renewal_retry_delay));
+        co_await pause.async_wait(asio::use_awaitable);
+    }
+}
+
+asio::awaitable<announcement_effect> agent_service::announce(worker_announcement worker)
+{
+    if (!ledger_.is_current(worker)) {
+        co_return announcement_effect::ignored;
+    }
+    if (!is_present_worker(worker)) {
+        const incarnation_check check = co_await check_incarnation(worker);
+        if (check == incarnation_check::refuted) {
+            metrics_.add("foreign_announcements_total");
+            co_return announcement_effect::foreign;
+        }
+        if (check == incarnation_check::unanswered) {
+            co_return announcement_effect::unconfirmed;
+        }
+    }
+    co_return adopt(worker, boot_now());
+}
+
+announcement_effect agent_service::adopt(const worker_announcement& worker, absl::Time now)
 {
-    const absl::Time now = boot_now();
     const std::optional<worker_announcement> before = ledger_.worker();
+    const bool restarted = !is_present_worker(worker);
     if (!ledger_.announce(worker)) {
         return announcement_effect::ignored;
     }
     status_sender_.update_description();
-    const bool restarted =
-        !before || before->id != worker.id || before->started_unix_ms != worker.started_unix_ms;
     if (restarted) {
         orders_.set_target(worker);
         lease_.set_incarnation(worker.started_unix_ms);
@@ -89,10 +146,14 @@
     return changed ? announcement_effect::changed : announcement_effect::repeated;
 }
 
-void agent_service::restore_worker(const worker_announcement& worker)
+asio::awaitable<void> agent_service::restore_worker(worker_announcement worker)
 {
     // The next heartbeat is later than the stored announcement and replaces it.
-    if (!ledger_.worker() && announce(worker) == announcement_effect::changed) {
+    announcement_effect effect = announcement_effect::unconfirmed;
+    while (!ledger_.worker() && effect == announcement_effect::unconfirmed) {
+        effect = co_await announce(worker);
+    }
+    if (effect == announcement_effect::changed) {
         log_.write(log_fields("worker_recalled").add("worker", worker.id), boot_now());
     }
 }
--- a/src/libs/carobfall/jobs/agent_service.h
+++ b/src/libs/carobfall/jobs/agent_service.h
@@ -4,6 +4,7 @@
 #include "carobfall/base/event_log.h"
 #include "carobfall/base/histogram.h"
 #include "carobfall/jobs/entry_link_set.h"
+#include "carobfall/jobs/incarnation_check.h"
 #include "carobfall/jobs/lease_obstacle.h"
 #include "carobfall/jobs/operator_view.h"
 #include "carobfall/jobs/process_identity.h"
@@ -29,7 +30,9 @@
 enum class announcement_effect {
     ignored, ///< outdated, or from a worker that has left
     repeated,
-    changed, ///< another worker, or the worker is in another state
+    changed,     ///< another worker, or the worker is in another state
+    foreign,     ///< the process at the worker's address is another incarnation
+    unconfirmed, ///< the process at the worker's address has not answered
 };
 
 /// Service of an agent. The agent runs beside one worker: it receives orders from entries, sends
@@ -42,11 +45,13 @@
 
     /// Starts the coroutines that renew the lease and check deadlines.
     void start();
-    /// Handles a heartbeat of the worker.
-    announcement_effect announce(const worker_announcement& worker);
+    /// Handles an announcement. Anyone may send one, so another incarnation than the present one is
+    /// adopted only after the process at the worker's address has confirmed it. Takes at most
+    /// `confirmation_time`.
+    boost::asio::awaitable<announcement_effect> announce(worker_announcement worker);
     /// Restores the worker from the announcement that an earlier agent stored. It is used until a
     /// heartbeat arrives, and only if the same incarnation of the worker still runs.
-    void restore_worker(const worker_announcement& worker);
+    boost::asio::awaitable<void> restore_worker(worker_announcement worker);
     /// Handles the deregistration of the worker. Its runs may go on until its process ends.
     void worker_left(std::string_view id);
     /// Records the addresses of entries, connects to those that are selected, and ends links to
@@ -60,6 +65,10 @@
     [[nodiscard]] std::string state_text(absl::Time now) const;
 
 private:
+    [[nodiscard]] bool is_present_worker(const worker_announcement& worker) const;
+    /// Asks the process at the worker's address whether it is the incarnation of the announcement.
+    boost::asio::awaitable<incarnation_check> check_incarnation(const worker_announcement& worker);
+    announcement_effect adopt(const worker_announcement& worker, absl::Time now);
     boost::asio::awaitable<void> renew_leases();
     boost::asio::awaitable<void> renew_lease(worker_announcement worker);
     /// Handles the answer to a renewal. Returns false if the worker has not answered.
@@ -107,7 +116,8 @@
     async_event report_ended_;
     status_sender status_sender_;
 
-    bool reconciled_{false}; ///< a report has shown that no run of an earlier agent is left
+    std::size_t open_checks_{0}; ///< announcements that wait for the answer of the worker
+    bool reconciled_{false};     ///< a report has shown that no run of an earlier agent is left
     bool worker_reachable_{true};
     bool worker_leaving_{false}; ///< the worker has deregistered; removed after its last run
     bool draining_{false};
--- a/src/libs/carobfall/jobs/worker_lease.cpp
+++ b/src/libs/carobfall/jobs/worker_lease.cpp
@@ -4,6 +4,7 @@
 #include "carobfall/jobs/run_bounds.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace carobfall {
 
@@ -120,4 +121,12 @@
     co_return reply;
 }
 
+asio::awaitable<renewal_reply> worker_lease::identify(std::string id)
+{
+    renewal_order order;
+    order.worker_id = std::move(id);
+    order.fencing_token = fencing_token_.value_or(0);
+    co_return co_await orders_.renew(order);
+}
+
 } // namespace carobfall
--- a/src/libs/carobfall/jobs/worker_lease.h
+++ b/src/libs/carobfall/jobs/worker_lease.h
@@ -25,6 +25,9 @@
     /// delay its answer by this much until a run ends.
     boost::asio::awaitable<renewal_reply> renew(std::uint64_t acknowledged_end, bool extend,
                                                 absl::Duration wait, absl::Time now);
+    /// Asks the process at the worker's address for a report, addressed to the worker `id`. Extends
+    /// no lease and acknowledges no end.
+    boost::asio::awaitable<renewal_reply> identify(std::string id);
     /// Extends the lease for a start order and returns the lease end of the order, computed from
     /// `decided_at`. If a pause of this process after the decision delays the order beyond that
     /// end, the worker refuses the order.
--- a/src/libs/carobfall/jobs/worker_ledger.cpp
+++ b/src/libs/carobfall/jobs/worker_ledger.cpp
@@ -52,19 +52,27 @@
 
 } // namespace
 
-bool worker_ledger::announce(const worker_announcement& worker)
+bool worker_ledger::is_current(const worker_announcement& worker) const
 {
     if (worker.id == left_id_ && worker.started_unix_ms <= left_started_unix_ms_) {
         return false;
     }
-    const bool same =
-        worker_ && worker_->id == worker.id && worker_->started_unix_ms == worker.started_unix_ms;
-    if (same && worker.sequence <= worker_->sequence) {
-        return false;
+    if (!worker_) {
+        return true;
+    }
+    if (worker_->id == worker.id && worker_->started_unix_ms == worker.started_unix_ms) {
+        return worker.sequence > worker_->sequence;
     }
-    if (worker_ && !same && worker.started_unix_ms < worker_->started_unix_ms) {
+    return worker.started_unix_ms >= worker_->started_unix_ms;
+}
+
+bool worker_ledger::announce(const worker_announcement& worker)
+{
+    if (!is_current(worker)) {
         return false;
     }
+    const bool same =
+        worker_ && worker_->id == worker.id && worker_->started_unix_ms == worker.started_unix_ms;
     if (!same) {
         end_runs("worker_restarted");
         acknowledged_end_ = 0;
--- a/src/libs/carobfall/jobs/worker_ledger.h
+++ b/src/libs/carobfall/jobs/worker_ledger.h
@@ -39,8 +39,12 @@
 public:
     using record_number = std::uint64_t;
 
+    /// Whether the announcement is later than the present one and than the end of a worker that has
+    /// left.
+    [[nodiscard]] bool is_current(const worker_announcement& worker) const;
     /// Updates the worker from its announcement. A new incarnation ends the runs of the earlier
-    /// one. Returns false if the announcement is older than the current one.
+    /// one, so the process at the worker's address must have confirmed it. Returns false if the
+    /// announcement isn't current.
     bool announce(const worker_announcement& worker);
     /// Removes a worker that has left, together with its runs.
     void remove_worker(std::string_view id);
--- a/src/libs/carobfall/jobs/worker_orders.h
+++ b/src/libs/carobfall/jobs/worker_orders.h
@@ -114,6 +114,9 @@
 };
 
 struct renewal_order {
+    /// Id of the worker that has to answer; any other one answers `other_incarnation`. Empty: the
+    /// worker of `worker_orders::set_target`.
+    std::string worker_id;
     std::int64_t fencing_token{0};
     std::uint64_t acknowledged_end{0};
     std::optional<worker_time> lease_end;
