Base: Answer unreadable requests without ending the process

Cause: GCC 12 destroys a braced temporary in a co_await expression twice. write_response got its response that way in two places.

Evidence: tst_async_http_server ends with SIGABRT in its first case when the temporaries are put back, and passes without them. Ruled out: the parser and the contents, since the same answers from a variable end nothing.

Change: both responses are variables; a comment says why. A search of all co_await expressions with braced arguments found no other place.

--- a/src/libs/carobfall/base/async_http_server.cpp
+++ b/src/libs/carobfall/base/async_http_server.cpp
@@ -70,6 +70,8 @@
     return std::nullopt;
 }
 
+/// Pass a variable as `response`: GCC 12 destroys a braced temporary in a co_await expression
+/// twice.
 asio::awaitable<bool> write_response(beast::tcp_stream& stream, async_http_response response,
                                      bool keep_alive)
 {
@@ -114,7 +116,8 @@
     socket.set_option(asio::ip::tcp::no_delay(true), error);
     const auto stream = std::make_shared<beast::tcp_stream>(std::move(socket));
     if (connections_ > limits_.max_connections) {
-        co_await write_response(*stream, {503, "", "", "1"}, false);
+        const async_http_response response{503, "", "", "1"};
+        co_await write_response(*stream, response, false);
         co_return;
     }
     beast::flat_buffer buffer;
@@ -137,7 +140,8 @@
                                   asio::redirect_error(asio::use_awaitable, error));
         if (error) {
             if (const std::optional<unsigned> status = status_of(error)) {
-                co_await write_response(*stream, {*status, "", "", ""}, false);
+                const async_http_response response{*status, "", "", ""};
+                co_await write_response(*stream, response, false);
             }
             co_return;
         }
