Agent: Let the reports of a restarted worker decide which runs have ended

Cause: starts are addressed to an id. The new incarnation carried out the latest ones before the agent noticed the change, and the agent reported all its runs as ended, also these.

Ruled out: late answers of the earlier incarnation (the deciding report is of a later request); the limit for silent workers, which only sets how often.

Change: the first report of another incarnation with the same id ends only the runs that it does not list and whose starts were answered before it was requested. The worker gets no task until it announces itself. A new clock makes the longest lease 1,000 ms, for which the agent waits.

--- a/src/libs/carobfall/jobs/agent_service.cpp
+++ b/src/libs/carobfall/jobs/agent_service.cpp
@@ -69,18 +69,19 @@
            present->started_unix_ms == worker.started_unix_ms;
 }
 
-asio::awaitable<incarnation_check>
+asio::awaitable<incarnation_answer>
 agent_service::check_incarnation(const worker_announcement& worker)
 {
     if (open_checks_ >= max_open_checks) {
-        co_return incarnation_check::unanswered;
+        co_return incarnation_answer{};
     }
     ++open_checks_;
     const absl::Cleanup closed = [this] { --open_checks_; };
     const absl::Time end = boot_now() + confirmation_time;
     asio::steady_timer pause(executor_);
     while (true) {
-        const renewal_reply reply = co_await lease_.identify(worker.id);
+        const absl::Time requested_at = boot_now();
+        renewal_reply reply = co_await lease_.identify(worker.id);
         const bool id_in_use = ledger_.worker() && ledger_.worker()->id == worker.id;
         const incarnation_check check = check_announcement(worker, reply, id_in_use);
         const absl::Time now = boot_now();
@@ -91,7 +92,7 @@
                            .add("started_unix_ms", worker.started_unix_ms)
                            .add("outcome", name_of(check)),
                        now);
-            co_return check;
+            co_return incarnation_answer{check, std::move(reply.report), requested_at};
         }
         pause.expires_after(timer_duration(renewal_retry_delay));
         co_await pause.async_wait(asio::use_awaitable);
@@ -104,18 +105,45 @@
         co_return announcement_effect::ignored;
     }
     if (!is_present_worker(worker)) {
-        const incarnation_check check = co_await check_incarnation(worker);
-        if (check == incarnation_check::refuted) {
+        const incarnation_answer answer = co_await check_incarnation(worker);
+        if (answer.check == incarnation_check::refuted) {
             metrics_.add("foreign_announcements_total");
             co_return announcement_effect::foreign;
         }
-        if (check == incarnation_check::unanswered) {
+        if (answer.check == incarnation_check::unanswered) {
             co_return announcement_effect::unconfirmed;
         }
+        const bool restarted = ledger_.worker() && ledger_.worker()->id == worker.id;
+        if (restarted && !is_present_worker(worker)) {
+            if (answer.requested_at < incarnation_heard_at_) {
+                // A later incarnation has answered meanwhile.
+                co_return announcement_effect::unconfirmed;
+            }
+            begin_incarnation(answer.report, answer.requested_at, boot_now());
+        }
     }
     co_return adopt(worker, boot_now());
 }
 
+void agent_service::begin_incarnation(const worker_report& report, absl::Time requested_at,
+                                      absl::Time now)
+{
+    log_.write(log_fields("worker_restarted")
+                   .add("worker", ledger_.worker()->id)
+                   .add("started_unix_ms", report.started_unix_ms)
+                   .add("runs", ledger_.on_worker())
+                   .add("listed", report.active.size()),
+               now);
+    lease_.set_incarnation(report.started_unix_ms, now + longest_lease);
+    incarnation_heard_at_ = now;
+    reconciled_ = false;
+    worker_leaving_ = false;
+    ledger_.begin_incarnation(report, requested_at, now);
+    status_sender_.update_description();
+    status_sender_.mark_changed();
+    advance(now);
+}
+
 announcement_effect agent_service::adopt(const worker_announcement& worker, absl::Time now)
 {
     const std::optional<worker_announcement> before = ledger_.worker();
@@ -127,6 +155,7 @@
     if (restarted) {
         orders_.set_target(worker);
         lease_.set_incarnation(worker.started_unix_ms);
+        incarnation_heard_at_ = now;
         reconciled_ = false;
         worker_leaving_ = false;
         worker_announced_.notify();
@@ -309,10 +338,13 @@
     if (reply.outcome == renewal_outcome::renewed && same_worker) {
         if (reply.report.started_unix_ms != 0 &&
             reply.report.started_unix_ms != worker.started_unix_ms) {
-            // The runs have ended with the old worker; the new worker announces itself.
-            remove_worker(worker.id, "worker_replaced", now);
+            // An answer to an earlier request may be a late one of the earlier incarnation.
+            if (requested_at >= incarnation_heard_at_ && reports_.accept(requested_at)) {
+                begin_incarnation(reply.report, requested_at, now);
+            }
             return true;
         }
+        incarnation_heard_at_ = now;
         const bool latest = reports_.accept(requested_at);
         if (latest) {
             ledger_.on_report(reply.report, requested_at, now);
--- a/src/libs/carobfall/jobs/agent_service.h
+++ b/src/libs/carobfall/jobs/agent_service.h
@@ -67,7 +67,9 @@
 private:
     [[nodiscard]] bool is_present_worker(const worker_announcement& worker) const;
     /// Asks the process at the worker's address whether it is the incarnation of the announcement.
-    boost::asio::awaitable<incarnation_check> check_incarnation(const worker_announcement& worker);
+    boost::asio::awaitable<incarnation_answer> check_incarnation(const worker_announcement& worker);
+    /// Handles the first report of another incarnation with the id of the present worker.
+    void begin_incarnation(const worker_report& report, absl::Time requested_at, absl::Time now);
     announcement_effect adopt(const worker_announcement& worker, absl::Time now);
     boost::asio::awaitable<void> renew_leases();
     boost::asio::awaitable<void> renew_lease(worker_announcement worker);
@@ -116,6 +118,7 @@
     async_event report_ended_;
     status_sender status_sender_;
 
+    absl::Time incarnation_heard_at_{absl::InfinitePast()}; ///< its latest report, or its start
     std::size_t open_checks_{0}; ///< announcements that wait for the answer of the worker
     bool reconciled_{false};     ///< a report has shown that no run of an earlier agent is left
     bool worker_reachable_{true};
--- a/src/libs/carobfall/jobs/run_bounds.h
+++ b/src/libs/carobfall/jobs/run_bounds.h
@@ -18,6 +18,8 @@
 inline constexpr std::int64_t entry_permission_ms = 500;
 inline constexpr std::int64_t stop_grace_ms = 100;
 inline constexpr std::int64_t lease_time_ms = 650;
+/// Longest lease that a worker grants, whatever end an order requests.
+inline constexpr std::int64_t longest_lease_ms = 1000;
 inline constexpr std::int64_t worker_silence_limit_ms = 520;
 inline constexpr std::int64_t renewal_wait_ms = 100;
 inline constexpr std::int64_t answer_timeout_ms = 130;
@@ -35,6 +37,9 @@
 inline constexpr absl::Duration stop_grace = absl::Milliseconds(stop_grace_ms);
 /// Lease time that an order or a renewal requests. Two lost renewals in a row end no run.
 inline constexpr absl::Duration lease_time = absl::Milliseconds(lease_time_ms);
+/// The end of a lease is a time on the worker's clock. Another incarnation has another clock, on
+/// which the end of an order may be later than any lease.
+inline constexpr absl::Duration longest_lease = absl::Milliseconds(longest_lease_ms);
 /// The worker may delay its answer to a renewal by this much until a run ends.
 inline constexpr absl::Duration renewal_wait = absl::Milliseconds(renewal_wait_ms);
 /// Timeout of a call to the worker. Workers answer within some milliseconds or, after a fault, not
--- a/src/libs/carobfall/jobs/worker_lease.cpp
+++ b/src/libs/carobfall/jobs/worker_lease.cpp
@@ -56,12 +56,13 @@
     return until != absl::InfinitePast() && now >= until + lapse_margin;
 }
 
-void worker_lease::set_incarnation(std::int64_t started_unix_ms)
+void worker_lease::set_incarnation(std::int64_t started_unix_ms, absl::Time held_until)
 {
     started_unix_ms_ = started_unix_ms;
     ++incarnation_;
     last_answer_at_ = absl::InfinitePast();
     end();
+    ordered_until_ = held_until;
 }
 
 asio::awaitable<bool> worker_lease::ensure_token(std::uint64_t acknowledged_end)
--- a/src/libs/carobfall/jobs/worker_lease.h
+++ b/src/libs/carobfall/jobs/worker_lease.h
@@ -17,8 +17,10 @@
     worker_lease(worker_orders& orders, event_log& log) : orders_(orders), log_(log) {}
 
     /// Sets the incarnation of the worker for later orders; its start time identifies it. The
-    /// current fencing token and lease end with the earlier incarnation.
-    void set_incarnation(std::int64_t started_unix_ms);
+    /// current fencing token and lease end with the earlier incarnation. `held_until`: end of the
+    /// leases that the new incarnation may have granted already.
+    void set_incarnation(std::int64_t started_unix_ms,
+                         absl::Time held_until = absl::InfinitePast());
     /// Obtains a fencing token if there is none. Returns false if the worker did not answer.
     boost::asio::awaitable<bool> ensure_token(std::uint64_t acknowledged_end);
     /// Requests a report and, with `extend`, an extension of the lease. `wait`: the worker may
--- a/src/libs/carobfall/jobs/worker_ledger.cpp
+++ b/src/libs/carobfall/jobs/worker_ledger.cpp
@@ -73,12 +73,12 @@
     }
     const bool same =
         worker_ && worker_->id == worker.id && worker_->started_unix_ms == worker.started_unix_ms;
+    if (!same && worker_ && worker_->id == worker.id) {
+        return false;
+    }
     if (!same) {
         end_runs("worker_restarted");
-        acknowledged_end_ = 0;
-        past_runs_ = past_runs();
-        speed_ = worker_speed();
-        failures_ = failure_rate();
+        reset_incarnation();
     }
     worker_ = worker;
     if (worker.state == worker_state::draining) {
@@ -87,6 +87,27 @@
     return true;
 }
 
+void worker_ledger::reset_incarnation()
+{
+    acknowledged_end_ = 0;
+    reported_at_ = absl::InfinitePast();
+    complete_report_requested_at_ = absl::InfinitePast();
+    past_runs_ = past_runs();
+    speed_ = worker_speed();
+    failures_ = failure_rate();
+}
+
+void worker_ledger::begin_incarnation(const worker_report& report, absl::Time requested_at,
+                                      absl::Time now)
+{
+    reset_incarnation();
+    worker_->started_unix_ms = report.started_unix_ms;
+    worker_->sequence = -1; // less than that of any announcement
+    worker_->state = worker_state::unannounced;
+    return_waiting_tasks("worker_restarted");
+    on_report(report, requested_at, now);
+}
+
 void worker_ledger::remove_worker(std::string_view id)
 {
     if (!worker_ || worker_->id != id) {
@@ -122,7 +143,7 @@
         return "no_worker";
     }
     if (worker_->state != worker_state::ready) {
-        return "worker_draining";
+        return worker_->state == worker_state::draining ? "worker_draining" : "worker_unannounced";
     }
     if (worker_->service != record.order.service()) {
         return "other_service";
--- a/src/libs/carobfall/jobs/worker_ledger.h
+++ b/src/libs/carobfall/jobs/worker_ledger.h
@@ -42,10 +42,16 @@
     /// Whether the announcement is later than the present one and than the end of a worker that has
     /// left.
     [[nodiscard]] bool is_current(const worker_announcement& worker) const;
-    /// Updates the worker from its announcement. A new incarnation ends the runs of the earlier
-    /// one, so the process at the worker's address must have confirmed it. Returns false if the
-    /// announcement isn't current.
+    /// Updates the worker from its announcement. A worker with another id ends the runs of the
+    /// earlier one, so the process at the worker's address must have confirmed it. Returns false if
+    /// the announcement isn't current, or if it is of another incarnation with the same id, for
+    /// which `begin_incarnation` has to be called first.
     bool announce(const worker_announcement& worker);
+    /// Handles the first report of another incarnation with the id of the present worker. Starts
+    /// are addressed to an id, so the new incarnation may have carried out the latest ones: a run
+    /// counts as ended only if the report shows it. The worker gets no tasks until it announces
+    /// itself.
+    void begin_incarnation(const worker_report& report, absl::Time requested_at, absl::Time now);
     /// Removes a worker that has left, together with its runs.
     void remove_worker(std::string_view id);
 
@@ -114,6 +120,8 @@
 private:
     using record_map = run_record_map;
 
+    /// Drops what is known of the earlier incarnation besides its runs.
+    void reset_incarnation();
     /// Returns why a new order is refused, or an empty string if it is accepted.
     [[nodiscard]] std::string_view refusal_of(const run_record& record, absl::Time now) const;
     /// Expected wait of a task that is added to the queue now.
--- a/src/libs/carobfall/jobs/worker_orders.h
+++ b/src/libs/carobfall/jobs/worker_orders.h
@@ -13,7 +13,11 @@
 
 namespace carobfall {
 
-enum class worker_state { ready, draining };
+enum class worker_state {
+    ready,
+    draining,
+    unannounced, ///< has restarted under its id; its kind is unknown until it announces itself
+};
 
 /// Announcement of a worker to its agent.
 struct worker_announcement {
--- a/tests/auto/jobs/region_fixture.h
+++ b/tests/auto/jobs/region_fixture.h
@@ -136,6 +136,18 @@
         refuse_connections = true;
     }
 
+    /// Simulates a worker process that ends and starts again at once under its id.
+    void restart()
+    {
+        while (!active_.empty()) {
+            end(task_run(active_.begin()->second), run_end_kind::broken);
+        }
+        ends_.clear();
+        ++started_unix_ms;
+        clock_start = boot_now();
+        lease_end_ = 0;
+    }
+
     [[nodiscard]] std::size_t active() const { return active_.size(); }
     /// Time at which the lease of the active runs ends. On a busy machine the end of the runs may
     /// be recorded later.
--- a/tests/auto/jobs/tst_incarnations.cpp
+++ b/tests/auto/jobs/tst_incarnations.cpp
@@ -35,6 +35,23 @@
     std::optional<job_answer> answer;
 };
 
+/// A worker whose process ends and starts again under its id, unnoticed, before it carries out the
+/// next start.
+class restarting_worker : public fake_worker {
+public:
+    using fake_worker::fake_worker;
+
+    asio::awaitable<start_reply> start(const start_order& order) override
+    {
+        if (std::exchange(restart_at_next_start, false)) {
+            restart();
+        }
+        co_return co_await fake_worker::start(order);
+    }
+
+    bool restart_at_next_start{false};
+};
+
 renewal_reply report_of(std::int64_t started_unix_ms)
 {
     renewal_reply reply;
@@ -83,6 +100,48 @@
     CHECK(fixture.first.worker.active() == 1);
 }
 
+// Guards against starts that the new incarnation of a worker carries out before its agent notices
+// the restart, and that are reported as ended with the runs of the earlier incarnation.
+TEST_CASE("a run on the new incarnation of a worker is not started elsewhere")
+{
+    region test;
+    restarting_worker worker(test.context, &test.counter);
+    worker.id = "i-a";
+    worker.run_time = absl::Milliseconds(400);
+    agent_process first(test.context, "a", "1", worker, announcement_of("a"), test.address);
+    REQUIRE(test.run_until([&] { return test.entry.usable_agents() == 1; }));
+    worker.restart_at_next_start = true;
+    std::optional<job_answer> answer;
+    test.submit(job_id, 1, answer);
+    REQUIRE(test.run_until([&] { return worker.active() == 1; }));
+    REQUIRE(worker.started_unix_ms == 2);
+    agent_fixture& second = test.add_agent("b");
+    REQUIRE(test.run_until([&] { return second.service.open_links() == 1; }));
+    REQUIRE(test.run_until([&] { return answer.has_value(); }));
+    CHECK(test.counter.max_concurrent_runs() == 1);
+    CHECK(second.worker.starts == 0);
+    CHECK(answer->outcome == job_outcome::succeeded);
+    // The worker serves again once it has announced itself.
+    worker_announcement restarted = announcement_of("a");
+    restarted.started_unix_ms = 2;
+    CHECK(announce(test.context, first.service, restarted) == announcement_effect::changed);
+    CHECK(test.run_until([&] { return test.entry.usable_agents() == 2; }));
+}
+
+// Guards against a heartbeat that arrives before the agent has noticed the restart.
+TEST_CASE("a run on a restarted worker goes on when the worker announces itself")
+{
+    worker_with_run fixture;
+    fake_worker& worker = fixture.first.worker;
+    worker.restart();
+    worker_announcement restarted = fixture.first.announcement;
+    restarted.started_unix_ms = worker.started_unix_ms;
+    CHECK(announce(fixture.test.context, fixture.first.service, restarted) ==
+          announcement_effect::changed);
+    CHECK(fixture.wait_for_second_run(absl::Seconds(1)));
+    CHECK(fixture.test.counter.max_concurrent_runs() == 1);
+}
+
 // Guards against the loss of an announcement whose confirmation gets no answer at first.
 TEST_CASE("an announcement is adopted when the worker answers after some time")
 {
--- a/tests/process/test_lost_runs.py
+++ b/tests/process/test_lost_runs.py
@@ -212,6 +212,20 @@
         self.assertNotEqual(self.send_foreign_heartbeat(self.workers[1], id=self.workers[1].id), 200)
         self.assert_no_overlapping_runs()
 
+    def test_worker_restarts_under_its_id(self):
+        """Guards against starts on a new incarnation that are reported as ended with the old one."""
+        for first_heartbeat_s in (0.0, 0.5, 0.5, 0.5):
+            for worker in self.workers:
+                worker.run_ms = 900
+            restarting = threading.Thread(target=self.workers[1].restart,
+                                          args=(0.2, first_heartbeat_s))
+            restarting.start()
+            for _ in range(40):
+                self.submit_in_background(self.last_job % 2, count=1)
+                time.sleep(0.02)
+            restarting.join()
+            self.assert_no_overlapping_runs()
+
     def choose_fault(self, choice):
         """Draws a fault; returns the component that it affects and the function that injects it."""
         long, pause = choice.uniform(0.2, 2.2), choice.uniform(0.05, 0.4)
