--- a/src/libs/carobfall/base/async_http_server.cpp
+++ b/src/libs/carobfall/base/async_http_server.cpp
@@ -147,6 +147,11 @@
         }
         stream->expires_never();
         const async_http_request request = parser.release();
+        // A caller that has left may have sent its request elsewhere. The process may have been
+        // paused since the request arrived.
+        if (is_closed_by_peer(stream->socket())) {
+            co_return;
+        }
         const auto watch = std::make_shared<caller_watch>();
         spawn(executor_, watch_caller(stream, watch));
         async_http_response response = co_await handler_(request, *watch);
--- a/tests/auto/base/tst_async_http_server.cpp
+++ b/tests/auto/base/tst_async_http_server.cpp
@@ -80,6 +80,20 @@
 
 } // namespace
 
+// Guards against requests that a paused process reads after their callers have sent them elsewhere.
+TEST_CASE("a request whose caller has left is not handled")
+{
+    running_server server;
+    {
+        asio::ip::tcp::socket caller = server.connect();
+        asio::write(caller, asio::buffer(std::string_view(whole_request)));
+    }
+    server.run(absl::Milliseconds(100));
+    CHECK(server.handled == 0);
+    CHECK(absl::StartsWith(server.exchange(whole_request), "HTTP/1.1 200 "));
+    CHECK(server.handled == 1);
+}
+
 // Guards against a process that is aborted by one request that can't be parsed.
 TEST_CASE("a malformed request gets status 400 and the server goes on")
 {
--- a/tests/process/test_lost_runs.py
+++ b/tests/process/test_lost_runs.py
@@ -3,9 +3,11 @@
 The check compares the start and end times of all runs, as the stand-in workers recorded them. The
 worker of agent-1 has a clock that is 2% slow, so that its leases last longer than requested.
 """
+import json
 import os
 import random
 import signal
+import socket
 import threading
 import time
 import unittest
@@ -226,6 +228,52 @@
             restarting.join()
             self.assert_no_overlapping_runs()
 
+    def test_unread_requests_of_a_paused_entry(self):
+        """Guards against an entry that wakes and runs jobs whose callers have left."""
+        for worker in self.workers:
+            worker.run_ms = 900
+        pause = threading.Thread(target=self.pause, args=("entry-0", 3.0))
+        pause.start()
+        time.sleep(0.1)
+        for _ in range(20):
+            self.submit_in_background(0, call_timeout=1.0, count=1, seconds=5)
+            time.sleep(0.02)
+        pause.join()
+        self.assert_no_overlapping_runs()
+
+    def submit_with_held_up_close(self, job, held):
+        """Sends the job to entry-0 and, after the caller has given up, to entry-1. The end of the first
+        connection is held up on its way, so that entry-0 doesn't see it."""
+        document = json.dumps({"spec": "text", "best_effort": True, "steps": [
+            {"count": 1, "cpu": 6200, "mem_mb": 64, "estimated_ms": 900}]})
+        connection = socket.create_connection(self.entries[0])
+        held.append(connection)
+        connection.sendall(("POST /check/%s HTTP/1.1\r\nHost: %s\r\nCarobfall-Deadline-Ms: 4000\r\n"
+                            "Content-Type: application/json\r\nContent-Length: %d\r\n\r\n%s" % (
+                                job, HOST, len(document), document)).encode())
+        time.sleep(1.0 + RESEND_AFTER)
+        self.answers.append(self.submit(job, self.entries[1], count=1)[0])
+
+    def test_requests_read_after_a_pause(self):
+        """Guards against requests that a paused entry runs since the end of their connections is late."""
+        for worker in self.workers:
+            worker.run_ms = 900
+        held = []
+        pause = threading.Thread(target=self.pause, args=("entry-0", 2.7))
+        pause.start()
+        time.sleep(0.1)
+        for number in range(20):
+            self.callers.append(threading.Thread(target=self.submit_with_held_up_close,
+                                                 args=("%016x" % (0x2000 + number), held)))
+            self.callers[-1].start()
+            time.sleep(0.02)
+        pause.join()
+        self.assert_no_overlapping_runs()
+        for connection in held:
+            connection.close()
+        self.wait_for(lambda: self.submit("%016x" % time.monotonic_ns(), self.entries[0])[0] == 200,
+                      "the entry serves again", 3)
+
     def choose_fault(self, choice):
         """Draws a fault; returns the component that it affects and the function that injects it."""
         long, pause = choice.uniform(0.2, 2.2), choice.uniform(0.05, 0.4)
