Tests: Reproduce the users' record of two runs at once

What callers saw: 139 and 101 tasks with two runs at once on the users' machines, both runs done, the first one's end listed half a second late.

Run 2 starts up to 169 ms after run 1, and where the worker states its clock with 421, the end of run 1 is listed up to 333 ms late by the same life.

Not shown: a log of the users that names the foreign heartbeat.

The stand-in worker states its clock with 421.

--- a/tests/process/test_lost_runs.py
+++ b/tests/process/test_lost_runs.py
@@ -214,6 +214,17 @@
         self.assertNotEqual(self.send_foreign_heartbeat(self.workers[1], id=self.workers[1].id), 200)
         self.assert_no_overlapping_runs()
 
+    def test_foreign_heartbeats_beside_short_runs(self):
+        """Guards against tasks that start elsewhere while the worker finishes them, as in issue 28."""
+        for worker in self.workers:
+            worker.run_ms = 170
+        for number in range(90):
+            self.submit_in_background(number % 2, count=2)
+            if number % 30 == 15:
+                self.send_foreign_heartbeat(self.workers[number // 30])
+            time.sleep(0.02)
+        self.assert_no_overlapping_runs()
+
     def test_worker_restarts_under_its_id(self):
         """Guards against starts on a new incarnation that are reported as ended with the old one."""
         for first_heartbeat_s in (0.0, 0.5, 0.5, 0.5):
@@ -274,6 +285,38 @@
         self.wait_for(lambda: self.submit("%016x" % time.monotonic_ns(), self.entries[0])[0] == 200,
                       "the entry serves again", 3)
 
+    def choose_worker_fault(self, choice):
+        """Draws a fault of workers, or messages of another writer."""
+        worker = choice.choice(self.workers)
+        dark, first_heartbeat = choice.uniform(0.02, 0.8), choice.uniform(0, 0.7)
+        odd_start = int(time.time() * 1000) + choice.randint(-5000, 5000)
+        return choice.choice([
+            lambda: worker.restart(dark, first_heartbeat),
+            lambda: worker.restart(dark, first_heartbeat, new_id=True),
+            lambda: self.send_foreign_heartbeat(worker),
+            lambda: self.send_foreign_heartbeat(worker, id=worker.id, born=odd_start)])
+
+    def test_random_worker_faults(self):
+        """Guards against combinations of restarted workers, foreign heartbeats and other faults."""
+        choice, active_faults = random.Random(SEED), {}
+        end = time.monotonic() + RANDOM_SECONDS
+        while time.monotonic() < end:
+            call_timeout = choice.choice([6.0, 6.0, choice.uniform(0.3, 2.0)])
+            for worker in self.workers:
+                worker.run_ms = choice.choice([200, 900, RUN_MS])
+            self.submit_in_background(choice.randrange(ENTRIES), call_timeout,
+                                      choice.randint(1, 4), 5)
+            component, fault = self.choose_fault(choice)
+            if choice.random() < 0.6:
+                component, fault = "workers", self.choose_worker_fault(choice)
+            if component not in active_faults or not active_faults[component].is_alive():
+                active_faults[component] = threading.Thread(target=fault)
+                active_faults[component].start()
+            time.sleep(choice.uniform(0.05, 0.3))
+        for thread in active_faults.values():
+            thread.join()
+        self.assert_no_overlapping_runs()
+
     def choose_fault(self, choice):
         """Draws a fault; returns the component that it affects and the function that injects it."""
         long, pause = choice.uniform(0.2, 2.2), choice.uniform(0.05, 0.4)
--- a/tests/standins/fleet/peers.py
+++ b/tests/standins/fleet/peers.py
@@ -216,7 +216,7 @@
         if self.dark:
             return "silence", None
         if target not in (None, self.id):
-            return 421, None
+            return 421, {"clock_ms": self.clock()}
         if kind in self.late:
             delay = self.random.uniform(*self.late_s)
             later = threading.Timer(delay, self.handle, (path, body | {"wait_ms": 0}))
