Agent: Return waiting tasks when another worker takes the place of theirs

Cause: only entries compared labels, when they placed a task. Waiting tasks outlived the worker that they were placed on.

With the change left out, "tasks that wait for a worker are returned when another one replaces it" and "an order whose label the worker lacks is returned" fail.

Ruled out: the placement, which used the right description at its time.

Change: an agent returns its waiting tasks when another incarnation takes the place of its worker; orders state the required label, and an agent returns those that its worker can't run.

--- a/src/libs/carobfall/jobs/task_order.cpp
+++ b/src/libs/carobfall/jobs/task_order.cpp
@@ -39,6 +39,7 @@
     order.set_accelerators(static_cast<std::uint32_t>(request.demand.accelerators));
     order.set_priority(request.priority);
     order.set_service(request.service);
+    order.set_required_label(request.required_label);
     order.set_expected_run_ms(static_cast<std::uint32_t>(absl::ToInt64Milliseconds(expected_run)));
     order.set_start_by_ms(from_now(timing.start_by));
     order.set_late_start_by_ms(from_now(timing.late_start_by));
--- a/src/libs/carobfall/jobs/worker_ledger.cpp
+++ b/src/libs/carobfall/jobs/worker_ledger.cpp
@@ -78,6 +78,9 @@
     }
     if (!same) {
         end_runs("worker_restarted");
+        // Entries placed the waiting tasks on the earlier worker, which may have been of another
+        // kind.
+        return_waiting_tasks("worker_restarted");
         reset_incarnation();
     }
     worker_ = worker;
@@ -148,6 +151,12 @@
     if (worker_->service != record.order.service()) {
         return "other_service";
     }
+    // The entry may have placed the task before it heard of another kind of worker.
+    const std::string& label = record.order.required_label();
+    if (!label.empty() &&
+        std::find(worker_->labels.begin(), worker_->labels.end(), label) == worker_->labels.end()) {
+        return "label_missing";
+    }
     const absl::Duration longest_wait = absl::Milliseconds(record.order.longest_wait_ms());
     if (longest_wait > absl::ZeroDuration() && wait_of(record, now) > longest_wait) {
         return "queue_longer";
--- a/tests/auto/jobs/tst_task_order.cpp
+++ b/tests/auto/jobs/tst_task_order.cpp
@@ -33,3 +33,14 @@
 {
     CHECK(order_with(last_attempt, absl::ZeroDuration()).longest_wait_ms() == 0);
 }
+
+// Guards against a task that starts on a worker of another kind than the one it was placed for.
+TEST_CASE("an order states the label that the worker must have")
+{
+    job_request request;
+    request.required_label = "a";
+    const absl::Duration run = absl::Milliseconds(100);
+    const fleet::task_order order = make_task_order(request, timing_of(request, run, now), run, 0,
+                                                    1, absl::ZeroDuration(), now);
+    CHECK(order.required_label() == "a");
+}
--- a/tests/auto/jobs/tst_worker_ledger.cpp
+++ b/tests/auto/jobs/tst_worker_ledger.cpp
@@ -361,6 +361,39 @@
     CHECK(test.ledger.acknowledged_end() == 0);
 }
 
+// Guards against tasks that start on a worker without the label that they require.
+TEST_CASE("tasks that wait for a worker are returned when another one replaces it")
+{
+    started_ledger test;
+    test.ledger.add(1, order(1), after(3));
+    worker_announcement other = worker(2, 1);
+    other.id = "i-2";
+    REQUIRE(test.ledger.announce(other));
+    CHECK(test.events() == event_list{{fleet::task_ended, "worker_restarted"},
+                                      {fleet::task_not_run, "worker_restarted"}});
+    CHECK(test.ledger.waiting() == 0);
+}
+
+// Guards against orders that were placed on the earlier worker and arrive after the change.
+TEST_CASE("an order whose label the worker lacks is returned")
+{
+    worker_ledger ledger;
+    worker_announcement labelled = worker();
+    labelled.labels = {"b", "r1-1"};
+    ledger.announce(labelled);
+    fleet::task_order foreign = order(0);
+    foreign.set_required_label("a");
+    ledger.add(1, foreign, now);
+    REQUIRE(ledger.has_events());
+    const session_event event = ledger.take_events().front();
+    CHECK(event.event.kind() == fleet::task_not_run);
+    CHECK(event.event.reason() == "label_missing");
+    fleet::task_order fitting = order(1);
+    fitting.set_required_label("b");
+    ledger.add(1, fitting, now);
+    CHECK(ledger.begin_next(now, permitted));
+}
+
 TEST_CASE("a restart of the worker ends the runs that its first report does not list")
 {
     started_ledger test;
