Agent: Believe a worker that drains until its end

Change: the statement that a worker drains counts whatever its sequence, and no later one takes it back, since a worker drains until its end.

Evidence: on the code before, "a worker that drains is believed whatever the sequence of earlier announcements", "a worker that drains does so until its end" and "a heartbeat with an optional field of another type is refused" fail.

--- a/src/libs/carobfall/jobs/worker_ledger.cpp
+++ b/src/libs/carobfall/jobs/worker_ledger.cpp
@@ -61,7 +61,10 @@
         return true;
     }
     if (worker_->id == worker.id && worker_->started_unix_ms == worker.started_unix_ms) {
-        return worker.sequence > worker_->sequence;
+        // A worker that drains does so until its end, so that its statement is never outdated.
+        const bool begins_to_drain =
+            worker.state == worker_state::draining && worker_->state != worker_state::draining;
+        return begins_to_drain || worker.sequence > worker_->sequence;
     }
     return worker.started_unix_ms >= worker_->started_unix_ms;
 }
@@ -83,8 +86,14 @@
         return_waiting_tasks("worker_restarted");
         reset_incarnation();
     }
+    const bool drains = worker.state == worker_state::draining ||
+                        (same && worker_->state == worker_state::draining);
+    const std::int64_t sequence =
+        same ? std::max(worker.sequence, worker_->sequence) : worker.sequence;
     worker_ = worker;
-    if (worker.state == worker_state::draining) {
+    worker_->sequence = sequence;
+    if (drains) {
+        worker_->state = worker_state::draining;
         return_waiting_tasks("worker_draining");
     }
     return true;
--- a/src/libs/carobfall/jobs/worker_ledger.h
+++ b/src/libs/carobfall/jobs/worker_ledger.h
@@ -40,7 +40,7 @@
     using record_number = std::uint64_t;
 
     /// Whether the announcement is later than the present one and than the end of a worker that has
-    /// left.
+    /// left. The first statement that the present worker drains is always current.
     [[nodiscard]] bool is_current(const worker_announcement& worker) const;
     /// Updates the worker from its announcement. A worker with another id ends the runs of the
     /// earlier one, so the process at the worker's address must have confirmed it. Returns false if
--- a/tests/auto/adapter/tst_worker_messages.cpp
+++ b/tests/auto/adapter/tst_worker_messages.cpp
@@ -7,6 +7,8 @@
 #include <rapidcheck.h>
 
 #include <string>
+#include <utility>
+#include <vector>
 
 using namespace carobfall;
 using namespace carobfall::platform;
@@ -57,6 +59,32 @@
     CHECK_FALSE(decode_heartbeat("", heartbeat().dump()));
 }
 
+// Guards against a heartbeat of another writer that passes for one of the worker.
+TEST_CASE("a heartbeat with an optional field of another type is refused")
+{
+    const std::vector<std::pair<const char*, json>> odd = {
+        {"address", 7},
+        {"version", json::array()},
+        {"slots", "8"},
+        {"born", 1.5},
+        {"cold_remaining_ms", "no"},
+        {"clock_ms", json::object()},
+        {"labels", {"a", 3}},
+        {"labels", "a"},
+        {"drain_remaining_ms", "soon"},
+        {"sequence", 4.0e300},
+    };
+    for (const auto& [field, value] : odd) {
+        json document = heartbeat();
+        document[field] = value;
+        CHECK_MESSAGE(!decode_heartbeat("i-1", document.dump()), field);
+    }
+    json document = heartbeat();
+    document["cold_remaining_ms"] = 250.5;
+    document["clock_ms"] = 482113;
+    CHECK(decode_heartbeat("i-1", document.dump()));
+}
+
 TEST_CASE("encoding and decoding a task name gives the same run")
 {
     const task_run run{"00000000000000aa", 17, 3};
--- a/tests/auto/jobs/tst_worker_ledger.cpp
+++ b/tests/auto/jobs/tst_worker_ledger.cpp
@@ -467,6 +467,35 @@
     CHECK(test.ledger.on_worker() == 1);
 }
 
+// Guards against a heartbeat of another writer with a huge sequence, after which the worker's own
+// statement that it drains would count as outdated.
+TEST_CASE("a worker that drains is believed whatever the sequence of earlier announcements")
+{
+    worker_ledger ledger;
+    REQUIRE(ledger.announce(worker(1, 1)));
+    REQUIRE(ledger.announce(worker(1, std::int64_t{1} << 62U)));
+    worker_announcement draining = worker(1, 2);
+    draining.state = worker_state::draining;
+    CHECK(ledger.announce(draining));
+    CHECK(ledger.worker()->state == worker_state::draining);
+    CHECK_FALSE(ledger.announce(draining));
+}
+
+// Guards against a late or foreign heartbeat that takes back that the worker drains.
+TEST_CASE("a worker that drains does so until its end")
+{
+    worker_ledger ledger;
+    worker_announcement draining = worker(1, 2);
+    draining.state = worker_state::draining;
+    REQUIRE(ledger.announce(draining));
+    REQUIRE(ledger.announce(worker(1, 3)));
+    CHECK(ledger.worker()->state == worker_state::draining);
+    worker_announcement next = worker(2, 1);
+    next.id = "i-2";
+    REQUIRE(ledger.announce(next));
+    CHECK(ledger.worker()->state == worker_state::ready);
+}
+
 // Guards against callers that wait for a task whose answer would be too late to be useful.
 TEST_CASE("a waiting task is returned when its answer would be too late")
 {
