--- a/src/libs/carobfall/jobs/agent_service.cpp
+++ b/src/libs/carobfall/jobs/agent_service.cpp
@@ -5,7 +5,6 @@
 #include "carobfall/base/strings.h"
 #include "carobfall/jobs/run_bounds.h"
 
-#include <absl/cleanup/cleanup.h>
 #include <absl/strings/str_cat.h>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -21,12 +20,6 @@
 namespace {
 
 constexpr absl::Duration periodic_check_interval = absl::Milliseconds(25);
-constexpr absl::Duration stop_retry_delay = absl::Milliseconds(10);
-constexpr absl::Duration max_stop_retry_delay = absl::Milliseconds(50);
-// Longest time for the check of an announcement. The sender of a heartbeat waits for 1 s.
-constexpr absl::Duration confirmation_time = absl::Milliseconds(700);
-// Number of announcements that are checked at the same time.
-constexpr std::size_t max_open_checks = 4;
 
 } // namespace
 
@@ -40,6 +33,9 @@
       log_(log),
       metrics_(metrics),
       lease_(orders, log),
+      incarnations_(executor, lease_, ledger_, log),
+      run_orders_(executor, orders, ledger_, lease_, log, metrics,
+                  [this](absl::Time now) { advance(now); }),
       links_(executor, identity_.name, link_hooks()),
       worker_announced_(executor),
       report_ended_(executor),
@@ -64,39 +60,7 @@
 
 bool agent_service::is_present_worker(const worker_announcement& worker) const
 {
-    const std::optional<worker_announcement>& present = ledger_.worker();
-    return present && present->id == worker.id &&
-           present->started_unix_ms == worker.started_unix_ms;
-}
-
-asio::awaitable<incarnation_answer>
-agent_service::check_incarnation(const worker_announcement& worker)
-{
-    if (open_checks_ >= max_open_checks) {
-        co_return incarnation_answer{};
-    }
-    ++open_checks_;
-    const absl::Cleanup closed = [this] { --open_checks_; };
-    const absl::Time end = boot_now() + confirmation_time;
-    asio::steady_timer pause(executor_);
-    while (true) {
-        const absl::Time requested_at = boot_now();
-        renewal_reply reply = co_await lease_.identify(worker.id);
-        const bool id_in_use = ledger_.worker() && ledger_.worker()->id == worker.id;
-        const incarnation_check check = check_announcement(worker, reply, id_in_use);
-        const absl::Time now = boot_now();
-        if (check != incarnation_check::unanswered || now >= end) {
-            log_.write(log_fields("incarnation_checked")
-                           .add("worker", worker.id)
-                           .add("service", worker.service)
-                           .add("started_unix_ms", worker.started_unix_ms)
-                           .add("outcome", name_of(check)),
-                       now);
-            co_return incarnation_answer{check, std::move(reply.report), requested_at};
-        }
-        pause.expires_after(timer_duration(renewal_retry_delay));
-        co_await pause.async_wait(asio::use_awaitable);
-    }
+    return ledger_.worker() && is_same_incarnation(*ledger_.worker(), worker);
 }
 
 asio::awaitable<announcement_effect> agent_service::announce(worker_announcement worker)
@@ -105,7 +69,7 @@
         co_return announcement_effect::ignored;
     }
     if (!is_present_worker(worker)) {
-        const incarnation_answer answer = co_await check_incarnation(worker);
+        const incarnation_answer answer = co_await incarnations_.check(worker);
         if (answer.check == incarnation_check::refuted) {
             metrics_.add("foreign_announcements_total");
             co_return announcement_effect::foreign;
@@ -333,8 +297,7 @@
 bool agent_service::handle_renewal(const renewal_reply& reply, const worker_announcement& worker,
                                    absl::Time requested_at, absl::Time now)
 {
-    const bool same_worker = ledger_.worker() && ledger_.worker()->id == worker.id &&
-                             ledger_.worker()->started_unix_ms == worker.started_unix_ms;
+    const bool same_worker = is_present_worker(worker);
     if (reply.outcome == renewal_outcome::renewed && same_worker) {
         if (reply.report.started_unix_ms != 0 &&
             reply.report.started_unix_ms != worker.started_unix_ms) {
@@ -436,82 +399,6 @@
     advance(now);
 }
 
-asio::awaitable<void> agent_service::start_task(worker_ledger::record_number number)
-{
-    const run_record* record = ledger_.find(number);
-    if (record == nullptr || !lease_.fencing_token()) {
-        ledger_.on_start_reply(number, {start_outcome::not_sent, std::nullopt}, boot_now());
-        co_return;
-    }
-    const absl::Time received = record->received;
-    const absl::Time ordered = record->ordered_at;
-    start_order order;
-    order.task = run_of(*record);
-    order.spec = record->order.spec();
-    order.lease_end = lease_.extend_with_order(ordered);
-    order.fencing_token = *lease_.fencing_token();
-    const std::uint64_t incarnation = lease_.incarnation();
-    const start_reply reply = co_await orders_.start(order);
-    const absl::Time now = boot_now();
-    lease_.update_clock(reply.clock, incarnation, now);
-    if (reply.outcome == start_outcome::fenced) {
-        lease_.on_fenced();
-    }
-    log_.write(log_fields("start_ordered")
-                   .add("job", order.task.job_id)
-                   .add("task", order.task.index)
-                   .add("run", order.task.run)
-                   .add("waited_ms", absl::ToInt64Milliseconds(ordered - received))
-                   .add("answer_ms", absl::ToInt64Milliseconds(now - ordered))
-                   .add("outcome", name_of(reply.outcome)),
-               now);
-    metrics_.add(absl::StrCat("orders_total{outcome=\"", to_absl(name_of(reply.outcome)), "\"}"));
-    metrics_.distribution("order_wait_seconds").record(absl::ToDoubleSeconds(ordered - received));
-    ledger_.on_start_reply(number, reply, now);
-    advance(now);
-}
-
-asio::awaitable<void> agent_service::stop_task(worker_ledger::record_number number)
-{
-    const run_record* record = ledger_.find(number);
-    bool answered = false;
-    const std::uint32_t tries = record == nullptr ? 0 : record->stop_tries;
-    const absl::Time requested_at = boot_now();
-    if (record != nullptr && lease_.fencing_token()) {
-        const task_run task = run_of(*record);
-        // A worker that closes each connection gets many stop orders: only the first is logged.
-        const bool first = tries == 1;
-        if (first) {
-            log_.write(log_fields("stop_ordered")
-                           .add("job", task.job_id)
-                           .add("task", task.index)
-                           .add("run", task.run)
-                           .add("reason", record->stop_reason),
-                       requested_at);
-        }
-        answered = co_await orders_.stop(task, *lease_.fencing_token());
-        if (!answered) {
-            metrics_.add("stops_unanswered_total");
-        }
-        if (!answered && first) {
-            log_.write(log_fields("stop_unanswered")
-                           .add("job", task.job_id)
-                           .add("task", task.index)
-                           .add("run", task.run)
-                           .add("waited_ms", absl::ToInt64Milliseconds(boot_now() - requested_at)),
-                       boot_now());
-        }
-    }
-    if (!answered) {
-        const absl::Duration wait = tries * stop_retry_delay;
-        asio::steady_timer pause(executor_, timer_duration(std::min(wait, max_stop_retry_delay)));
-        co_await pause.async_wait(asio::use_awaitable);
-    }
-    const absl::Time now = boot_now();
-    ledger_.on_stop_reply(number, answered, now);
-    advance(now);
-}
-
 asio::awaitable<void> agent_service::run_periodic_checks()
 {
     asio::steady_timer timer(executor_);
@@ -558,10 +445,10 @@
         if (!next) {
             break;
         }
-        spawn(executor_, start_task(*next));
+        spawn(executor_, run_orders_.start(*next));
     }
     while (const auto next = ledger_.begin_stop()) {
-        spawn(executor_, stop_task(*next));
+        spawn(executor_, run_orders_.stop(*next));
     }
     if (std::exchange(advance_posted_, true)) {
         return;
--- a/src/libs/carobfall/jobs/agent_service.h
+++ b/src/libs/carobfall/jobs/agent_service.h
@@ -4,11 +4,12 @@
 #include "carobfall/base/event_log.h"
 #include "carobfall/base/histogram.h"
 #include "carobfall/jobs/entry_link_set.h"
-#include "carobfall/jobs/incarnation_check.h"
+#include "carobfall/jobs/incarnation_checker.h"
 #include "carobfall/jobs/lease_obstacle.h"
 #include "carobfall/jobs/operator_view.h"
 #include "carobfall/jobs/process_identity.h"
 #include "carobfall/jobs/report_schedule.h"
+#include "carobfall/jobs/run_order_sender.h"
 #include "carobfall/jobs/status_sender.h"
 #include "carobfall/jobs/worker_lease.h"
 #include "carobfall/jobs/worker_ledger.h"
@@ -46,8 +47,8 @@
     /// Starts the coroutines that renew the lease and check deadlines.
     void start();
     /// Handles an announcement. Anyone may send one, so another incarnation than the present one is
-    /// adopted only after the process at the worker's address has confirmed it. Takes at most
-    /// `confirmation_time`.
+    /// adopted only after the process at the worker's address has confirmed it. Takes less than 1
+    /// s.
     boost::asio::awaitable<announcement_effect> announce(worker_announcement worker);
     /// Restores the worker from the announcement that an earlier agent stored. It is used until a
     /// heartbeat arrives, and only if the same incarnation of the worker still runs.
@@ -66,8 +67,6 @@
 
 private:
     [[nodiscard]] bool is_present_worker(const worker_announcement& worker) const;
-    /// Asks the process at the worker's address whether it is the incarnation of the announcement.
-    boost::asio::awaitable<incarnation_answer> check_incarnation(const worker_announcement& worker);
     /// Handles the first report of another incarnation with the id of the present worker.
     void begin_incarnation(const worker_report& report, absl::Time requested_at, absl::Time now);
     announcement_effect adopt(const worker_announcement& worker, absl::Time now);
@@ -77,8 +76,6 @@
     bool handle_renewal(const renewal_reply& reply, const worker_announcement& worker,
                         absl::Time requested_at, absl::Time now);
     boost::asio::awaitable<void> run_periodic_checks();
-    boost::asio::awaitable<void> start_task(worker_ledger::record_number number);
-    boost::asio::awaitable<void> stop_task(worker_ledger::record_number number);
 
     void on_open(entry_link& link);
     void on_frame(entry_link& link, fleet::entry_frame& frame);
@@ -112,6 +109,8 @@
 
     worker_ledger ledger_;
     worker_lease lease_;
+    incarnation_checker incarnations_;
+    run_order_sender run_orders_;
     entry_link_set links_;
     async_event worker_announced_;
     report_schedule reports_;
@@ -119,8 +118,7 @@
     status_sender status_sender_;
 
     absl::Time incarnation_heard_at_{absl::InfinitePast()}; ///< its latest report, or its start
-    std::size_t open_checks_{0}; ///< announcements that wait for the answer of the worker
-    bool reconciled_{false};     ///< a report has shown that no run of an earlier agent is left
+    bool reconciled_{false}; ///< a report has shown that no run of an earlier agent is left
     bool worker_reachable_{true};
     bool worker_leaving_{false}; ///< the worker has deregistered; removed after its last run
     bool draining_{false};
--- a/src/libs/carobfall/jobs/incarnation_check.h
+++ b/src/libs/carobfall/jobs/incarnation_check.h
@@ -2,8 +2,6 @@
 
 #include "carobfall/jobs/worker_orders.h"
 
-#include <absl/time/time.h>
-
 #include <string_view>
 
 namespace carobfall {
@@ -11,13 +9,6 @@
 /// Whether the process at the worker's address is the incarnation that an announcement names.
 enum class incarnation_check { confirmed, refuted, unanswered };
 
-/// Result of a check, with the report that has confirmed the incarnation.
-struct incarnation_answer {
-    incarnation_check check{incarnation_check::unanswered};
-    worker_report report;
-    absl::Time requested_at;
-};
-
 /// Name used in logs, for example "refuted".
 [[nodiscard]] std::string_view name_of(incarnation_check check);
 
--- a/src/libs/carobfall/jobs/run_record.cpp
+++ b/src/libs/carobfall/jobs/run_record.cpp
@@ -36,6 +36,48 @@
     }
 }
 
+void stop_unconfirmed(run_record& record)
+{
+    const std::string reason = record.stop_reason.empty() ? "order_unanswered" : record.stop_reason;
+    begin_stopping(record, reason, record.stop_since);
+}
+
+std::string_view mismatch_of(const fleet::task_order& order, const worker_announcement& worker)
+{
+    if (worker.service != order.service()) {
+        return "other_service";
+    }
+    // The entry may have placed the task before it heard of another kind of worker.
+    const std::string& label = order.required_label();
+    const bool has_label =
+        std::find(worker.labels.begin(), worker.labels.end(), label) != worker.labels.end();
+    return label.empty() || has_label ? "" : "label_missing";
+}
+
+fleet::task_event_kind event_kind_of(run_end_kind kind)
+{
+    switch (kind) {
+    case run_end_kind::done:
+        return fleet::task_done;
+    case run_end_kind::failed:
+        return fleet::task_failed;
+    default:
+        return fleet::task_ended;
+    }
+}
+
+run_record unknown_run(const task_run& run, absl::Time now)
+{
+    run_record record;
+    record.order.set_job_id(run.job_id);
+    record.order.set_index(run.index);
+    record.run = run.run;
+    record.phase = task_phase::stopping;
+    record.stop_reason = "unknown_run";
+    record.stop_since = now;
+    return record;
+}
+
 resource_amounts used_room(const run_record_map& records)
 {
     resource_amounts used;
--- a/src/libs/carobfall/jobs/run_record.h
+++ b/src/libs/carobfall/jobs/run_record.h
@@ -64,6 +64,16 @@
 /// infinite if they wait for the report of the agent.
 void begin_stopping(run_record& record, std::string_view reason, absl::Time since);
 
+/// Stops a run whose start has neither been answered nor been confirmed by a report. The worker may
+/// still carry the start out until it has answered a stop order.
+void stop_unconfirmed(run_record& record);
+/// Record of a run that no order of this agent has started. It has to stop.
+[[nodiscard]] run_record unknown_run(const task_run& run, absl::Time now);
+[[nodiscard]] fleet::task_event_kind event_kind_of(run_end_kind kind);
+/// Returns why the worker is none that the task may run on, or an empty string if it is.
+[[nodiscard]] std::string_view mismatch_of(const fleet::task_order& order,
+                                           const worker_announcement& worker);
+
 /// Room that the runs use on the worker.
 [[nodiscard]] resource_amounts used_room(const run_record_map& records);
 /// Room that the waiting tasks demand.
--- a/src/libs/carobfall/jobs/worker_ledger.cpp
+++ b/src/libs/carobfall/jobs/worker_ledger.cpp
@@ -30,26 +30,6 @@
 // most `renewal_wait`.
 constexpr absl::Duration start_confirmation_time = absl::Milliseconds(renewal_wait_ms + 20);
 
-/// Stops a run whose start has neither been answered nor been confirmed by a report. The worker may
-/// still carry the start out until it has answered a stop order.
-void stop_unconfirmed(run_record& record)
-{
-    const std::string reason = record.stop_reason.empty() ? "order_unanswered" : record.stop_reason;
-    begin_stopping(record, reason, record.stop_since);
-}
-
-fleet::task_event_kind event_kind_of(run_end_kind kind)
-{
-    switch (kind) {
-    case run_end_kind::done:
-        return fleet::task_done;
-    case run_end_kind::failed:
-        return fleet::task_failed;
-    default:
-        return fleet::task_ended;
-    }
-}
-
 } // namespace
 
 bool worker_ledger::is_current(const worker_announcement& worker) const
@@ -57,16 +37,7 @@
     if (worker.id == left_id_ && worker.started_unix_ms <= left_started_unix_ms_) {
         return false;
     }
-    if (!worker_) {
-        return true;
-    }
-    if (worker_->id == worker.id && worker_->started_unix_ms == worker.started_unix_ms) {
-        // A worker that drains does so until its end, so that its statement is never outdated.
-        const bool begins_to_drain =
-            worker.state == worker_state::draining && worker_->state != worker_state::draining;
-        return begins_to_drain || worker.sequence > worker_->sequence;
-    }
-    return worker.started_unix_ms >= worker_->started_unix_ms;
+    return !worker_ || is_later(worker, *worker_);
 }
 
 bool worker_ledger::announce(const worker_announcement& worker)
@@ -74,8 +45,7 @@
     if (!is_current(worker)) {
         return false;
     }
-    const bool same =
-        worker_ && worker_->id == worker.id && worker_->started_unix_ms == worker.started_unix_ms;
+    const bool same = worker_ && is_same_incarnation(worker, *worker_);
     if (!same && worker_ && worker_->id == worker.id) {
         return false;
     }
@@ -157,14 +127,9 @@
     if (worker_->state != worker_state::ready) {
         return worker_->state == worker_state::draining ? "worker_draining" : "worker_unannounced";
     }
-    if (worker_->service != record.order.service()) {
-        return "other_service";
-    }
-    // The entry may have placed the task before it heard of another kind of worker.
-    const std::string& label = record.order.required_label();
-    if (!label.empty() &&
-        std::find(worker_->labels.begin(), worker_->labels.end(), label) == worker_->labels.end()) {
-        return "label_missing";
+    const std::string_view mismatch = mismatch_of(record.order, *worker_);
+    if (!mismatch.empty()) {
+        return mismatch;
     }
     const absl::Duration longest_wait = absl::Milliseconds(record.order.longest_wait_ms());
     if (longest_wait > absl::ZeroDuration() && wait_of(record, now) > longest_wait) {
@@ -418,14 +383,7 @@
         if (find_run(active.task) != records_.end()) {
             continue;
         }
-        run_record record;
-        record.order.set_job_id(active.task.job_id);
-        record.order.set_index(active.task.index);
-        record.run = active.task.run;
-        record.phase = task_phase::stopping;
-        record.stop_reason = "unknown_run";
-        record.stop_since = now;
-        records_.emplace(++last_number_, std::move(record));
+        records_.emplace(++last_number_, unknown_run(active.task, now));
     }
 }
 
--- a/src/libs/carobfall/jobs/worker_orders.cpp
+++ b/src/libs/carobfall/jobs/worker_orders.cpp
@@ -41,6 +41,21 @@
 
 } // namespace
 
+bool is_same_incarnation(const worker_announcement& first, const worker_announcement& second)
+{
+    return first.id == second.id && first.started_unix_ms == second.started_unix_ms;
+}
+
+bool is_later(const worker_announcement& announcement, const worker_announcement& present)
+{
+    if (!is_same_incarnation(announcement, present)) {
+        return announcement.started_unix_ms >= present.started_unix_ms;
+    }
+    const bool begins_to_drain =
+        announcement.state == worker_state::draining && present.state != worker_state::draining;
+    return begins_to_drain || announcement.sequence > present.sequence;
+}
+
 std::string_view name_of(start_outcome outcome)
 {
     return find_name(outcome_names, outcome);
--- a/src/libs/carobfall/jobs/worker_orders.h
+++ b/src/libs/carobfall/jobs/worker_orders.h
@@ -33,6 +33,14 @@
     std::int64_t sequence{0};        ///< increases within an incarnation
 };
 
+/// Whether both announcements are of one incarnation.
+[[nodiscard]] bool is_same_incarnation(const worker_announcement& first,
+                                       const worker_announcement& second);
+/// Whether an announcement tells something new after the present one. The first statement that the
+/// present worker drains always does, since a worker drains until its end.
+[[nodiscard]] bool is_later(const worker_announcement& announcement,
+                            const worker_announcement& present);
+
 /// One run of a task on a worker. `run` increases with each start of the task.
 struct task_run {
     std::string job_id;
