Agent: Pause between attempts to restore the worker

While four other announcements are checked, `announce` returns without waiting, and the loop that restores the stored worker repeated it at once, so the agent hung.

--- a/src/libs/carobfall/jobs/agent_service.cpp
+++ b/src/libs/carobfall/jobs/agent_service.cpp
@@ -143,8 +143,12 @@
 {
     // The next heartbeat is later than the stored announcement and replaces it.
     announcement_effect effect = announcement_effect::unconfirmed;
+    asio::steady_timer pause(executor_);
     while (!ledger_.worker() && effect == announcement_effect::unconfirmed) {
         effect = co_await announce(worker);
+        // While too many announcements are checked, `announce` returns without waiting.
+        pause.expires_after(timer_duration(renewal_retry_delay));
+        co_await pause.async_wait(asio::use_awaitable);
     }
     if (effect == announcement_effect::changed) {
         log_.write(log_fields("worker_recalled").add("worker", worker.id), boot_now());
--- a/tests/auto/jobs/tst_incarnations.cpp
+++ b/tests/auto/jobs/tst_incarnations.cpp
@@ -160,6 +160,24 @@
     CHECK(announce(context, agent.service, later) == announcement_effect::unconfirmed);
 }
 
+// Guards against an agent that hangs because a check that is refused at once is repeated at once.
+TEST_CASE("a stored worker is restored beside many announcements without an answer")
+{
+    asio::io_context context{1};
+    fake_worker worker(context);
+    worker.unreachable = true;
+    agent_process agent(context, "a", "1", worker, announcement_of("a"), "127.0.0.1:9");
+    for (const char* name : {"b", "c", "d", "e"}) {
+        announce_in_background(context, agent.service, announcement_of(name));
+    }
+    asio::co_spawn(context, agent.service.restore_worker(announcement_of("a")), asio::detached);
+    context.run_for(std::chrono::milliseconds(900));
+    worker.id = "i-a";
+    worker.unreachable = false;
+    context.run_for(std::chrono::milliseconds(100));
+    CHECK(agent.service.state_text(boot_now()).find("worker_known 1") != std::string::npos);
+}
+
 TEST_CASE("only an answer of the announced incarnation confirms an announcement")
 {
     const worker_announcement worker = announcement_of("a");
