--- a/tests/process/test_lost_runs.py
+++ b/tests/process/test_lost_runs.py
@@ -285,6 +285,14 @@
         self.wait_for(lambda: self.submit("%016x" % time.monotonic_ns(), self.entries[0])[0] == 200,
                       "the entry serves again", 3)
 
+    @staticmethod
+    def start_fault(active_faults, component, fault):
+        """Injects the fault in the background, one at a time per component: a paused process can't be
+        restarted, for example."""
+        if component not in active_faults or not active_faults[component].is_alive():
+            active_faults[component] = threading.Thread(target=fault)
+            active_faults[component].start()
+
     def choose_worker_fault(self, choice):
         """Draws a fault of workers, or messages of another writer."""
         worker = choice.choice(self.workers)
@@ -309,9 +317,7 @@
             component, fault = self.choose_fault(choice)
             if choice.random() < 0.6:
                 component, fault = "workers", self.choose_worker_fault(choice)
-            if component not in active_faults or not active_faults[component].is_alive():
-                active_faults[component] = threading.Thread(target=fault)
-                active_faults[component].start()
+            self.start_fault(active_faults, component, fault)
             time.sleep(choice.uniform(0.05, 0.3))
         for thread in active_faults.values():
             thread.join()
@@ -346,10 +352,7 @@
             self.submit_in_background(choice.randrange(ENTRIES), call_timeout,
                                       choice.randint(1, 4), 5)
             component, fault = self.choose_fault(choice)
-            # One fault at a time per component: a paused process can't be restarted, for example.
-            if component not in active_faults or not active_faults[component].is_alive():
-                active_faults[component] = threading.Thread(target=fault)
-                active_faults[component].start()
+            self.start_fault(active_faults, component, fault)
             time.sleep(choice.uniform(0.1, 0.6))
         for thread in active_faults.values():
             thread.join()
