Agent: Compare waiting tasks with each description of the worker

What callers saw: a task could start on a worker without its label, its service or the room for it (ROUTE) when a worker changed its description within one incarnation, or while a refused start was under way.

Cause: tasks were compared with the worker when their order arrived and when another worker took its place, not when the present one announced itself anew. A start that was refused for lack of room put its task back into the queue whatever the worker had become meanwhile, also beside a worker that drains, where it waited in vain.

Ruled out: placement, which uses the description of its time; orders under another id, which the worker refuses.

Change: an announcement returns the waiting tasks that it no longer suits, and a refused start returns its task unless the worker may still run it.

--- a/src/libs/carobfall/jobs/run_record.cpp
+++ b/src/libs/carobfall/jobs/run_record.cpp
@@ -42,16 +42,19 @@
     begin_stopping(record, reason, record.stop_since);
 }
 
-std::string_view mismatch_of(const fleet::task_order& order, const worker_announcement& worker)
+std::string_view mismatch_of(const run_record& record, const worker_announcement& worker)
 {
-    if (worker.service != order.service()) {
+    if (worker.service != record.order.service()) {
         return "other_service";
     }
     // The entry may have placed the task before it heard of another kind of worker.
-    const std::string& label = order.required_label();
+    const std::string& label = record.order.required_label();
     const bool has_label =
         std::find(worker.labels.begin(), worker.labels.end(), label) != worker.labels.end();
-    return label.empty() || has_label ? "" : "label_missing";
+    if (!label.empty() && !has_label) {
+        return "label_missing";
+    }
+    return record.demand.fits_into(worker.capacity) ? "" : "worker_too_small";
 }
 
 fleet::task_event_kind event_kind_of(run_end_kind kind)
--- a/src/libs/carobfall/jobs/run_record.h
+++ b/src/libs/carobfall/jobs/run_record.h
@@ -70,8 +70,8 @@
 /// Record of a run that no order of this agent has started. It has to stop.
 [[nodiscard]] run_record unknown_run(const task_run& run, absl::Time now);
 [[nodiscard]] fleet::task_event_kind event_kind_of(run_end_kind kind);
-/// Returns why the worker is none that the task may run on, or an empty string if it is.
-[[nodiscard]] std::string_view mismatch_of(const fleet::task_order& order,
+/// Returns why the task may not run on the worker, or an empty string if it may.
+[[nodiscard]] std::string_view mismatch_of(const run_record& record,
                                            const worker_announcement& worker);
 
 /// Room that the runs use on the worker.
--- a/src/libs/carobfall/jobs/worker_ledger.cpp
+++ b/src/libs/carobfall/jobs/worker_ledger.cpp
@@ -32,43 +32,37 @@
 
 } // namespace
 
-bool worker_ledger::is_current(const worker_announcement& worker) const
-{
-    if (worker.id == left_id_ && worker.started_unix_ms <= left_started_unix_ms_) {
-        return false;
-    }
-    return !worker_ || is_later(worker, *worker_);
-}
-
 bool worker_ledger::announce(const worker_announcement& worker)
 {
-    if (!is_current(worker)) {
+    const worker_change change = worker_.adopt(worker);
+    if (change == worker_change::none) {
         return false;
     }
-    const bool same = worker_ && is_same_incarnation(worker, *worker_);
-    if (!same && worker_ && worker_->id == worker.id) {
-        return false;
-    }
-    if (!same) {
+    if (change == worker_change::replaced) {
         end_runs("worker_restarted");
         // Entries placed the waiting tasks on the earlier worker, which may have been of another
         // kind.
         return_waiting_tasks("worker_restarted");
         reset_incarnation();
     }
-    const bool drains = worker.state == worker_state::draining ||
-                        (same && worker_->state == worker_state::draining);
-    const std::int64_t sequence =
-        same ? std::max(worker.sequence, worker_->sequence) : worker.sequence;
-    worker_ = worker;
-    worker_->sequence = sequence;
-    if (drains) {
-        worker_->state = worker_state::draining;
+    if (this->worker()->state == worker_state::draining) {
         return_waiting_tasks("worker_draining");
     }
+    return_mismatched_tasks();
     return true;
 }
 
+void worker_ledger::return_mismatched_tasks()
+{
+    for (auto record = records_.begin(); record != records_.end();) {
+        const auto current = record++;
+        const std::string_view mismatch = mismatch_of(current->second, *worker());
+        if (current->second.phase == task_phase::waiting && !mismatch.empty()) {
+            finish(current, fleet::task_not_run, mismatch, absl::InfinitePast());
+        }
+    }
+}
+
 void worker_ledger::reset_incarnation()
 {
     acknowledged_end_ = 0;
@@ -83,21 +77,16 @@
                                       absl::Time now)
 {
     reset_incarnation();
-    worker_->started_unix_ms = report.started_unix_ms;
-    worker_->sequence = -1; // less than that of any announcement
-    worker_->state = worker_state::unannounced;
+    worker_.begin_incarnation(report.started_unix_ms);
     return_waiting_tasks("worker_restarted");
     on_report(report, requested_at, now);
 }
 
 void worker_ledger::remove_worker(std::string_view id)
 {
-    if (!worker_ || worker_->id != id) {
+    if (!worker_.remove(id)) {
         return;
     }
-    left_id_ = worker_->id;
-    left_started_unix_ms_ = worker_->started_unix_ms;
-    worker_.reset();
     end_runs("worker_left");
     return_waiting_tasks("worker_left");
 }
@@ -119,17 +108,22 @@
     }
 }
 
-std::string_view worker_ledger::refusal_of(const run_record& record, absl::Time now) const
+std::string_view worker_ledger::start_obstacle(const run_record& record) const
 {
-    if (!worker_) {
+    if (!worker()) {
         return "no_worker";
     }
-    if (worker_->state != worker_state::ready) {
-        return worker_->state == worker_state::draining ? "worker_draining" : "worker_unannounced";
+    if (worker()->state != worker_state::ready) {
+        return worker()->state == worker_state::draining ? "worker_draining" : "worker_unannounced";
     }
-    const std::string_view mismatch = mismatch_of(record.order, *worker_);
-    if (!mismatch.empty()) {
-        return mismatch;
+    return mismatch_of(record, *worker());
+}
+
+std::string_view worker_ledger::refusal_of(const run_record& record, absl::Time now) const
+{
+    const std::string_view obstacle = start_obstacle(record);
+    if (!obstacle.empty()) {
+        return obstacle;
     }
     const absl::Duration longest_wait = absl::Milliseconds(record.order.longest_wait_ms());
     if (longest_wait > absl::ZeroDuration() && wait_of(record, now) > longest_wait) {
@@ -141,7 +135,7 @@
 absl::Duration worker_ledger::wait_of(const run_record& record, absl::Time now) const
 {
     const agent_load load{free_room(), waiting_room(now), released_millicores_per_s(now)};
-    return expected_wait(worker_->capacity, load, record.demand,
+    return expected_wait(worker()->capacity, load, record.demand,
                          queue_rank(record.order.priority(), record.start_by - now));
 }
 
@@ -246,7 +240,7 @@
 std::optional<worker_ledger::record_number>
 worker_ledger::begin_next(absl::Time now, const std::function<bool(session_number)>& may_run)
 {
-    if (!worker_ || worker_->state != worker_state::ready) {
+    if (!worker() || worker()->state != worker_state::ready) {
         return std::nullopt;
     }
     std::vector<record_number> numbers;
@@ -309,7 +303,9 @@
     case start_outcome::superseded:
     case start_outcome::lease_over:
     case start_outcome::fenced:
-        if (!record.stop_reason.empty() || record.give_up <= now) {
+        // The worker may have described itself anew while the order was under way.
+        if (!record.stop_reason.empty() || record.give_up <= now ||
+            !start_obstacle(record).empty()) {
             break;
         }
         record.phase = task_phase::waiting;
@@ -469,10 +465,10 @@
 
 resource_amounts worker_ledger::free_room() const
 {
-    if (!worker_) {
+    if (!worker()) {
         return {};
     }
-    resource_amounts room = worker_->capacity;
+    resource_amounts room = worker()->capacity;
     room -= used_room(records_);
     return room;
 }
--- a/src/libs/carobfall/jobs/worker_ledger.h
+++ b/src/libs/carobfall/jobs/worker_ledger.h
@@ -2,6 +2,7 @@
 
 #include "carobfall/fleet/fleet.pb.h"
 #include "carobfall/jobs/failure_rate.h"
+#include "carobfall/jobs/known_worker.h"
 #include "carobfall/jobs/past_runs.h"
 #include "carobfall/jobs/run_queue.h"
 #include "carobfall/jobs/run_record.h"
@@ -39,9 +40,11 @@
 public:
     using record_number = std::uint64_t;
 
-    /// Whether the announcement is later than the present one and than the end of a worker that has
-    /// left. The first statement that the present worker drains is always current.
-    [[nodiscard]] bool is_current(const worker_announcement& worker) const;
+    /// See `known_worker::is_current`.
+    [[nodiscard]] bool is_current(const worker_announcement& worker) const
+    {
+        return worker_.is_current(worker);
+    }
     /// Updates the worker from its announcement. A worker with another id ends the runs of the
     /// earlier one, so the process at the worker's address must have confirmed it. Returns false if
     /// the announcement isn't current, or if it is of another incarnation with the same id, for
@@ -81,7 +84,10 @@
     void end_runs(std::string_view reason);
 
     [[nodiscard]] const run_record* find(record_number number) const;
-    [[nodiscard]] const std::optional<worker_announcement>& worker() const { return worker_; }
+    [[nodiscard]] const std::optional<worker_announcement>& worker() const
+    {
+        return worker_.present();
+    }
     [[nodiscard]] std::uint64_t acknowledged_end() const { return acknowledged_end_; }
     [[nodiscard]] resource_amounts free_room() const;
     /// Room that waiting tasks demand.
@@ -120,8 +126,12 @@
 private:
     using record_map = run_record_map;
 
+    /// Returns the waiting tasks that may not run on the worker as it is described now.
+    void return_mismatched_tasks();
     /// Drops what is known of the earlier incarnation besides its runs.
     void reset_incarnation();
+    /// Returns why the worker may not start the task at present, or an empty string if it may.
+    [[nodiscard]] std::string_view start_obstacle(const run_record& record) const;
     /// Returns why a new order is refused, or an empty string if it is accepted.
     [[nodiscard]] std::string_view refusal_of(const run_record& record, absl::Time now) const;
     /// Expected wait of a task that is added to the queue now.
@@ -136,9 +146,7 @@
     [[nodiscard]] bool has_run_elsewhere(record_number number, const run_record& record) const;
     [[nodiscard]] std::uint32_t next_run(const run_record& record) const;
 
-    std::optional<worker_announcement> worker_;
-    std::int64_t left_started_unix_ms_{0}; ///< start time of the worker that left last
-    std::string left_id_;
+    known_worker worker_;
     record_map records_;
     record_number last_number_{0};
     std::uint64_t acknowledged_end_{0};
--- a/tests/auto/jobs/tst_worker_ledger.cpp
+++ b/tests/auto/jobs/tst_worker_ledger.cpp
@@ -394,6 +394,71 @@
     CHECK(ledger.begin_next(now, permitted));
 }
 
+// Guards against tasks that start on a worker that has lost the label, its service or the room for
+// them with a later announcement of the same incarnation.
+TEST_CASE("waiting tasks are returned when the worker announces that it no longer suits them")
+{
+    worker_announcement labelled = worker(1, 1);
+    labelled.labels = {"a", "r1-1"};
+    worker_announcement other_kind = worker(1, 2);
+    other_kind.labels = {"b", "r1-1"};
+    worker_announcement other_service = other_kind;
+    other_service.labels = labelled.labels;
+    other_service.service = "night-batch";
+    worker_announcement small = other_kind;
+    small.labels = labelled.labels;
+    small.capacity = {6000, 262144, 0};
+    const std::vector<std::pair<worker_announcement, std::string>> cases{
+        {other_kind, "label_missing"},
+        {other_service, "other_service"},
+        {small, "worker_too_small"}};
+    for (const auto& [announcement, reason] : cases) {
+        worker_ledger ledger;
+        ledger.announce(labelled);
+        fleet::task_order labelled_order = order(0);
+        labelled_order.set_required_label("a");
+        ledger.add(1, labelled_order, now);
+        REQUIRE(ledger.announce(announcement));
+        const std::vector<session_event> events = ledger.take_events();
+        REQUIRE(events.size() == 1);
+        CHECK(events[0].event.kind() == fleet::task_not_run);
+        CHECK(events[0].event.reason() == reason);
+        CHECK_FALSE(ledger.begin_next(after(1), permitted));
+    }
+}
+
+// Guards against a task whose refused start is under way while the worker changes its kind, and
+// that would wait and start there again.
+TEST_CASE("a refused start is returned if the worker no longer suits the task or drains")
+{
+    worker_announcement labelled = worker(1, 1);
+    labelled.labels = {"a"};
+    worker_announcement other_kind = worker(2, 1);
+    other_kind.labels = {"b"};
+    worker_announcement draining = labelled;
+    draining.state = worker_state::draining;
+    draining.sequence = 2;
+    for (const bool restarts : {true, false}) {
+        worker_ledger ledger;
+        ledger.announce(labelled);
+        fleet::task_order labelled_order = order(0);
+        labelled_order.set_required_label("a");
+        ledger.add(1, labelled_order, now);
+        const worker_ledger::record_number number = ledger.begin_next(now, permitted).value();
+        if (restarts) {
+            worker_report report;
+            report.started_unix_ms = 2;
+            ledger.begin_incarnation(report, after(1), after(2));
+        }
+        REQUIRE(ledger.announce(restarts ? other_kind : draining));
+        ledger.on_start_reply(number, {start_outcome::no_room, std::nullopt}, after(3));
+        const std::vector<session_event> events = ledger.take_events();
+        REQUIRE(events.size() == 1);
+        CHECK(events[0].event.kind() == fleet::task_not_run);
+        CHECK(ledger.waiting() == 0);
+    }
+}
+
 TEST_CASE("a restart of the worker ends the runs that its first report does not list")
 {
     started_ledger test;
