Agent: Store a worker again when it describes itself anew

Cause: an announcement was stored only with a new incarnation or state. After a restart the agent recalled labels, service and capacity that were no longer true and accepted orders by them until the next heartbeat.

Evidence: "a worker that announces other labels is stored again and gets no task for the old ones" fails with the comparison left out.

Change: an announcement with another description has the effect `changed`, so that it is stored and logged with its labels.

--- a/src/libs/carobfall/jobs/agent_service.cpp
+++ b/src/libs/carobfall/jobs/agent_service.cpp
@@ -6,6 +6,7 @@
 #include "carobfall/jobs/run_bounds.h"
 
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -124,11 +125,13 @@
         worker_leaving_ = false;
         worker_announced_.notify();
     }
-    const bool changed = restarted || before->state != worker.state;
+    const bool changed =
+        restarted || before->state != worker.state || !is_same_description(*before, worker);
     if (changed) {
         log_.write(log_fields("worker_announced")
                        .add("worker", worker.id)
                        .add("service", worker.service)
+                       .add("labels", absl::StrJoin(worker.labels, ","))
                        .add("draining", worker.state == worker_state::draining)
                        .add("cpu_millicores", worker.capacity.cpu_millicores)
                        .add("started_unix_ms", worker.started_unix_ms),
--- a/src/libs/carobfall/jobs/job_request.h
+++ b/src/libs/carobfall/jobs/job_request.h
@@ -13,6 +13,7 @@
     std::int64_t memory_mib{0};
     std::int64_t accelerators{0};
 
+    bool operator==(const resource_amounts&) const = default;
     [[nodiscard]] bool fits_into(const resource_amounts& room) const
     {
         return cpu_millicores <= room.cpu_millicores && memory_mib <= room.memory_mib &&
--- a/src/libs/carobfall/jobs/worker_orders.cpp
+++ b/src/libs/carobfall/jobs/worker_orders.cpp
@@ -46,6 +46,12 @@
     return first.id == second.id && first.started_unix_ms == second.started_unix_ms;
 }
 
+bool is_same_description(const worker_announcement& first, const worker_announcement& second)
+{
+    return first.service == second.service && first.labels == second.labels &&
+           first.rack == second.rack && first.capacity == second.capacity;
+}
+
 bool is_later(const worker_announcement& announcement, const worker_announcement& present)
 {
     if (!is_same_incarnation(announcement, present)) {
--- a/src/libs/carobfall/jobs/worker_orders.h
+++ b/src/libs/carobfall/jobs/worker_orders.h
@@ -36,6 +36,9 @@
 /// Whether both announcements are of one incarnation.
 [[nodiscard]] bool is_same_incarnation(const worker_announcement& first,
                                        const worker_announcement& second);
+/// Whether both announcements describe the same kind of worker: what tasks it may run.
+[[nodiscard]] bool is_same_description(const worker_announcement& first,
+                                       const worker_announcement& second);
 /// Whether an announcement tells something new after the present one. The first statement that the
 /// present worker drains always does, since a worker drains until its end.
 [[nodiscard]] bool is_later(const worker_announcement& announcement,
--- a/tests/auto/jobs/tst_incarnations.cpp
+++ b/tests/auto/jobs/tst_incarnations.cpp
@@ -105,6 +105,22 @@
     CHECK(fixture.first.worker.active() == 1);
 }
 
+// Guards against an agent that is restarted and recalls labels from the store that are no longer
+// true: only announcements with the effect `changed` are stored.
+TEST_CASE("a worker that announces other labels is stored again and gets no task for the old ones")
+{
+    worker_with_run fixture;
+    worker_announcement other = fixture.first.announcement;
+    other.labels = {"b"};
+    ++other.sequence;
+    CHECK(announce(fixture.test.context, fixture.first.service, other) ==
+          announcement_effect::changed);
+    ++other.sequence;
+    CHECK(announce(fixture.test.context, fixture.first.service, other) ==
+          announcement_effect::repeated);
+    CHECK(fixture.first.worker.active() == 1);
+}
+
 // Guards against starts that the new incarnation of a worker carries out before its agent notices
 // the restart, and that are reported as ended with the runs of the earlier incarnation.
 TEST_CASE("a run on the new incarnation of a worker is not started elsewhere")
