Agent: Send no starts to a worker that does not answer

Cause: after a start without an answer the agent went on to start tasks until the lease's silence limit (520 ms). A worker that came up again looked unused and got the most tasks.

Ruled out: shorter bounds after an unanswered start; it may be carried out until its lease ends.

Change: worker_contact doubts the worker from a call without an answer until a later call is answered. A doubted worker gets no starts, a report is requested at once, and after 60 ms the waiting tasks go back to their entries. Agents report how often their worker was interrupted, and entries place fewer tasks there while others have room. The obstacles of the lease became a function without I/O.

--- a/src/libs/carobfall/jobs/agent_service.cpp
+++ b/src/libs/carobfall/jobs/agent_service.cpp
@@ -35,12 +35,17 @@
       metrics_(metrics),
       lease_(orders, log),
       incarnations_(executor, lease_, ledger_, log),
-      run_orders_(executor, orders, ledger_, lease_, log, metrics,
-                  [this](absl::Time now) { advance(now); }),
+      run_orders_(executor, orders, ledger_, lease_, contact_, log, metrics,
+                  [this](absl::Time now) {
+                      if (contact_.is_doubted()) {
+                          report_ended_.notify(); // requests a report at once
+                      }
+                      advance(now);
+                  }),
       links_(executor, identity_.name, link_hooks()),
       worker_announced_(executor),
       report_ended_(executor),
-      status_sender_(identity_, ledger_, links_, operators, log, metrics, [this] {
+      status_sender_(identity_, ledger_, contact_, links_, operators, log, metrics, [this] {
           return agent_condition{accepts_orders(), reconciled_ && !ledger_.has_past_runs()};
       })
 {
@@ -100,6 +105,7 @@
                    .add("listed", report.active.size()),
                now);
     lease_.set_incarnation(report.started_unix_ms, now + longest_lease);
+    contact_.on_replaced(!worker_leaving_, now);
     incarnation_heard_at_ = now;
     reconciled_ = false;
     worker_leaving_ = false;
@@ -120,6 +126,8 @@
     if (restarted) {
         orders_.set_target(worker);
         lease_.set_incarnation(worker.started_unix_ms);
+        contact_.on_replaced(before && before->state == worker_state::ready && !worker_leaving_,
+                             now);
         incarnation_heard_at_ = now;
         reconciled_ = false;
         worker_leaving_ = false;
@@ -217,7 +225,7 @@
 bool agent_service::accepts_orders() const
 {
     return ledger_.worker() && ledger_.worker()->state == worker_state::ready && reconciled_ &&
-           worker_reachable_ && !worker_leaving_ && !draining_ &&
+           contact_.is_reachable() && !worker_leaving_ && !draining_ &&
            !operators_.is_out(identity_.data_centre);
 }
 
@@ -271,7 +279,8 @@
             continue;
         }
         const absl::Time now = boot_now();
-        if (reports_.is_due(ledger_.on_worker() > 0 && lease_.fencing_token(), now)) {
+        if (reports_.is_due(ledger_.on_worker() > 0 && lease_.fencing_token(),
+                            contact_.doubted_since(), now)) {
             reports_.on_requested(now);
             spawn(executor_, renew_lease(*ledger_.worker()));
         }
@@ -287,9 +296,11 @@
     bool extend = false;
     if (has_token) {
         extend = may_extend_lease(requested_at);
-        // Without an extension the agent needs the report soon: the worker must not delay it.
+        // Without an extension, or with a doubted worker, the agent needs the report soon: the
+        // worker must not delay it.
+        const bool may_wait = extend && !contact_.is_doubted();
         reply = co_await lease_.renew(ledger_.acknowledged_end(), extend,
-                                      extend ? renewal_wait : absl::ZeroDuration(), requested_at);
+                                      may_wait ? renewal_wait : absl::ZeroDuration(), requested_at);
     }
     const bool answered = handle_renewal(reply, worker, requested_at, boot_now());
     // Limits the rate of renewals whose answers the worker does not delay until a run ends.
@@ -327,7 +338,8 @@
                        now);
         }
         reconciled_ = reconciled_ || (latest && reply.report.complete && ledger_.on_worker() == 0);
-        if (!std::exchange(worker_reachable_, true)) {
+        if (contact_.on_answered(requested_at)) {
+            status_sender_.mark_changed();
             log_.write(log_fields("worker_reachable").add("worker", worker.id), now);
         }
         advance(now);
@@ -337,6 +349,9 @@
         remove_worker(worker.id, "worker_replaced", now);
         return true;
     }
+    if (same_worker && is_unanswered(reply.outcome)) {
+        contact_.on_unanswered(requested_at, now);
+    }
     if (reply.outcome == renewal_outcome::gone) {
         if (worker_leaving_ && same_worker) {
             remove_worker(worker.id, "worker_left", now);
@@ -350,17 +365,9 @@
 
 lease_obstacle agent_service::find_lease_obstacle(absl::Time now) const
 {
-    if (!reconciled_) {
-        return lease_obstacle::runs_unknown;
-    }
-    if (worker_leaving_) {
-        return lease_obstacle::worker_leaving;
-    }
-    if (!lease_.has_recent_answer(now)) {
-        return lease_obstacle::worker_silent;
-    }
-    return ledger_.overdue_stop(now) != nullptr ? lease_obstacle::stop_overdue
-                                                : lease_obstacle::none;
+    return carobfall::find_lease_obstacle({reconciled_, worker_leaving_,
+                                           lease_.has_recent_answer(now),
+                                           ledger_.overdue_stop(now) != nullptr});
 }
 
 bool agent_service::may_extend_lease(absl::Time now)
@@ -393,9 +400,10 @@
 
 void agent_service::mark_worker_unreachable(std::string_view reason, absl::Time now)
 {
-    if (!std::exchange(worker_reachable_, false)) {
+    if (!contact_.mark_unreachable(now)) {
         return;
     }
+    metrics_.add("worker_interruptions_total");
     status_sender_.mark_changed();
     log_.write(log_fields("worker_unreachable")
                    .add("reason", reason)
@@ -418,6 +426,9 @@
             now, [this](session_number session) { return ledger_.has_tasks(session); });
         ledger_.expire(now);
         check_lapse(now);
+        if (ledger_.worker() && contact_.is_silent(now)) {
+            mark_worker_unreachable("worker_silent", now);
+        }
         advance(now);
         log_.flush();
     }
@@ -445,7 +456,8 @@
         const entry_link* link = links_.find(session);
         return link != nullptr && link->permits_starts(now);
     };
-    const bool in_service = worker_reachable_ && find_lease_obstacle(now) == lease_obstacle::none &&
+    const bool in_service = contact_.permits_starts() &&
+                            find_lease_obstacle(now) == lease_obstacle::none &&
                             !operators_.is_out(identity_.data_centre);
     while (in_service) {
         const auto next = ledger_.begin_next(now, may_run);
@@ -471,13 +483,14 @@
 std::string agent_service::state_text(absl::Time now) const
 {
     const std::int64_t capacity = ledger_.worker() ? ledger_.worker()->capacity.cpu_millicores : 0;
-    return absl::StrCat("accepting ", accepts_orders(), "\nworker_known ",
-                        ledger_.worker().has_value(), "\nworker_reachable ", worker_reachable_,
-                        "\nwaiting ", ledger_.waiting(), "\non_worker ", ledger_.on_worker(),
-                        "\ncapacity_millicores ", capacity, "\nfree_millicores ",
-                        ledger_.worker() ? ledger_.free_room().cpu_millicores : 0, "\nslowness ",
-                        ledger_.slowness(now), "\nfailure_share ", ledger_.failure_share(now),
-                        "\nopen_links ", open_links(), "\n");
+    return absl::StrCat(
+        "accepting ", accepts_orders(), "\nworker_known ", ledger_.worker().has_value(),
+        "\nworker_reachable ", contact_.is_reachable(), "\nwaiting ", ledger_.waiting(),
+        "\non_worker ", ledger_.on_worker(), "\ncapacity_millicores ", capacity,
+        "\nfree_millicores ", ledger_.worker() ? ledger_.free_room().cpu_millicores : 0,
+        "\nslowness ", ledger_.slowness(now), "\nfailure_share ", ledger_.failure_share(now),
+        "\ninterruptions_per_s ", contact_.interruptions_per_s(now), "\nopen_links ", open_links(),
+        "\n");
 }
 
 } // namespace carobfall
--- a/src/libs/carobfall/jobs/agent_service.h
+++ b/src/libs/carobfall/jobs/agent_service.h
@@ -11,6 +11,7 @@
 #include "carobfall/jobs/report_schedule.h"
 #include "carobfall/jobs/run_order_sender.h"
 #include "carobfall/jobs/status_sender.h"
+#include "carobfall/jobs/worker_contact.h"
 #include "carobfall/jobs/worker_lease.h"
 #include "carobfall/jobs/worker_ledger.h"
 #include "carobfall/jobs/worker_orders.h"
@@ -109,6 +110,7 @@
 
     worker_ledger ledger_;
     worker_lease lease_;
+    worker_contact contact_;
     incarnation_checker incarnations_;
     run_order_sender run_orders_;
     entry_link_set links_;
@@ -118,8 +120,7 @@
     status_sender status_sender_;
 
     absl::Time incarnation_heard_at_{absl::InfinitePast()}; ///< its latest report, or its start
-    bool reconciled_{false}; ///< a report has shown that no run of an earlier agent is left
-    bool worker_reachable_{true};
+    bool reconciled_{false};     ///< a report has shown that no run of an earlier agent is left
     bool worker_leaving_{false}; ///< the worker has deregistered; removed after its last run
     bool draining_{false};
     bool advance_posted_{false};
--- a/src/libs/carobfall/jobs/agent_table.cpp
+++ b/src/libs/carobfall/jobs/agent_table.cpp
@@ -8,6 +8,9 @@
 namespace carobfall {
 namespace {
 
+// Interruptions are reported per 1000 s.
+constexpr double interruption_unit = 1000;
+
 resource_amounts amounts_of(const fleet::room& room)
 {
     return {room.cpu_millicores(), room.memory_mib(), room.accelerators()};
@@ -56,6 +59,7 @@
         {status.waiting_millicores().begin(), status.waiting_millicores().end()});
     view.load.released_millicores_per_s = static_cast<double>(status.released_millicores_per_s());
     view.failure_share = static_cast<double>(status.failure_percent()) / 100;
+    view.interruptions_per_s = status.interruptions_per_1000_s() / interruption_unit;
     view.slowness = std::max<double>(status.slowness_percent(), 1) / 100;
     for (const sent_order& order : known.unreported) {
         count_order(view.load, order.demand, order.time);
--- a/src/libs/carobfall/jobs/placement_candidate.cpp
+++ b/src/libs/carobfall/jobs/placement_candidate.cpp
@@ -1,5 +1,7 @@
 #include "carobfall/jobs/placement_candidate.h"
 
+#include "carobfall/jobs/interruption_rate.h"
+
 #include <algorithm>
 #include <array>
 #include <cmath>
@@ -21,17 +23,24 @@
 constexpr absl::Duration failing_penalty = absl::Seconds(1);
 // Delay added for a worker on which a task of the job has failed already.
 constexpr absl::Duration failed_before_penalty = absl::Seconds(2);
+// Time until the task of an interrupted run can run elsewhere: the rest of the worker's lease.
+constexpr absl::Duration interruption_delay = absl::Seconds(1);
+// Rate that halves the room that counts in the random choice. One interruption in the last seconds
+// does not exclude a worker: many restart at the same time, and their room is needed.
+constexpr double tolerated_interruptions_per_s = 0.1;
 // Lower bound that keeps the logarithm finite.
 constexpr double min_random = 1e-9;
 
 /// Weight of the agent in the random choice: its relative share of the tasks that entries place.
-double placement_weight(const agent_load& load, absl::Duration wait, double slowness)
+double placement_weight(const agent_load& load, absl::Duration wait, double slowness,
+                        double interruptions_per_s)
 {
     const auto free = static_cast<double>(std::max<std::int64_t>(load.free.cpu_millicores, 1));
     const double room =
         wait > absl::ZeroDuration() ? 1 / absl::ToDoubleMilliseconds(wait) : free / slowness;
+    const double trusted_room = room / (1 + interruptions_per_s / tolerated_interruptions_per_s);
     // The cube prefers agents with more room without directing all entries to the same agents.
-    return room * room * room;
+    return trusted_room * trusted_room * trusted_room;
 }
 
 /// Weighted random sampling (Efraimidis and Spirakis), computed with logarithms. The probability
@@ -83,14 +92,18 @@
     placement_candidate result;
     result.slowness = agent.slowness * (remote ? remote_data_factor : 1.0);
     result.wait = expected_wait(agent.capacity, load, request.demand, time.rank);
-    absl::Duration delay = result.wait + time.expected_run * (result.slowness - 1) +
-                           failing_penalty * agent.failure_share;
+    absl::Duration delay =
+        result.wait + time.expected_run * (result.slowness - 1) +
+        failing_penalty * agent.failure_share +
+        interruption_delay * interruption_probability(agent.interruptions_per_s,
+                                                      time.expected_run * result.slowness);
     if (avoided) {
         delay += failed_before_penalty;
     }
     result.lateness_ms = absl::ToDoubleMilliseconds(
         std::max(delay - safe_share_of_slack * time.slack, absl::ZeroDuration()));
-    result.draw = weighted_draw(placement_weight(load, result.wait, result.slowness), random);
+    result.draw = weighted_draw(
+        placement_weight(load, result.wait, result.slowness, agent.interruptions_per_s), random);
     return result;
 }
 
--- a/src/libs/carobfall/jobs/report_schedule.cpp
+++ b/src/libs/carobfall/jobs/report_schedule.cpp
@@ -1,5 +1,7 @@
 #include "carobfall/jobs/report_schedule.h"
 
+#include "carobfall/jobs/run_bounds.h"
+
 namespace carobfall {
 namespace {
 
@@ -10,11 +12,16 @@
 
 } // namespace
 
-bool report_schedule::is_due(bool has_runs, absl::Time now) const
+bool report_schedule::is_due(bool has_runs, absl::Time doubted_since, absl::Time now) const
 {
     if (outstanding_ == 0) {
         return true;
     }
+    if (doubted_since != absl::InfinitePast()) {
+        // The worker may delay the answers to the outstanding reports.
+        return outstanding_ <= max_outstanding &&
+               (doubted_since > requested_at_ || now - requested_at_ >= renewal_retry_delay);
+    }
     return has_runs && outstanding_ < max_outstanding &&
            now - requested_at_ >= expected_answer_time;
 }
--- a/src/libs/carobfall/jobs/report_schedule.h
+++ b/src/libs/carobfall/jobs/report_schedule.h
@@ -15,7 +15,9 @@
 /// answer in twenty.
 class report_schedule {
 public:
-    [[nodiscard]] bool is_due(bool has_runs, absl::Time now) const;
+    /// `doubted_since`: start of the doubt that the worker answers, infinitely past if there is
+    /// none. A report is then due at once.
+    [[nodiscard]] bool is_due(bool has_runs, absl::Time doubted_since, absl::Time now) const;
     /// Interval at which `is_due` is to be checked if nothing has changed.
     [[nodiscard]] static absl::Duration interval();
     void on_requested(absl::Time now);
--- a/src/libs/carobfall/jobs/run_order_sender.cpp
+++ b/src/libs/carobfall/jobs/run_order_sender.cpp
@@ -22,13 +22,15 @@
 } // namespace
 
 run_order_sender::run_order_sender(const asio::any_io_executor& executor, worker_orders& orders,
-                                   worker_ledger& ledger, worker_lease& lease, event_log& log,
+                                   worker_ledger& ledger, worker_lease& lease,
+                                   worker_contact& contact, event_log& log,
                                    metrics_registry& metrics,
                                    std::function<void(absl::Time now)> on_answered)
     : executor_(executor),
       orders_(orders),
       ledger_(ledger),
       lease_(lease),
+      contact_(contact),
       log_(log),
       metrics_(metrics),
       on_answered_(std::move(on_answered))
@@ -52,6 +54,13 @@
     const start_reply reply = co_await orders_.start(order);
     const absl::Time now = boot_now();
     lease_.update_clock(reply.clock, incarnation, now);
+    if (incarnation == lease_.incarnation()) {
+        if (reply.outcome == start_outcome::no_answer || reply.outcome == start_outcome::not_sent) {
+            contact_.on_unanswered(ordered, now);
+        } else {
+            contact_.on_answered(ordered);
+        }
+    }
     if (reply.outcome == start_outcome::fenced) {
         lease_.on_fenced();
     }
--- a/src/libs/carobfall/jobs/status_sender.cpp
+++ b/src/libs/carobfall/jobs/status_sender.cpp
@@ -21,10 +21,12 @@
 } // namespace
 
 status_sender::status_sender(process_identity identity, worker_ledger& ledger,
-                             entry_link_set& links, operator_view& operators, event_log& log,
-                             metrics_registry& metrics, std::function<agent_condition()> condition)
+                             const worker_contact& contact, entry_link_set& links,
+                             operator_view& operators, event_log& log, metrics_registry& metrics,
+                             std::function<agent_condition()> condition)
     : identity_(std::move(identity)),
       ledger_(ledger),
+      contact_(contact),
       links_(links),
       operators_(operators),
       log_(log),
@@ -65,6 +67,8 @@
     status.set_past_runs_gone(condition.past_runs_gone);
     status.set_orders_received(link.orders_received());
     describe_load(ledger_, now, status);
+    status.set_interruptions_per_1000_s(
+        static_cast<std::uint32_t>(contact_.interruptions_per_s(now) * 1000));
 }
 
 bool status_sender::needs_operator_state(const entry_link& link) const
--- a/src/libs/carobfall/jobs/status_sender.h
+++ b/src/libs/carobfall/jobs/status_sender.h
@@ -6,6 +6,7 @@
 #include "carobfall/jobs/entry_link_set.h"
 #include "carobfall/jobs/operator_view.h"
 #include "carobfall/jobs/process_identity.h"
+#include "carobfall/jobs/worker_contact.h"
 #include "carobfall/jobs/worker_ledger.h"
 
 #include <absl/time/time.h>
@@ -28,9 +29,9 @@
 class status_sender {
 public:
     /// `condition`: called for each status; returns the current condition of the agent.
-    status_sender(process_identity identity, worker_ledger& ledger, entry_link_set& links,
-                  operator_view& operators, event_log& log, metrics_registry& metrics,
-                  std::function<agent_condition()> condition);
+    status_sender(process_identity identity, worker_ledger& ledger, const worker_contact& contact,
+                  entry_link_set& links, operator_view& operators, event_log& log,
+                  metrics_registry& metrics, std::function<agent_condition()> condition);
 
     /// Updates the description after the worker has announced itself or has left.
     void update_description();
@@ -53,6 +54,7 @@
 
     const process_identity identity_;
     worker_ledger& ledger_;
+    const worker_contact& contact_;
     entry_link_set& links_;
     operator_view& operators_;
     event_log& log_;
--- a/src/libs/carobfall/jobs/task_placement.h
+++ b/src/libs/carobfall/jobs/task_placement.h
@@ -31,8 +31,9 @@
     bool usable{false}; ///< connected, takes orders, and the data centre is in service
     resource_amounts capacity;
     agent_load load;
-    double failure_share{0}; ///< share of the latest runs that failed
-    double slowness{1};      ///< measured run time divided by the expected one
+    double failure_share{0};       ///< share of the latest runs that failed
+    double slowness{1};            ///< measured run time divided by the expected one
+    double interruptions_per_s{0}; ///< of the worker; recent ones weigh most
 };
 
 /// Times of a task that determine where the task is placed.
--- a/src/libs/carobfall/jobs/worker_orders.cpp
+++ b/src/libs/carobfall/jobs/worker_orders.cpp
@@ -62,6 +62,12 @@
     return begins_to_drain || announcement.sequence > present.sequence;
 }
 
+bool is_unanswered(renewal_outcome outcome)
+{
+    return outcome == renewal_outcome::gone || outcome == renewal_outcome::unreachable ||
+           outcome == renewal_outcome::no_answer;
+}
+
 std::string_view name_of(start_outcome outcome)
 {
     return find_name(outcome_names, outcome);
--- a/src/libs/carobfall/jobs/worker_orders.h
+++ b/src/libs/carobfall/jobs/worker_orders.h
@@ -122,6 +122,9 @@
     no_answer,   ///< the renewal may have extended the lease
 };
 
+/// Whether the worker has not answered.
+[[nodiscard]] bool is_unanswered(renewal_outcome outcome);
+
 struct renewal_reply {
     renewal_outcome outcome{renewal_outcome::no_answer};
     std::optional<worker_time> clock;
--- a/tests/auto/jobs/region_fixture.h
+++ b/tests/auto/jobs/region_fixture.h
@@ -61,6 +61,7 @@
             co_return start_reply{start_outcome::not_sent, std::nullopt};
         }
         if (unreachable) {
+            ++unanswered_starts;
             co_return start_reply{start_outcome::no_answer, std::nullopt};
         }
         if (order.lease_end <= clock()) {
@@ -172,6 +173,7 @@
     std::size_t lost_renewals{0};              ///< unanswered renewals while a run is active
     absl::Duration renewal_timeout{absl::Milliseconds(230)};
     std::size_t starts{0};
+    std::size_t unanswered_starts{0};
     std::size_t stops{0};
     std::size_t max_concurrent_runs{0};
 
--- a/tests/auto/jobs/tst_task_placement.cpp
+++ b/tests/auto/jobs/tst_task_placement.cpp
@@ -139,6 +139,34 @@
     CHECK(choose_agent(agents, request, payout, limits) == 3);
 }
 
+// Load pattern: a tenth of the workers goes down and comes up by turns. Guards against a worker
+// that gets the most tasks because it has just come up, and against workers that stay unused after
+// all of them have restarted.
+TEST_CASE("a worker that was interrupted gets fewer tasks while others have room")
+{
+    std::mt19937 generator(1);
+    std::uniform_real_distribution<double> uniform(0, 1);
+    const auto placed_on_first = [&](double first_rate, double second_rate) {
+        std::vector<agent_view> agents{agent("a", 64000), agent("b", 64000)};
+        agents[0].interruptions_per_s = first_rate;
+        agents[1].interruptions_per_s = second_rate;
+        int placed = 0;
+        for (int i = 0; i < 1000; ++i) {
+            const job_placement placement =
+                place_tasks(agents, job(), eligibility, 1, {}, [&] { return uniform(generator); });
+            placed += placement.agents.front() == 0 ? 1 : 0;
+        }
+        return placed;
+    };
+    CHECK(placed_on_first(0.3, 0) < 50);
+    CHECK(placed_on_first(0.1, 0.1) > 400);
+    // A run that would often be lost costs more than a short wait elsewhere.
+    std::vector<agent_view> agents{agent("a", 64000), agent("b", 0)};
+    agents[0].interruptions_per_s = 1;
+    add_wait(agents[1], absl::Milliseconds(20));
+    CHECK(choose_agent(agents, job(), payout) == 1);
+}
+
 TEST_CASE("a worker where a task of the job has failed is chosen last")
 {
     std::vector<agent_view> agents{agent("failed here", 64000), agent("full", 0)};
