Agent: Measure the speed of a worker by the pace of its active runs

Cause: the speed of a worker was averaged over runs that had ended. On a worker that becomes five times slower, runs end five times more rarely, so that entries sent it tasks for seconds.

Change: each report gives the pace of every active run since an earlier report; the median of them counts when it deviates by much. One run or job alone changes nothing, because expected run times are inaccurate.

--- a/src/libs/carobfall/jobs/run_record.cpp
+++ b/src/libs/carobfall/jobs/run_record.cpp
@@ -3,11 +3,17 @@
 #include "carobfall/jobs/run_queue.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace carobfall {
 namespace {
 
 constexpr double milliseconds_per_second = 1000;
+constexpr double percent = 100;
+// Progress is reported in whole percent, and within a shorter time or share of the run it is mostly
+// the rounding.
+constexpr absl::Duration min_pace_time = absl::Milliseconds(40);
+constexpr double min_pace_share = 0.1;
 
 } // namespace
 
@@ -81,6 +87,23 @@
     return record;
 }
 
+std::optional<double> take_pace(run_record& record, int percent_done, absl::Time now)
+{
+    const absl::Duration passed = now - record.paced_at;
+    const absl::Duration expected = absl::Milliseconds(record.order.expected_run_ms());
+    const bool measured = record.paced_at != absl::InfinitePast();
+    if (measured && passed < std::max(min_pace_time, min_pace_share * expected)) {
+        return std::nullopt;
+    }
+    const double done =
+        (percent_done - std::exchange(record.paced_percent, percent_done)) / percent;
+    record.paced_at = now;
+    if (!measured || expected <= absl::ZeroDuration()) {
+        return std::nullopt;
+    }
+    return absl::FDivDuration(passed, expected) / std::max(done, 1 / percent);
+}
+
 resource_amounts used_room(const run_record_map& records)
 {
     resource_amounts used;
--- a/src/libs/carobfall/jobs/run_record.h
+++ b/src/libs/carobfall/jobs/run_record.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -42,6 +43,9 @@
     /// later show the effect of the order.
     absl::Time answered_at{absl::InfiniteFuture()};
     bool listed_active{false}; ///< a report has listed the run, so the start was carried out
+    /// Progress at the report from which on the pace is measured.
+    int paced_percent{0};
+    absl::Time paced_at{absl::InfinitePast()};
     absl::Time unconfirmed_since{absl::InfiniteFuture()};
     bool stop_under_way{false};
     std::uint32_t stop_tries{0};
@@ -74,6 +78,10 @@
 [[nodiscard]] std::string_view mismatch_of(const run_record& record,
                                            const worker_announcement& worker);
 
+/// Returns how much slower than expected the run has proceeded since an earlier report, or nothing
+/// if that is too short a time.
+[[nodiscard]] std::optional<double> take_pace(run_record& record, int percent_done, absl::Time now);
+
 /// Room that the runs use on the worker.
 [[nodiscard]] resource_amounts used_room(const run_record_map& records);
 /// Room that the waiting tasks demand.
--- a/src/libs/carobfall/jobs/worker_ledger.cpp
+++ b/src/libs/carobfall/jobs/worker_ledger.cpp
@@ -26,8 +26,7 @@
 // Delay after a refusal for lack of room, about the time until a run ends.
 constexpr absl::Duration no_room_retry_delay = absl::Milliseconds(20);
 
-// Time for a report that lists a run whose start got no answer. The worker delays reports by at
-// most `renewal_wait`.
+// Time for a report that lists a run whose start got no answer.
 constexpr absl::Duration start_confirmation_time = absl::Milliseconds(renewal_wait_ms + 20);
 
 } // namespace
@@ -40,8 +39,7 @@
     }
     if (change == worker_change::replaced) {
         end_runs("worker_restarted");
-        // Entries placed the waiting tasks on the earlier worker, which may have been of another
-        // kind.
+        // Entries placed the waiting tasks on the earlier worker.
         return_waiting_tasks("worker_restarted");
         reset_incarnation();
     }
@@ -385,6 +383,7 @@
 
 void worker_ledger::check_progress(const worker_report& report, absl::Time now)
 {
+    std::vector<double> paces;
     for (const active_run& active : report.active) {
         const auto found = find_run(active.task);
         if (found == records_.end()) {
@@ -399,6 +398,9 @@
         if (record.phase != task_phase::running) {
             continue;
         }
+        if (const auto pace = take_pace(record, active.percent_done, now)) {
+            paces.push_back(*pace);
+        }
         const absl::Duration expected = absl::Milliseconds(record.order.expected_run_ms());
         const run_progress progress{record.ordered_at, expected, record.give_up,
                                     active.percent_done};
@@ -408,6 +410,7 @@
             begin_stopping(record, "too_late", absl::InfiniteFuture());
         }
     }
+    speed_.record_pace(std::move(paces), now);
 }
 
 void worker_ledger::on_report(const worker_report& report, absl::Time requested_at, absl::Time now)
--- a/src/libs/carobfall/jobs/worker_speed.cpp
+++ b/src/libs/carobfall/jobs/worker_speed.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstddef>
 
 namespace carobfall {
 namespace {
@@ -11,6 +12,11 @@
 // Time after which a deviation is halved if there are no new runs.
 constexpr absl::Duration half_life = absl::Seconds(2);
 constexpr double max_slowness = 10;
+// With fewer active runs, the run times of one job could decide.
+constexpr std::size_t min_paced_runs = 4;
+// Weight of the pace of the active runs in one report. A worker reports several times in a tenth of
+// a second.
+constexpr double pace_weight = 0.2;
 
 } // namespace
 
@@ -25,8 +31,25 @@
     if (expected <= absl::ZeroDuration()) {
         return;
     }
-    const double run_slowness = std::min(absl::FDivDuration(run, expected), max_slowness);
-    average_ = slowness(now) * (1 - run_weight) + run_slowness * run_weight;
+    add_sample(absl::FDivDuration(run, expected), run_weight, now);
+}
+
+void worker_speed::record_pace(std::vector<double> slowness_of_runs, absl::Time now)
+{
+    if (slowness_of_runs.size() < min_paced_runs) {
+        return;
+    }
+    const auto middle =
+        slowness_of_runs.begin() + static_cast<std::ptrdiff_t>(slowness_of_runs.size() / 2);
+    std::nth_element(slowness_of_runs.begin(), middle, slowness_of_runs.end());
+    if (*middle > slow_worker_threshold || slowness(now) > slow_worker_threshold) {
+        add_sample(*middle, pace_weight, now);
+    }
+}
+
+void worker_speed::add_sample(double sample, double weight, absl::Time now)
+{
+    average_ = slowness(now) * (1 - weight) + std::min(sample, max_slowness) * weight;
     recorded_at_ = now;
 }
 
--- a/src/libs/carobfall/jobs/worker_speed.h
+++ b/src/libs/carobfall/jobs/worker_speed.h
@@ -2,6 +2,8 @@
 
 #include <absl/time/time.h>
 
+#include <vector>
+
 namespace carobfall {
 
 /// Slowness above which a worker counts as slow. Kinds of workers differ by a factor of up to 1.3
@@ -13,11 +15,20 @@
 /// when it may have recovered.
 class worker_speed {
 public:
+    /// Records a run that has ended.
     void record(absl::Duration run, absl::Duration expected, absl::Time now);
+    /// Records how much slower than expected the active runs proceed, one value per run. Only a
+    /// large deviation of most of them counts, because expected run times are inaccurate.
+    ///
+    /// Load pattern: some workers become five times slower for some seconds. Runs then end five
+    /// times more rarely, so that their ends alone would show it after seconds.
+    void record_pace(std::vector<double> slowness_of_runs, absl::Time now);
     /// Returns 1 if runs take as long as expected, and more if they take longer.
     [[nodiscard]] double slowness(absl::Time now) const;
 
 private:
+    void add_sample(double sample, double weight, absl::Time now);
+
     double average_{1};
     absl::Time recorded_at_{absl::InfinitePast()};
 };
--- a/tests/auto/jobs/tst_estimates.cpp
+++ b/tests/auto/jobs/tst_estimates.cpp
@@ -1,11 +1,13 @@
 #include "carobfall/jobs/failure_rate.h"
 #include "carobfall/jobs/run_progress.h"
+#include "carobfall/jobs/run_record.h"
 #include "carobfall/jobs/run_time_estimator.h"
 #include "carobfall/jobs/worker_speed.h"
 
 #include <doctest/doctest.h>
 
 #include <string>
+#include <vector>
 
 using namespace carobfall;
 
@@ -75,6 +77,54 @@
     CHECK(speed.slowness(start + absl::Seconds(20)) < 1.1);
 }
 
+// Load pattern: a worker becomes five times slower while 16 runs are active. Guards against tasks
+// that are sent there for seconds because runs on it end rarely.
+TEST_CASE("the pace of active runs shows a slow worker before its runs end")
+{
+    worker_speed speed;
+    absl::Time now = start;
+    for (int i = 0; i < 8; ++i) {
+        now += absl::Milliseconds(50);
+        speed.record_pace(std::vector<double>(16, 5.0), now);
+    }
+    CHECK(speed.slowness(now) > 4);
+    for (int i = 0; i < 16; ++i) {
+        now += absl::Milliseconds(50);
+        speed.record_pace(std::vector<double>(16, 1.0), now);
+    }
+    CHECK(speed.slowness(now) <= slow_worker_threshold);
+}
+
+// Guards against a worker that counts as slow because of one job that takes longer than declared.
+TEST_CASE("the pace of few runs or of a minority of the runs does not change the speed")
+{
+    worker_speed speed;
+    speed.record_pace({5, 5, 5}, start);
+    speed.record_pace({5, 5, 1, 1, 1, 1}, start);
+    speed.record_pace({1.8, 1.8, 1.8, 1.8, 1.8}, start);
+    CHECK(speed.slowness(start) == doctest::Approx(1));
+}
+
+// Guards against the rounding of the percentage: a run of 2 s shows no progress in most intervals
+// of 10 ms.
+TEST_CASE("the pace of a run is measured over a tenth of its run time at least")
+{
+    run_record record;
+    record.order.set_expected_run_ms(2000);
+    std::vector<double> paces;
+    for (int milliseconds = 0; milliseconds <= 1000; milliseconds += 10) {
+        const auto pace =
+            take_pace(record, milliseconds / 20, start + absl::Milliseconds(milliseconds));
+        if (pace) {
+            paces.push_back(*pace);
+        }
+    }
+    REQUIRE(paces.size() == 5);
+    for (const double pace : paces) {
+        CHECK(pace == doctest::Approx(1).epsilon(0.1));
+    }
+}
+
 TEST_CASE("a failing worker is detected within some runs, and the failures decay within seconds")
 {
     failure_rate failures;
