Jobs: Explain the placement of a job on the metrics port

An operator could learn where a job would run only by submitting it and reading the logs. An entry now answers POST /placement on its metrics port: the placement that place_tasks would make, each candidate, the obstacle of each agent that is passed over, deadlines, admission and the age of the reports. Nothing is submitted, and the generator of the dispatcher is not used. What check_admission did around admit is now decide_admission, which jobs and explanations share.

The agreement with place_tasks fails if the explanation uses other random numbers or a slack that is 100 ms shorter; the test of the obstacles fails if only usable agents are told apart.

--- a/src/libs/carobfall/jobs/entry_service.cpp
+++ b/src/libs/carobfall/jobs/entry_service.cpp
@@ -153,6 +153,12 @@
     return oldest;
 }
 
+absl::Duration entry_service::report_age(const std::string& agent, absl::Time now) const
+{
+    const auto found = agents_.find(agent);
+    return found == agents_.end() ? absl::InfiniteDuration() : now - found->second->last_frame_at;
+}
+
 std::string entry_service::state_text(absl::Time now) const
 {
     std::int64_t capacity = 0;
--- a/src/libs/carobfall/jobs/entry_service.h
+++ b/src/libs/carobfall/jobs/entry_service.h
@@ -54,6 +54,9 @@
     [[nodiscard]] std::size_t usable_agents() const { return table_.usable(); }
     /// Age of the last frame of the agent that has been silent for the longest time.
     [[nodiscard]] absl::Duration oldest_report(absl::Time now) const;
+    /// Age of the last frame of the agent, infinite if it isn't connected. Every frame of an agent
+    /// has its state.
+    [[nodiscard]] absl::Duration report_age(const std::string& agent, absl::Time now) const;
     /// Returns the gauges of the agents as text, one per line.
     [[nodiscard]] std::string state_text(absl::Time now) const;
     /// Whether runs at the agent take much longer than expected.
--- a/src/libs/carobfall/jobs/job_dispatcher.cpp
+++ b/src/libs/carobfall/jobs/job_dispatcher.cpp
@@ -33,9 +33,6 @@
 constexpr absl::Duration predecessor_poll_interval = absl::Milliseconds(10);
 // Longest interval between two checks of the deadlines of a job.
 constexpr absl::Duration max_check_interval = absl::Milliseconds(250);
-// Retry-After if there are too few agents. Agents connect within this time after a restart of the
-// entry.
-constexpr absl::Duration retry_without_agents = absl::Seconds(1);
 
 bool is_open(const job_task& task)
 {
@@ -130,28 +127,29 @@
                                                           const job_placement& placement,
                                                           absl::Time now)
 {
-    if (placement.agents.size() < job.tasks.size()) {
-        return refuse(job, "no_worker", retry_without_agents);
+    const job_admission admission =
+        decide_admission(job.request, job.timing, job.expected_run, placement,
+                         last_immediate_start_, now, [this] { return random(); });
+    std::string reason(name_of(admission.reason));
+    if (admission.reason == admission_reason::no_worker) {
+        return refuse(job, std::move(reason), admission.decision.retry_after);
     }
     const absl::Duration wait = placement.longest_wait;
     if (wait <= absl::ZeroDuration()) {
         last_immediate_start_ = now;
     }
-    const absl::Duration queued_for = now - last_immediate_start_;
-    const admission_decision decision =
-        admit(job.timing, job.request.priority, job.expected_run, wait, queued_for, now, random());
-    if (decision.admitted) {
+    if (admission.decision.admitted) {
         return std::nullopt;
     }
     log_.write(log_fields("job_refused")
                    .add("job", job.request.id)
                    .add("wait_ms", absl::ToInt64Milliseconds(wait))
                    .add("slack_ms", absl::ToInt64Milliseconds(job.timing.start_by - now))
-                   .add("queued_for_ms", absl::ToInt64Milliseconds(queued_for))
+                   .add("queued_for_ms", absl::ToInt64Milliseconds(admission.queued_for))
                    .add("usable_agents", agents_.usable_agents())
                    .add("knowledge_ms", absl::ToInt64Milliseconds(agents_.oldest_report(now))),
                now);
-    return refuse(job, "overloaded", decision.retry_after);
+    return refuse(job, std::move(reason), admission.decision.retry_after);
 }
 
 asio::awaitable<job_answer> job_dispatcher::run(std::shared_ptr<active_job> job)
@@ -237,6 +235,17 @@
                        std::move(limits), [this] { return random(); });
 }
 
+placement_explanation job_dispatcher::explain(const job_request& request,
+                                              const std::function<double()>& random,
+                                              absl::Time now) const
+{
+    const placement_inputs inputs{
+        agents_.agents().views(), run_times_.expected(request.route, request.declared_run_time),
+        last_immediate_start_,
+        [&](const std::string& agent) { return agents_.report_age(agent, now); }, random};
+    return explain_placement(inputs, request, now);
+}
+
 void job_dispatcher::place(active_job& job, const job_placement& placement, absl::Time now)
 {
     std::vector<std::string> agents;
--- a/src/libs/carobfall/jobs/job_dispatcher.h
+++ b/src/libs/carobfall/jobs/job_dispatcher.h
@@ -6,6 +6,7 @@
 #include "carobfall/jobs/entry_service.h"
 #include "carobfall/jobs/job_request.h"
 #include "carobfall/jobs/job_timing.h"
+#include "carobfall/jobs/placement_explanation.h"
 #include "carobfall/jobs/run_time_estimator.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -14,6 +15,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <random>
@@ -78,6 +80,11 @@
     [[nodiscard]] std::size_t active_jobs() const { return jobs_.size(); }
     /// Number of jobs of the route without any ordered task.
     [[nodiscard]] std::size_t pending(const std::string& route) const;
+    /// Returns what would be done with the job if it arrived at `now`. Changes nothing. `random`
+    /// returns a value from 0 to 1; the generator of the dispatcher is not used.
+    [[nodiscard]] placement_explanation explain(const job_request& request,
+                                                const std::function<double()>& random,
+                                                absl::Time now) const;
 
 private:
     boost::asio::awaitable<void> wait_for_predecessor(active_job& job);
