Tools: Add the command where

carobfall where asks entries what they would do with a job now, and prints choice, candidates, reasons for the agents passed over, admission and age of the reports as text or JSON. Exit codes are those of the other commands; a refused admission is an answer and has code 0.

--- a/src/tools/carobfall/command_line.cpp
+++ b/src/tools/carobfall/command_line.cpp
@@ -55,6 +55,7 @@
     add_load_command();
     add_explain_command();
     add_overview_command();
+    add_where_command();
 }
 
 void command_line::add_common_options()
@@ -283,6 +284,46 @@
     });
 }
 
+void command_line::add_where_command()
+{
+    CLI::App* command = app_.add_subcommand(
+        "where", "Asks entries on the users' platform what they would do with a job now, and why. "
+                 "Submits nothing. Needs no token.");
+    command->add_option("--host", where_.host, "Host that the callers of the route use.")
+        ->required();
+    command->add_option("--path", where_.path, "Path of the route, with or without a job id.")
+        ->required();
+    CLI::Option* file =
+        command->add_option("--file", where_.file, "Body of the job as callers submit it.");
+    const auto add_job_option = [&](const char* name, auto& value, const char* description) {
+        return command->add_option(name, value, description)->excludes(file);
+    };
+    add_job_option("--tasks", where_.tasks, "Number of tasks.")->capture_default_str();
+    add_job_option("--cpu", where_.cpu_millicores, "Thousandths of a core for each task.");
+    add_job_option("--memory", where_.memory_mib, "MiB for each task.");
+    add_job_option("--run-ms", where_.run_ms, "Declared run time of a task in milliseconds.");
+    add_job_option("--data-rack", where_.data_rack, "Rack of the data.");
+    add_job_option("--label", where_.label, "Label that the worker must have.");
+    add_job_option("--limit-per-worker", where_.limit,
+                   "Most tasks of the job on one worker; 0: no limit.");
+    command
+        ->add_option("--deadline", where_.deadline_seconds,
+                     "Seconds that the caller waits; the entry's default if left out.")
+        ->check(CLI::PositiveNumber);
+    command
+        ->add_option("--rows", where_.rows,
+                     "Most candidates, and agents for each obstacle, in the output.")
+        ->capture_default_str();
+    command->add_option("addresses", where_.addresses, "ip:port where an entry serves /metrics.")
+        ->required();
+    command->callback([this] {
+        local_action_ = [this] {
+            where_.json_output = output_ == "json";
+            return where(where_, std::cout, std::cerr);
+        };
+    });
+}
+
 result<std::string> command_line::token() const
 {
     std::string text;
--- a/src/tools/carobfall/command_line.h
+++ b/src/tools/carobfall/command_line.h
@@ -5,6 +5,7 @@
 #include "operator_commands.h"
 #include "overview_command.h"
 #include "submit_command.h"
+#include "where_command.h"
 
 #include <CLI/CLI.hpp>
 
@@ -34,6 +35,7 @@
     void add_load_command();
     void add_explain_command();
     void add_overview_command();
+    void add_where_command();
     CLI::App* add_operator_command(CLI::App& parent, const std::string& name,
                                    const std::string& description, operator_action action);
     void add_caller_command(CLI::App* command, std::function<exit_code(command_context&)> action);
@@ -50,6 +52,7 @@
     load_options load_;
     explain_options explain_;
     overview_options overview_;
+    where_options where_;
     std::string name_argument_;
     std::vector<std::string> files_;
     apply_options apply_;
--- a/tests/process/test_platform_path.py
+++ b/tests/process/test_platform_path.py
@@ -47,6 +47,55 @@
         self.processes["agent-1"].kill()
         self.wait_for(lambda: len(self.overview()["silent"]) == 1, "the killed agent is silent")
 
+    def where(self, *options, path="/check/"):
+        """Runs `carobfall where` at the first entry; exit code, JSON document and errors."""
+        address = "%s:%d" % (self.entries[0][0], self.link_port + 1)
+        command = [BUILD.parent / "src/tools/carobfall/carobfall", "--output", "json", "where",
+                   "--host", HOST, "--path", path, *options, address]
+        done = subprocess.run(command, capture_output=True, text=True, check=False)
+        return done.returncode, json.loads(done.stdout or "{}"), done.stderr
+
+    def test_where_explains_a_job_without_running_it(self):
+        """Guards against an explanation that runs tasks, counts as a job or hides an obstacle."""
+        self.workers[0].state = "draining"
+        self.wait_for(lambda: self.overview()["doubted"] == ["agent-0: takes no orders"],
+                      "the worker drains")
+        before = [len(w.started) for w in self.workers], self.overview()["outcomes"]
+        ordered = [self.log("agent-%d" % i).count("start_ordered") for i in range(AGENTS)]
+        job = ["--tasks", "4", "--cpu", "6200", "--memory", "64", "--run-ms", "60",
+               "--deadline", "4"]
+        for _ in range(20):
+            code, document, errors = self.where(*job)
+            self.assertEqual((code, errors), (0, ""))
+            placement = document["entries"][0]["placement"]
+            self.assertEqual(placement["admission"]["reason"], "starts_at_once")
+            self.assertEqual({c["agent"] for c in placement["candidates"]}, {"agent-1", "agent-2"})
+            self.assertEqual([(p["agent"], p["obstacle"]) for p in placement["passed_over"]],
+                             [("agent-0", "unusable")])
+            self.assertEqual(len(placement["placement"]), 4)
+            self.assertLess(placement["knowledge"]["oldest_ms"], 500)
+        code, document, _ = self.where(*job, "--label", "none")
+        self.assertEqual(document["entries"][0]["placement"]["admission"]["reason"], "no_worker")
+        time.sleep(0.5)
+        self.assertEqual(([len(w.started) for w in self.workers], self.overview()["outcomes"]),
+                         before)
+        self.assertEqual([self.log("agent-%d" % i).count("start_ordered") for i in range(AGENTS)],
+                         ordered)
+
+    def test_where_refuses_invalid_questions(self):
+        """Guards against wrong exit codes and unclear errors for invalid questions."""
+        code, _, errors = self.where(path="/none/")
+        self.assertEqual(code, 3)
+        self.assertIn("no_route: configuration 3 has no route for host " + HOST, errors)
+        code, _, errors = self.where("--tasks", "671")
+        self.assertEqual(code, 2)
+        self.assertIn("step_out_of_bounds", errors)
+        large = self.directory / "large.json"
+        large.write_text(json.dumps({"spec": "x" * (300 << 10)}))
+        code, _, errors = self.where("--file", str(large))
+        self.assertEqual(code, 2)
+        self.assertIn("larger than the entry accepts", errors)
+
     def test_serves_and_refuses(self):
         """Guards against wrong statuses for valid, unknown, malformed and unsupported requests."""
         status, content, _ = self.submit("%016x" % 7, count=24)
