Jobs: Return tasks that wait too long at an agent

A worker that becomes slow keeps the tasks that wait for it until they are too late, while other workers have room. The agent now returns a waiting task with reason waited_too_long when it has waited longer than its order allows and the rest of its wait exceeds that limit and the cost of a move. The rest is computed from the order of the queue and the progress of the runs. The entry avoids the agent for the further orders of the job. Each decision writes a task_decision line and counts in task_decisions_total.

The checks of the ledger move to worker_ledger_checks.cpp. The load replay gets workers whose slowness changes at a time.

--- a/src/libs/carobfall/jobs/job_dispatcher.cpp
+++ b/src/libs/carobfall/jobs/job_dispatcher.cpp
@@ -324,6 +324,9 @@
         [[fallthrough]];
     case fleet::task_not_run:
         task.phase = job_task_phase::unplaced;
+        if (event.reason() == "waited_too_long") {
+            job.avoided.insert(agent);
+        }
         job.too_many_orders |= task.attempt >= max_orders_per_task;
         break;
     default:
--- a/src/libs/carobfall/jobs/job_dispatcher.h
+++ b/src/libs/carobfall/jobs/job_dispatcher.h
@@ -53,7 +53,7 @@
     absl::Time arrival;
     absl::Duration expected_run;
     std::vector<job_task> tasks;
-    std::set<std::string> avoided; ///< agents where a task has failed
+    std::set<std::string> avoided; ///< agents where a task has failed or waited too long
     bool may_have_run{false};      ///< a task was ordered and not returned as not run
     bool caller_gone{false};
     bool too_many_failures{false};
--- a/src/libs/carobfall/jobs/placement_candidate.cpp
+++ b/src/libs/carobfall/jobs/placement_candidate.cpp
@@ -21,8 +21,8 @@
 constexpr double score_tolerance = 0.05;
 // Delay added for a worker that fails all runs, in proportion to its share of failures.
 constexpr absl::Duration failing_penalty = absl::Seconds(1);
-// Delay added for a worker on which a task of the job has failed already.
-constexpr absl::Duration failed_before_penalty = absl::Seconds(2);
+// Delay added for a worker on which a task of the job has failed or waited too long already.
+constexpr absl::Duration avoided_penalty = absl::Seconds(2);
 // Time until the task of an interrupted run can run elsewhere: the rest of the worker's lease.
 constexpr absl::Duration interruption_delay = absl::Seconds(1);
 // Rate that halves the room that counts in the random choice. One interruption in the last seconds
@@ -98,7 +98,7 @@
         interruption_delay * interruption_probability(agent.interruptions_per_s,
                                                       time.expected_run * result.slowness);
     if (avoided) {
-        delay += failed_before_penalty;
+        delay += avoided_penalty;
     }
     result.lateness_ms = absl::ToDoubleMilliseconds(
         std::max(delay - safe_share_of_slack * time.slack, absl::ZeroDuration()));
--- a/src/libs/carobfall/jobs/placement_candidate.h
+++ b/src/libs/carobfall/jobs/placement_candidate.h
@@ -34,7 +34,7 @@
 [[nodiscard]] placement_obstacle find_obstacle(const agent_view& agent, const job_request& request,
                                                std::uint32_t tasks_of_job);
 /// Evaluates an agent that can take the task. `load`: its load including the orders sent since its
-/// last report. `avoided`: a task of the job has failed there. `random`: 0 to 1.
+/// last report. `avoided`: a task of the job has failed or waited too long there. `random`: 0 to 1.
 [[nodiscard]] placement_candidate
 evaluate_candidate(const agent_view& agent, const agent_load& load, const job_request& request,
                    const task_time& time, bool avoided, double random);
--- a/src/libs/carobfall/jobs/run_queue.cpp
+++ b/src/libs/carobfall/jobs/run_queue.cpp
@@ -9,14 +9,6 @@
 // So a higher priority outweighs small differences in urgency.
 constexpr absl::Duration priority_step = absl::Milliseconds(100);
 
-bool precedes(const waiting_task& left, const waiting_task& right, absl::Time now)
-{
-    const absl::Duration left_rank = queue_rank(left.priority, left.start_by - now);
-    const absl::Duration right_rank = queue_rank(right.priority, right.start_by - now);
-    return std::tie(left_rank, left.priority, left.received) <
-           std::tie(right_rank, right.priority, right.received);
-}
-
 } // namespace
 
 absl::Duration queue_rank(std::uint32_t priority, absl::Duration until_start_by)
@@ -27,6 +19,14 @@
     return until_start_by + priority * priority_step;
 }
 
+bool precedes(const waiting_task& left, const waiting_task& right, absl::Time now)
+{
+    const absl::Duration left_rank = queue_rank(left.priority, left.start_by - now);
+    const absl::Duration right_rank = queue_rank(right.priority, right.start_by - now);
+    return std::tie(left_rank, left.priority, left.received) <
+           std::tie(right_rank, right.priority, right.received);
+}
+
 std::optional<std::size_t> next_task(std::span<const waiting_task> waiting,
                                      const resource_amounts& room, absl::Time now)
 {
--- a/src/libs/carobfall/jobs/run_queue.h
+++ b/src/libs/carobfall/jobs/run_queue.h
@@ -23,6 +23,9 @@
 /// for a start on time. The rank of a task that is late already is infinite.
 [[nodiscard]] absl::Duration queue_rank(std::uint32_t priority, absl::Duration until_start_by);
 
+/// Whether the left task starts before the right one if there is room for either.
+[[nodiscard]] bool precedes(const waiting_task& left, const waiting_task& right, absl::Time now);
+
 /// Returns the position of the task to start next in `room`, or nothing if none fits.
 ///
 /// During short overloads, tasks that can still meet their objective go first, by urgency, so that
--- a/src/libs/carobfall/jobs/run_record.cpp
+++ b/src/libs/carobfall/jobs/run_record.cpp
@@ -1,7 +1,5 @@
 #include "carobfall/jobs/run_record.h"
 
-#include "carobfall/jobs/run_queue.h"
-
 #include <algorithm>
 #include <utility>
 
@@ -104,6 +102,11 @@
     return absl::FDivDuration(passed, expected) / std::max(done, 1 / percent);
 }
 
+waiting_task waiting_task_of(const run_record& record)
+{
+    return {record.order.priority(), record.start_by, record.received, record.demand};
+}
+
 resource_amounts used_room(const run_record_map& records)
 {
     resource_amounts used;
--- a/src/libs/carobfall/jobs/run_record.h
+++ b/src/libs/carobfall/jobs/run_record.h
@@ -2,6 +2,7 @@
 
 #include "carobfall/fleet/fleet.pb.h"
 #include "carobfall/jobs/job_request.h"
+#include "carobfall/jobs/run_queue.h"
 #include "carobfall/jobs/waiting_profile.h"
 #include "carobfall/jobs/worker_orders.h"
 
@@ -57,6 +58,7 @@
     /// Measured run time if the run is done and its end was observed. Predicted run time if the run
     /// is stopped because it would end too late. Otherwise zero.
     absl::Duration known_run;
+    absl::Duration predicted_run; ///< by the progress in the latest report; zero if unknown
 };
 
 /// Records of an agent by number, in the order in which the tasks were ordered.
@@ -82,6 +84,9 @@
 /// if that is too short a time.
 [[nodiscard]] std::optional<double> take_pace(run_record& record, int percent_done, absl::Time now);
 
+/// What the place of a waiting task in the queue depends on.
+[[nodiscard]] waiting_task waiting_task_of(const run_record& record);
+
 /// Room that the runs use on the worker.
 [[nodiscard]] resource_amounts used_room(const run_record_map& records);
 /// Room that the waiting tasks demand.
--- a/src/libs/carobfall/jobs/status_sender.cpp
+++ b/src/libs/carobfall/jobs/status_sender.cpp
@@ -1,5 +1,6 @@
 #include "carobfall/jobs/status_sender.h"
 
+#include "carobfall/base/strings.h"
 #include "carobfall/jobs/worker_status.h"
 
 #include <absl/strings/str_cat.h>
@@ -110,8 +111,26 @@
                               fleet::task_event_kind_Name(event.event.kind()), "\"}"));
 }
 
+void status_sender::log_decision(const ledger_decision& decision, absl::Time now)
+{
+    log_.write(log_fields("task_decision")
+                   .add("job", decision.task.job_id)
+                   .add("task", decision.task.index)
+                   .add("run", decision.task.run)
+                   .add("reason", decision.reason)
+                   .add("passed_ms", absl::ToInt64Milliseconds(decision.passed))
+                   .add("expected_ms", absl::ToInt64Milliseconds(decision.expected))
+                   .add("limit_ms", absl::ToInt64Milliseconds(decision.limit))
+                   .add("knowledge_ms", absl::ToInt64Milliseconds(decision.age)),
+               now);
+    metrics_.add(absl::StrCat("task_decisions_total{reason=\"", to_absl(decision.reason), "\"}"));
+}
+
 void status_sender::send_due(absl::Time now)
 {
+    for (const ledger_decision& decision : ledger_.take_decisions()) {
+        log_decision(decision, now);
+    }
     changed_ = changed_ || ledger_.has_events() || condition_() != sent_condition_;
     std::map<session_number, fleet::agent_frame> frames;
     for (session_event& event : ledger_.take_events()) {
--- a/src/libs/carobfall/jobs/status_sender.h
+++ b/src/libs/carobfall/jobs/status_sender.h
@@ -51,6 +51,7 @@
     /// Whether the entry needs the operator state that this agent holds.
     [[nodiscard]] bool needs_operator_state(const entry_link& link) const;
     void log_event(const session_event& event, absl::Time now);
+    void log_decision(const ledger_decision& decision, absl::Time now);
 
     const process_identity identity_;
     worker_ledger& ledger_;
--- a/src/libs/carobfall/jobs/task_placement.h
+++ b/src/libs/carobfall/jobs/task_placement.h
@@ -55,7 +55,7 @@
 /// is empty if there is no restriction.
 struct placement_limits {
     std::vector<std::uint32_t> tasks_of_job; ///< tasks of the job that the agent already has
-    std::vector<bool> avoided;               ///< whether a task of the job has failed at the agent
+    std::vector<bool> avoided; ///< whether a task of the job has failed or waited too long there
 };
 
 struct job_placement {
--- a/src/libs/carobfall/jobs/worker_ledger.cpp
+++ b/src/libs/carobfall/jobs/worker_ledger.cpp
@@ -1,9 +1,7 @@
 #include "carobfall/jobs/worker_ledger.h"
 
 #include "carobfall/base/strings.h"
-#include "carobfall/jobs/job_timing.h"
 #include "carobfall/jobs/run_bounds.h"
-#include "carobfall/jobs/run_progress.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -13,9 +11,6 @@
 namespace carobfall {
 namespace {
 
-// Lower bound of the slowness, the ratio of measured to expected run times. A lower value is an
-// error of the estimates.
-constexpr double min_slowness = 0.5;
 // Longest time between a report and the request for the next one, which lists the runs that have
 // ended in between. A longer gap means that a report was lost.
 constexpr absl::Duration max_report_gap = absl::Milliseconds(15);
@@ -26,9 +21,6 @@
 // Delay after a refusal for lack of room, about the time until a run ends.
 constexpr absl::Duration no_room_retry_delay = absl::Milliseconds(20);
 
-// Time for a report that lists a run whose start got no answer.
-constexpr absl::Duration start_confirmation_time = absl::Milliseconds(renewal_wait_ms + 20);
-
 } // namespace
 
 bool worker_ledger::announce(const worker_announcement& worker)
@@ -39,7 +31,8 @@
     }
     if (change == worker_change::replaced) {
         end_runs("worker_restarted");
-        // Entries placed the waiting tasks on the earlier worker.
+        // Entries placed the waiting tasks on the earlier worker, which may have been of another
+        // kind.
         return_waiting_tasks("worker_restarted");
         reset_incarnation();
     }
@@ -181,23 +174,6 @@
     }
 }
 
-void worker_ledger::expire(absl::Time now)
-{
-    for (auto record = records_.begin(); record != records_.end();) {
-        const auto current = record++;
-        const absl::Duration expected = absl::Milliseconds(current->second.order.expected_run_ms());
-        if (current->second.phase == task_phase::unconfirmed &&
-            now - current->second.unconfirmed_since > start_confirmation_time) {
-            stop_unconfirmed(current->second);
-        }
-        if (current->second.phase == task_phase::waiting &&
-            (current->second.late_start_by <= now ||
-             !can_still_end(expected, now, current->second.give_up))) {
-            finish(current, fleet::task_not_run, "time_over", now);
-        }
-    }
-}
-
 void worker_ledger::finish(record_map::iterator record, fleet::task_event_kind kind,
                            std::string_view reason, absl::Time now)
 {
@@ -251,11 +227,7 @@
             }
             continue;
         }
-        waiting_task task;
-        task.priority = record.order.priority();
-        task.start_by = record.start_by;
-        task.received = record.received;
-        task.demand = record.demand;
+        waiting_task task = waiting_task_of(record);
         task.startable = record.not_before <= now && may_run(record.session) &&
                          !has_run_elsewhere(number, record);
         numbers.push_back(number);
@@ -381,38 +353,6 @@
     }
 }
 
-void worker_ledger::check_progress(const worker_report& report, absl::Time now)
-{
-    std::vector<double> paces;
-    for (const active_run& active : report.active) {
-        const auto found = find_run(active.task);
-        if (found == records_.end()) {
-            continue;
-        }
-        run_record& record = found->second;
-        record.listed_active = true;
-        if (record.phase == task_phase::unconfirmed) {
-            record.phase = task_phase::running;
-            record.answered_at = now;
-        }
-        if (record.phase != task_phase::running) {
-            continue;
-        }
-        if (const auto pace = take_pace(record, active.percent_done, now)) {
-            paces.push_back(*pace);
-        }
-        const absl::Duration expected = absl::Milliseconds(record.order.expected_run_ms());
-        const run_progress progress{record.ordered_at, expected, record.give_up,
-                                    active.percent_done};
-        if (ends_too_late(progress, now)) {
-            record.known_run = *predicted_run(progress, now);
-            speed_.record(record.known_run, expected, now);
-            begin_stopping(record, "too_late", absl::InfiniteFuture());
-        }
-    }
-    speed_.record_pace(std::move(paces), now);
-}
-
 void worker_ledger::on_report(const worker_report& report, absl::Time requested_at, absl::Time now)
 {
     const bool exact = requested_at - std::exchange(reported_at_, now) <= max_report_gap &&
--- a/src/libs/carobfall/jobs/worker_ledger.h
+++ b/src/libs/carobfall/jobs/worker_ledger.h
@@ -3,6 +3,7 @@
 #include "carobfall/fleet/fleet.pb.h"
 #include "carobfall/jobs/failure_rate.h"
 #include "carobfall/jobs/known_worker.h"
+#include "carobfall/jobs/ledger_decision.h"
 #include "carobfall/jobs/past_runs.h"
 #include "carobfall/jobs/run_queue.h"
 #include "carobfall/jobs/run_record.h"
@@ -65,7 +66,8 @@
     void drop_session(session_number session, absl::Time since);
     /// Returns all waiting tasks to their entries.
     void return_waiting_tasks(std::string_view reason);
-    /// Returns waiting tasks that can no longer end while their caller waits.
+    /// Returns waiting tasks that can no longer end while their caller waits, and those that should
+    /// run elsewhere because they have waited longer than their entry allows.
     void expire(absl::Time now);
 
     /// Moves the next task that fits to the phase `starting`. `may_run`: returns whether a session
@@ -122,6 +124,10 @@
     [[nodiscard]] double failure_share(absl::Time now) const { return failures_.share(now); }
     [[nodiscard]] std::vector<session_event> take_events() { return std::exchange(events_, {}); }
     [[nodiscard]] bool has_events() const { return !events_.empty(); }
+    [[nodiscard]] std::vector<ledger_decision> take_decisions()
+    {
+        return std::exchange(decisions_, {});
+    }
 
 private:
     using record_map = run_record_map;
@@ -142,6 +148,7 @@
     /// `exact`: the run ended immediately before the report.
     void apply_end(const run_end& end, bool exact, absl::Time now);
     void check_progress(const worker_report& report, absl::Time now);
+    void return_overlong_waits(absl::Time now);
     void stop_unknown_runs(const worker_report& report, absl::Time now);
     [[nodiscard]] bool has_run_elsewhere(record_number number, const run_record& record) const;
     [[nodiscard]] std::uint32_t next_run(const run_record& record) const;
@@ -156,6 +163,7 @@
     worker_speed speed_;
     failure_rate failures_;
     std::vector<session_event> events_;
+    std::vector<ledger_decision> decisions_;
 };
 
 } // namespace carobfall
--- a/src/libs/carobfall/jobs/worker_speed.h
+++ b/src/libs/carobfall/jobs/worker_speed.h
@@ -6,6 +6,10 @@
 
 namespace carobfall {
 
+/// Lower bound of the slowness, the ratio of measured to expected run times. A lower value is an
+/// error of the estimates.
+inline constexpr double min_slowness = 0.5;
+
 /// Slowness above which a worker counts as slow. Kinds of workers differ by a factor of up to 1.3
 /// in speed, and differences between run times of jobs average out.
 inline constexpr double slow_worker_threshold = 2;
--- a/tests/auto/jobs/load_replay.cpp
+++ b/tests/auto/jobs/load_replay.cpp
@@ -16,6 +16,7 @@
 #include <memory>
 #include <queue>
 #include <random>
+#include <set>
 
 namespace carobfall {
 namespace {
@@ -52,6 +53,9 @@
     bool on_time{false};
     bool late{false};
     bool refused{false};
+    bool waited_too_long{false};
+    std::size_t moves{0};
+    std::set<std::size_t> avoided; ///< agents that have returned a waiting task
 
     [[nodiscard]] absl::Duration objective() const
     {
@@ -59,14 +63,42 @@
     }
 };
 
+/// Speed of a worker over time.
+struct worker_pace {
+    double slowness{1};
+    double slow_factor{1};
+    absl::Time slow_from;
+    absl::Time slow_until;
+
+    /// Work that is done between two times.
+    [[nodiscard]] absl::Duration done(absl::Time from, absl::Time until) const
+    {
+        const absl::Duration slow =
+            std::max(std::min(until, slow_until) - std::max(from, slow_from), absl::ZeroDuration());
+        return (until - from - slow + slow / slow_factor) / slowness;
+    }
+    /// Time at which work that starts at `from` ends.
+    [[nodiscard]] absl::Time end_of(absl::Duration work, absl::Time from) const
+    {
+        const absl::Duration before = done(from, std::max(from, slow_from));
+        if (work <= before || from >= slow_until) {
+            return from + work * slowness;
+        }
+        const absl::Duration within = done(from, slow_until);
+        return work <= within ? std::max(from, slow_from) + (work - before) * slowness * slow_factor
+                              : slow_until + (work - within) * slowness;
+    }
+};
+
 struct replayed_run {
     task_run task;
     absl::Time started;
     absl::Duration work;
+    worker_pace pace;
 
     [[nodiscard]] active_run at(absl::Time now) const
     {
-        const double share = absl::FDivDuration(now - started, work);
+        const double share = absl::FDivDuration(pace.done(started, std::max(started, now)), work);
         return {task, static_cast<int>(100 * std::clamp(share, 0.0, 1.0))};
     }
 };
@@ -232,8 +264,12 @@
     {
         const replayed_entry& entry = entries_[job->entry];
         const task_time time = make_task_time(job->request, job->timing, job->expected, now_);
-        const job_placement placement = place_tasks(entry.table.views(), job->request, time, 1, {},
-                                                    [this] { return uniform(); });
+        placement_limits limits;
+        for (const agent_view& agent : entry.table.views()) {
+            limits.avoided.push_back(job->avoided.contains(std::stoul(agent.name)));
+        }
+        const job_placement placement = place_tasks(entry.table.views(), job->request, time, 1,
+                                                    limits, [this] { return uniform(); });
         order(job, index, placement, 0);
     }
 
@@ -260,13 +296,16 @@
         while (const auto number = ledger.begin_next(now_, [](session_number) { return true; })) {
             const task_run run = run_of(*ledger.find(*number));
             const replayed_job& job = *jobs_[std::stoul(run.job_id)];
-            const absl::Duration work = job.work[run.index] * load_.workers[agent].slowness;
-            agents_[agent].active.push_back({run, now_ + message_delay, work});
+            const absl::Duration work = job.work[run.index];
+            const replayed_worker& worker = load_.workers[agent];
+            const worker_pace pace{worker.slowness, worker.slow_factor, start_ + worker.slow_from,
+                                   start_ + worker.slow_until};
+            agents_[agent].active.push_back({run, now_ + message_delay, work, pace});
             at(now_ + message_delay, [this, agent, number] {
                 agents_[agent].ledger.on_start_reply(*number,
                                                      {start_outcome::started, std::nullopt}, now_);
             });
-            at(now_ + message_delay + work,
+            at(pace.end_of(work, now_ + message_delay),
                [this, agent, run] { end_run(agent, run, run_end_kind::done); });
         }
         while (const auto number = ledger.begin_stop()) {
@@ -324,10 +363,16 @@
             job.late = job.ended && !job.on_time;
             return;
         }
-        if (event.reason() == "queue_longer") {
+        const bool moved = event.reason() == "waited_too_long";
+        if (moved) {
+            job.avoided.insert(job.agents[event.index()]);
+            ++job.moves;
+        }
+        if (moved || event.reason() == "queue_longer") {
             place_again(shared, event.index());
             return;
         }
+        job.waited_too_long = event.reason() == "time_over";
         give_up(job);
     }
 
@@ -389,6 +434,8 @@
             result.on_time += job->on_time ? 1 : 0;
             result.late += job->late ? 1 : 0;
             result.refused += job->refused ? 1 : 0;
+            result.waited_too_long += job->waited_too_long ? 1 : 0;
+            result.moves += job->moves;
             result.given_up += !job->on_time && !job->late && !job->refused ? 1 : 0;
         }
         for (std::size_t kind = 0; kind < by_kind.size(); ++kind) {
@@ -426,6 +473,8 @@
     late += other.late;
     refused += other.refused;
     given_up += other.given_up;
+    waited_too_long += other.waited_too_long;
+    moves += other.moves;
     wide += other.wide;
     wide_on_time += other.wide_on_time;
     return *this;
--- a/tests/auto/jobs/load_replay.h
+++ b/tests/auto/jobs/load_replay.h
@@ -22,6 +22,10 @@
 struct replayed_worker {
     std::int64_t cpu_millicores{64000};
     double slowness{1}; ///< run time relative to a worker on which declared run times hold
+    /// Factor of the slowness from `slow_from` to `slow_until` after the start of the replay.
+    double slow_factor{1};
+    absl::Duration slow_from{};
+    absl::Duration slow_until{};
 };
 
 /// A load and the workers that serve it, in virtual time. Entries place tasks by reports that are
@@ -43,7 +47,9 @@
     std::size_t late{0};
     std::size_t refused{0}; ///< before any task was ordered
     std::size_t given_up{0};
-    std::size_t wide{0}; ///< jobs among the tenth with the most tasks
+    std::size_t waited_too_long{0}; ///< given up because a task could not start in time
+    std::size_t moves{0};           ///< waiting tasks that agents have returned
+    std::size_t wide{0};            ///< jobs among the tenth with the most tasks
     std::size_t wide_on_time{0};
 
     replayed_result& operator+=(const replayed_result& other);
--- a/tests/auto/jobs/tst_load_replay.cpp
+++ b/tests/auto/jobs/tst_load_replay.cpp
@@ -50,6 +50,19 @@
     return load;
 }
 
+/// As `many_entries`. A fifth of the workers is five times slower from 1 to 4 s.
+load_pattern slow_fifth(double factor, std::uint64_t seed)
+{
+    load_pattern load = many_entries(factor, seed);
+    load.length = absl::Seconds(6);
+    for (std::size_t i = 0; i < load.workers.size(); i += 5) {
+        load.workers[i].slow_factor = 5;
+        load.workers[i].slow_from = absl::Seconds(1);
+        load.workers[i].slow_until = absl::Seconds(4);
+    }
+    return load;
+}
+
 std::vector<replayed_result>
 replay_seeds(double factor, load_pattern (*pattern)(double, std::uint64_t) = high_load)
 {
@@ -65,7 +78,8 @@
     for (const replayed_result& result : sum) {
         MESSAGE(result.kind, ": ", result.jobs, " jobs, on time ", result.on_time_share(),
                 ", late ", result.late, ", refused ", result.refused, ", given up ",
-                result.given_up, ", widest tenth on time ", result.wide_on_time_share());
+                result.given_up, ", waited too long ", result.waited_too_long, ", moves ",
+                result.moves, ", widest tenth on time ", result.wide_on_time_share());
     }
     return sum;
 }
@@ -115,10 +129,16 @@
 TEST_CASE("no kind of job starves under overload, and the first priority is refused less often")
 {
     const std::vector<replayed_result> results = replay_seeds(1.3);
+    std::size_t jobs = 0;
+    std::size_t moves = 0;
     for (const replayed_result& result : results) {
         CHECK(result.on_time_share() >= 0.6);
         CHECK(result.given_up <= result.jobs / 50);
+        jobs += result.jobs;
+        moves += result.moves;
     }
+    // Guards against waiting tasks that agents pass around while all queues are long.
+    CHECK(moves <= jobs / 5);
     CHECK(results[0].refused * results[2].jobs < results[2].refused * results[0].jobs);
 }
 
@@ -144,3 +164,12 @@
         CHECK(result.given_up <= result.jobs / 100);
     }
 }
+
+// Load pattern: a fifth of the workers becomes five times slower while tasks wait there, and the
+// others have room. Guards against tasks that wait at a slow worker until it is too late.
+TEST_CASE("no job fails because a task waits at a worker that has become slow")
+{
+    for (const replayed_result& result : replay_seeds(1.15, slow_fifth)) {
+        CHECK(result.waited_too_long == 0);
+    }
+}
