Jobs: Stop runs that can't end before their worker leaves

The remaining time that a draining worker states was only checked for its type. Runs that were still active when the worker left were lost with it, and their tasks could run elsewhere only after the end of the lease.

The announcement now carries the remaining time; values that are not above 0 and at most an hour count as unknown. For each run in a report, the agent decides by its progress whether it ends far beyond the stated time, and whether a stop clearly costs less than the loss of the run. Such a run is stopped at once with reason worker_leaves_first, and reported by the present paths. Without a stated time nothing changes.

Computed from the bounds, not replayed: a run of 3.6 s that has run for 0.36 s at a notice of 1.8 s ends 4.06 s after its first start instead of 6.4 s if the worker leaves on time, and 3.6 s if the worker stays.

--- a/src/libs/carobfall/jobs/agent_service.cpp
+++ b/src/libs/carobfall/jobs/agent_service.cpp
@@ -119,7 +119,7 @@
 {
     const std::optional<worker_announcement> before = ledger_.worker();
     const bool restarted = !is_present_worker(worker);
-    if (!ledger_.announce(worker)) {
+    if (!ledger_.announce(worker, now)) {
         return announcement_effect::ignored;
     }
     status_sender_.update_description();
--- a/src/libs/carobfall/jobs/known_worker.cpp
+++ b/src/libs/carobfall/jobs/known_worker.cpp
@@ -4,6 +4,16 @@
 
 namespace carobfall {
 
+namespace {
+
+absl::Time stated_end(const worker_announcement& worker, absl::Time received_at)
+{
+    return worker.state == worker_state::draining ? received_at + worker.drain_remaining
+                                                  : absl::InfiniteFuture();
+}
+
+} // namespace
+
 bool known_worker::is_current(const worker_announcement& worker) const
 {
     if (worker.id == left_id_ && worker.started_unix_ms <= left_started_unix_ms_) {
@@ -12,7 +22,7 @@
     return !present_ || is_later(worker, *present_);
 }
 
-worker_change known_worker::adopt(const worker_announcement& worker)
+worker_change known_worker::adopt(const worker_announcement& worker, absl::Time received_at)
 {
     if (!is_current(worker)) {
         return worker_change::none;
@@ -23,8 +33,12 @@
             return worker_change::none;
         }
         present_ = worker;
+        serves_until_ = stated_end(worker, received_at);
         return worker_change::replaced;
     }
+    if (worker.state == worker_state::draining) {
+        serves_until_ = stated_end(worker, received_at);
+    }
     const bool drains =
         worker.state == worker_state::draining || present_->state == worker_state::draining;
     const std::int64_t sequence = std::max(worker.sequence, present_->sequence);
@@ -41,6 +55,7 @@
     present_->started_unix_ms = started_unix_ms;
     present_->sequence = -1; // less than that of any announcement
     present_->state = worker_state::unannounced;
+    serves_until_ = absl::InfiniteFuture();
 }
 
 bool known_worker::remove(std::string_view id)
--- a/src/libs/carobfall/jobs/known_worker.h
+++ b/src/libs/carobfall/jobs/known_worker.h
@@ -2,6 +2,8 @@
 
 #include "carobfall/jobs/worker_orders.h"
 
+#include <absl/time/time.h>
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -25,7 +27,10 @@
     [[nodiscard]] bool is_current(const worker_announcement& worker) const;
     /// Adopts the announcement if it is current. One of another incarnation with the same id is
     /// not, because `begin_incarnation` has to be called first.
-    worker_change adopt(const worker_announcement& worker);
+    worker_change adopt(const worker_announcement& worker, absl::Time received_at);
+    /// Time until which the present worker serves at least, by its latest statement that it drains;
+    /// infinite if unknown. A worker may stay longer.
+    [[nodiscard]] absl::Time serves_until() const { return serves_until_; }
     /// The process with the id of the present worker has started again at `started_unix_ms`. Its
     /// kind is unknown until it announces itself.
     void begin_incarnation(std::int64_t started_unix_ms);
@@ -34,6 +39,7 @@
 
 private:
     std::optional<worker_announcement> present_;
+    absl::Time serves_until_{absl::InfiniteFuture()};
     std::string left_id_;
     std::int64_t left_started_unix_ms_{0};
 };
--- a/src/libs/carobfall/jobs/ledger_decision.h
+++ b/src/libs/carobfall/jobs/ledger_decision.h
@@ -8,6 +8,8 @@
 
 namespace carobfall {
 
+inline constexpr std::string_view worker_leaves_reason = "worker_leaves_first";
+
 /// A decision of the ledger on a task before its usual end, for the log.
 struct ledger_decision {
     std::string_view reason; ///< as in the event that ends the task
--- a/src/libs/carobfall/jobs/worker_ledger.cpp
+++ b/src/libs/carobfall/jobs/worker_ledger.cpp
@@ -23,9 +23,9 @@
 
 } // namespace
 
-bool worker_ledger::announce(const worker_announcement& worker)
+bool worker_ledger::announce(const worker_announcement& worker, absl::Time received_at)
 {
-    const worker_change change = worker_.adopt(worker);
+    const worker_change change = worker_.adopt(worker, received_at);
     if (change == worker_change::none) {
         return false;
     }
@@ -340,7 +340,10 @@
     if (end.kind == run_end_kind::done && exact) {
         speed_.record(record.known_run, absl::Milliseconds(record.order.expected_run_ms()), now);
     }
-    finish(found, event_kind_of(end.kind), name_of(end.kind), now);
+    const bool worker_leaves =
+        end.kind == run_end_kind::stopped && record.stop_reason == worker_leaves_reason;
+    finish(found, event_kind_of(end.kind), worker_leaves ? worker_leaves_reason : name_of(end.kind),
+           now);
 }
 
 void worker_ledger::stop_unknown_runs(const worker_report& report, absl::Time now)
--- a/src/libs/carobfall/jobs/worker_ledger.h
+++ b/src/libs/carobfall/jobs/worker_ledger.h
@@ -50,7 +50,8 @@
     /// earlier one, so the process at the worker's address must have confirmed it. Returns false if
     /// the announcement isn't current, or if it is of another incarnation with the same id, for
     /// which `begin_incarnation` has to be called first.
-    bool announce(const worker_announcement& worker);
+    /// `received_at`: needed only if the announcement states a remaining time.
+    bool announce(const worker_announcement& worker, absl::Time received_at = absl::InfinitePast());
     /// Handles the first report of another incarnation with the id of the present worker. Starts
     /// are addressed to an id, so the new incarnation may have carried out the latest ones: a run
     /// counts as ended only if the report shows it. The worker gets no tasks until it announces
--- a/src/libs/carobfall/jobs/worker_ledger_checks.cpp
+++ b/src/libs/carobfall/jobs/worker_ledger_checks.cpp
@@ -2,6 +2,7 @@
 #include "carobfall/jobs/queue_return.h"
 #include "carobfall/jobs/run_bounds.h"
 #include "carobfall/jobs/run_progress.h"
+#include "carobfall/jobs/short_notice.h"
 #include "carobfall/jobs/worker_ledger.h"
 
 // The checks that end a task or a run before its usual end.
@@ -76,6 +77,11 @@
             record.known_run = record.predicted_run;
             speed_.record(record.known_run, expected, now);
             begin_stopping(record, "too_late", absl::InfiniteFuture());
+        } else if (worker_leaves_first(progress, slowness(now), worker_.serves_until(), now)) {
+            decisions_.push_back({worker_leaves_reason, active.task, now - record.ordered_at,
+                                  record.ordered_at + record.predicted_run - now,
+                                  worker_.serves_until() - now, absl::ZeroDuration()});
+            begin_stopping(record, worker_leaves_reason, absl::InfiniteFuture());
         }
     }
     speed_.record_pace(std::move(paces), now);
--- a/src/libs/carobfall/jobs/worker_orders.h
+++ b/src/libs/carobfall/jobs/worker_orders.h
@@ -31,6 +31,8 @@
     std::string rack;
     std::int64_t started_unix_ms{0}; ///< distinguishes incarnations of one id
     std::int64_t sequence{0};        ///< increases within an incarnation
+    /// Least time for which a draining worker still serves; infinite if unknown.
+    absl::Duration drain_remaining{absl::InfiniteDuration()};
 };
 
 /// Whether both announcements are of one incarnation.
--- a/tests/auto/adapter/tst_worker_messages.cpp
+++ b/tests/auto/adapter/tst_worker_messages.cpp
@@ -85,6 +85,22 @@
     CHECK(decode_heartbeat("i-1", document.dump()));
 }
 
+// Guards against a decision by a remaining time that means nothing, and against the loss of the
+// heartbeat of a worker that stays longer than it has stated.
+TEST_CASE("the remaining time of a draining worker is decoded if it is plausible")
+{
+    json document = heartbeat();
+    CHECK(decode_heartbeat("i-1", document.dump())->drain_remaining == absl::InfiniteDuration());
+    document["drain_remaining_ms"] = 1800.5;
+    CHECK(decode_heartbeat("i-1", document.dump())->drain_remaining == absl::Microseconds(1800500));
+    for (const double unknown : {0.0, -1.0, -1e300, 3.7e6, 1e300}) {
+        document["drain_remaining_ms"] = unknown;
+        const auto worker = decode_heartbeat("i-1", document.dump());
+        REQUIRE(worker);
+        CHECK(worker->drain_remaining == absl::InfiniteDuration());
+    }
+}
+
 TEST_CASE("encoding and decoding a task name gives the same run")
 {
     const task_run run{"00000000000000aa", 17, 3};
