--- a/src/libs/carobfall/base/async_http_server.cpp
+++ b/src/libs/carobfall/base/async_http_server.cpp
@@ -160,7 +160,11 @@
         if (watch->closed) {
             co_return;
         }
-        const bool keep_alive = request.keep_alive() && !draining_;
+        // Closing a socket with unread data resets the connection, and the caller may lose the
+        // response.
+        const bool closing =
+            closing_ && buffer.size() == 0 && stream->socket().available(error) == 0;
+        const bool keep_alive = request.keep_alive() && !draining_ && !closing;
         if (!co_await write_response(*stream, std::move(response), keep_alive) || !keep_alive) {
             stream->socket().shutdown(asio::ip::tcp::socket::shutdown_send, error);
             co_return;
--- a/src/libs/carobfall/base/async_http_server.h
+++ b/src/libs/carobfall/base/async_http_server.h
@@ -55,6 +55,9 @@
     void set_limits(const async_http_limits& limits) { limits_ = limits; }
     /// Closes each connection after its next response, so that callers connect to other instances.
     void drain() { draining_ = true; }
+    /// While `closing`, closes each connection after its next response unless the caller has sent
+    /// another request.
+    void set_closing(bool closing) { closing_ = closing; }
     [[nodiscard]] std::size_t connections() const { return connections_; }
 
 private:
@@ -66,6 +69,7 @@
     async_http_limits limits_;
     std::size_t connections_{0};
     bool draining_{false};
+    bool closing_{false};
 };
 
 } // namespace carobfall
--- a/tests/auto/base/tst_async_http_server.cpp
+++ b/tests/auto/base/tst_async_http_server.cpp
@@ -42,7 +42,7 @@
     {
         asio::write(socket, asio::buffer(request));
         run(duration);
-        std::array<char, 4096> answer{};
+        std::array<char, 16384> answer{};
         boost::system::error_code error;
         socket.non_blocking(true);
         const std::size_t size = socket.read_some(asio::buffer(answer), error);
@@ -57,6 +57,8 @@
 
     void run(absl::Duration duration) { context_.run_for(timer_duration(duration)); }
 
+    void closing(bool closing) { server_.set_closing(closing); }
+
     std::size_t handled{0};
 
 private:
@@ -73,7 +75,7 @@
         context_.get_executor(),
         [this](const async_http_request&, caller_watch&) -> asio::awaitable<async_http_response> {
             ++handled;
-            co_return async_http_response{200, "{}", "application/json", ""};
+            co_return async_http_response{200, std::string(3000, 'b'), "application/json", ""};
         },
         log_};
 };
@@ -140,3 +142,21 @@
     CHECK(absl::StrContains(refused, "Retry-After: 1"));
     CHECK(absl::StartsWith(server.exchange(first, whole_request), "HTTP/1.1 200 "));
 }
+
+// Guards against callers that stay at an overloaded process, and against answers that are cut off.
+TEST_CASE("a server that is closing its connections completes the answers first")
+{
+    running_server server;
+    asio::ip::tcp::socket caller = server.connect();
+    CHECK_FALSE(absl::StrContains(server.exchange(caller, whole_request), "Connection: close"));
+    server.closing(true);
+    const std::string answers = server.exchange(caller, absl::StrCat(whole_request, whole_request));
+    CHECK(server.handled == 3);
+    CHECK(absl::StrContains(answers, "Connection: close"));
+    CHECK(answers.find("Connection: close") > answers.rfind("HTTP/1.1 200 "));
+    CHECK(absl::EndsWith(answers, "\r\n\r\n" + std::string(3000, 'b')));
+    boost::system::error_code error;
+    std::array<char, 1> rest{};
+    caller.read_some(asio::buffer(rest), error);
+    CHECK(error == asio::error::eof);
+}
