Entry: Shed load while the event loop is late

Cause: callers are assigned to entries by a hash, so that a slow entry gets as many jobs as the others and answers them too late.

Change: with the setting overload.shed_load, an overloaded entry fails its readiness check, closes connections after their answers, and refuses a new job whose slack is shorter than the lag with 503 and reason entry_overloaded, before a task is ordered.

Its new case fails without the refusal.

--- a/src/libs/carobfall/jobs/job_dispatcher.h
+++ b/src/libs/carobfall/jobs/job_dispatcher.h
@@ -78,6 +78,8 @@
     /// Cancels the job with this id. Returns false if there is none.
     bool cancel(const std::string& id);
     [[nodiscard]] std::size_t active_jobs() const { return jobs_.size(); }
+    /// Whether a job with this id is in progress.
+    [[nodiscard]] bool is_active(const std::string& id) const { return jobs_.contains(id); }
     /// Number of jobs of the route without any ordered task.
     [[nodiscard]] std::size_t pending(const std::string& route) const;
     /// Returns what would be done with the job if it arrived at `now`. Changes nothing. `random`
--- a/tests/auto/adapter/tst_platform_settings.cpp
+++ b/tests/auto/adapter/tst_platform_settings.cpp
@@ -39,6 +39,12 @@
     CHECK(settings.value().callers->port() == 8161);
     CHECK(settings.value().store.port() == 8169);
     CHECK(settings.value().entry_ips == std::vector<std::string>{"10.1.0.13", "10.2.0.30"});
+    CHECK_FALSE(settings.value().shed_load);
+    json document = entry_settings_document();
+    document["overload"]["shed_load"] = true;
+    CHECK(parse_settings(document.dump(), process_role::entry).value().shed_load);
+    document["overload"]["shed_load"] = 1;
+    CHECK_FALSE(parse_settings(document.dump(), process_role::entry));
 }
 
 // Guards against a deployment whose callers resubmit a job while its first runs still go on.
--- a/tests/process/test_platform_path.py
+++ b/tests/process/test_platform_path.py
@@ -218,5 +218,33 @@
         self.assertIn(b"settings: node_name, ip or zone is missing", ended.stderr)
 
 
+class OverloadTest(PlatformCase):
+    def prepare(self):
+        self.settings["entry-0"]["overload"] = {"shed_load": True}
+
+    def test_overloaded_entry_sheds_load_and_recovers(self):
+        """Guards against jobs that are taken and end late, and an entry that stays unready."""
+        ip, port = self.settings["entry-0"]["listen_addrs"]["ready"].split(":")
+        recovered = threading.Event()
+        self.addCleanup(recovered.set)
+
+        def delay_event_loop():
+            while not recovered.is_set():
+                for number, seconds in ((signal.SIGSTOP, 0.2), (signal.SIGCONT, 0.04)):
+                    self.processes["entry-0"].send_signal(number)
+                    time.sleep(seconds)
+
+        threading.Thread(target=delay_event_loop).start()
+        self.wait_for(lambda: "state=overloaded " in self.log("entry-0"), "overload is seen")
+        self.assertEqual(send((ip, int(port)), "GET", "/")[0], 503)
+        status, _, headers = self.submit("%016x" % 9, deadline=220)
+        self.assertEqual((status, headers["Connection"]), (503, "close"))
+        self.wait_for(lambda: self.submit("%016x" % 10)[0] == 200, "a job with slack is served")
+        recovered.set()
+        self.assertIn("reason=entry_overloaded", self.log("entry-0"))
+        self.wait_for(lambda: send((ip, int(port)), "GET", "/")[0] == 200, "the entry is ready")
+        self.assertNotIn("Connection", self.submit("%016x" % 11, deadline=220)[2])
+
+
 if __name__ == "__main__":
     unittest.main()
