Jobs: Share the room between routes by weight while jobs are refused

The expected wait alone decided which jobs were refused. When the route of the first priority grew to 2.4 times its usual rate, it took the room, and jobs of the other routes were refused in its place.

An entry can now be given weights of routes (`admission` in the settings, off without it). It keeps decaying averages of the room that each route demanded and was admitted, divides the admitted room by weighted max-min fairness, and admits a route below its share with a longer queue and one above its share with a shorter queue. `floor` bounds how far a route falls behind. Jobs that can start at once are still never refused, and without settings or averages the decision is that of `admit`. `job_refused` names the route above its share and the shares, and two counters per route give the room demanded and admitted.

--- a/src/libs/carobfall/jobs/job_admission.h
+++ b/src/libs/carobfall/jobs/job_admission.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "carobfall/jobs/admission_shares.h"
 #include "carobfall/jobs/job_request.h"
 #include "carobfall/jobs/job_timing.h"
 #include "carobfall/jobs/task_placement.h"
@@ -30,11 +31,13 @@
 
 /// Decides whether a job is admitted whose tasks would be placed as in `placement`. Load pattern:
 /// more jobs arrive than the workers can run. `last_immediate_start`: when a job could last start
-/// at once. `random` is as for `admit`.
+/// at once. `shares`: decides while jobs have to be refused; the job isn't counted there. `random` is
+/// as for `admit`.
 [[nodiscard]] job_admission decide_admission(const job_request& request, const job_timing& timing,
                                              absl::Duration expected_run,
                                              const job_placement& placement,
-                                             absl::Time last_immediate_start, absl::Time now,
+                                             absl::Time last_immediate_start,
+                                             const admission_shares& shares, absl::Time now,
                                              const std::function<double()>& random);
 
 } // namespace carobfall
--- a/src/libs/carobfall/jobs/job_dispatcher.cpp
+++ b/src/libs/carobfall/jobs/job_dispatcher.cpp
@@ -3,6 +3,7 @@
 #include "carobfall/base/boot_clock.h"
 #include "carobfall/base/spawn.h"
 #include "carobfall/base/strings.h"
+#include "carobfall/jobs/admission_record.h"
 #include "carobfall/jobs/run_bounds.h"
 #include "carobfall/jobs/task_order.h"
 #include "carobfall/jobs/task_placement.h"
@@ -129,7 +130,7 @@
 {
     const job_admission admission =
         decide_admission(job.request, job.timing, job.expected_run, placement,
-                         last_immediate_start_, now, [this] { return random(); });
+                         last_immediate_start_, shares_, now, [this] { return random(); });
     std::string reason(name_of(admission.reason));
     if (admission.reason == admission_reason::no_worker) {
         return refuse(job, std::move(reason), admission.decision.retry_after);
@@ -138,17 +139,23 @@
     if (wait <= absl::ZeroDuration()) {
         last_immediate_start_ = now;
     }
+    if (shares_.enabled()) {
+        shares_.count(job.request, job.timing, job.expected_run, admission.decision.admitted, now);
+        count_admission(metrics_, job.request.route, room_of(job.request, job.expected_run),
+                        admission.decision.admitted);
+    }
     if (admission.decision.admitted) {
         return std::nullopt;
     }
-    log_.write(log_fields("job_refused")
-                   .add("job", job.request.id)
-                   .add("wait_ms", absl::ToInt64Milliseconds(wait))
-                   .add("slack_ms", absl::ToInt64Milliseconds(job.timing.start_by - now))
-                   .add("queued_for_ms", absl::ToInt64Milliseconds(admission.queued_for))
-                   .add("usable_agents", agents_.usable_agents())
-                   .add("knowledge_ms", absl::ToInt64Milliseconds(agents_.oldest_report(now))),
-               now);
+    log_fields fields("job_refused");
+    fields.add("job", job.request.id)
+        .add("wait_ms", absl::ToInt64Milliseconds(wait))
+        .add("slack_ms", absl::ToInt64Milliseconds(job.timing.start_by - now))
+        .add("queued_for_ms", absl::ToInt64Milliseconds(admission.queued_for))
+        .add("usable_agents", agents_.usable_agents())
+        .add("knowledge_ms", absl::ToInt64Milliseconds(agents_.oldest_report(now)));
+    add_shares(fields, shares_.shares(now));
+    log_.write(fields, now);
     return refuse(job, std::move(reason), admission.decision.retry_after);
 }
 
@@ -241,7 +248,7 @@
 {
     const placement_inputs inputs{
         agents_.agents().views(), run_times_.expected(request.route, request.declared_run_time),
-        last_immediate_start_,
+        last_immediate_start_, shares_,
         [&](const std::string& agent) { return agents_.report_age(agent, now); }, random};
     return explain_placement(inputs, request, now);
 }
--- a/src/libs/carobfall/jobs/job_dispatcher.h
+++ b/src/libs/carobfall/jobs/job_dispatcher.h
@@ -3,6 +3,7 @@
 #include "carobfall/base/async_event.h"
 #include "carobfall/base/event_log.h"
 #include "carobfall/base/histogram.h"
+#include "carobfall/jobs/admission_shares.h"
 #include "carobfall/jobs/entry_service.h"
 #include "carobfall/jobs/job_request.h"
 #include "carobfall/jobs/job_timing.h"
@@ -21,6 +22,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace carobfall {
@@ -70,6 +72,11 @@
     job_dispatcher(const boost::asio::any_io_executor& executor, entry_service& agents,
                    event_log& log, metrics_registry& metrics);
 
+    /// Sets how routes share the room while jobs are refused; without a value, shares are off.
+    void configure_admission(std::optional<admission_settings> settings)
+    {
+        shares_.configure(std::move(settings));
+    }
     /// Creates the job; `run` returns its answer.
     [[nodiscard]] std::shared_ptr<active_job> create(job_request request);
     boost::asio::awaitable<job_answer> run(std::shared_ptr<active_job> job);
@@ -117,6 +124,7 @@
     event_log& log_;
     metrics_registry& metrics_;
     run_time_estimator run_times_;
+    admission_shares shares_;
     absl::Time last_immediate_start_{absl::InfinitePast()}; ///< when a job could last start at once
     absl::flat_hash_map<std::string, std::shared_ptr<active_job>> jobs_;
     std::mt19937_64 generator_{std::random_device{}()};
--- a/src/libs/carobfall/jobs/job_timing.cpp
+++ b/src/libs/carobfall/jobs/job_timing.cpp
@@ -57,6 +57,11 @@
     return queued_for <= burst_time ? std::max(wait, burst_share_of_slack * slack) : wait;
 }
 
+absl::Duration spread_retry(absl::Duration delay, double random)
+{
+    return std::clamp(delay, min_retry_after, max_retry_after) * (1 + random);
+}
+
 admission_decision admit(const job_timing& timing, std::uint32_t priority,
                          absl::Duration expected_run, absl::Duration expected_wait,
                          absl::Duration queued_for, absl::Time now, double random)
@@ -67,8 +72,7 @@
          can_still_end(expected_run, now + expected_wait, timing.give_up))) {
         return {};
     }
-    const absl::Duration base = std::clamp(expected_wait, min_retry_after, max_retry_after);
-    return {false, base * (1 + random)};
+    return {false, spread_retry(expected_wait, random)};
 }
 
 } // namespace carobfall
--- a/src/libs/carobfall/jobs/job_timing.h
+++ b/src/libs/carobfall/jobs/job_timing.h
@@ -41,6 +41,10 @@
 [[nodiscard]] absl::Duration admitted_wait(std::uint32_t priority, absl::Duration slack,
                                            absl::Duration queued_for);
 
+/// The time after which a refused caller may retry: `delay` within fixed bounds, spread by `random`
+/// (0 to 1), so that refused callers do not return together.
+[[nodiscard]] absl::Duration spread_retry(absl::Duration delay, double random);
+
 /// Refuses a job if its last task would start too late, so that it takes no room from others. The
 /// retry time covers the waiting work. `random` (0 to 1) spreads the retry times, so that refused
 /// callers do not return together.
--- a/src/libs/carobfall/jobs/placement_explanation.cpp
+++ b/src/libs/carobfall/jobs/placement_explanation.cpp
@@ -82,7 +82,7 @@
     add_report_ages(result);
     result.admission =
         decide_admission(request, result.timing, inputs.expected_run, result.placement,
-                         inputs.last_immediate_start, now, inputs.random);
+                         inputs.last_immediate_start, inputs.shares, now, inputs.random);
     result.admitted_wait =
         admitted_wait(request.priority, result.timing.start_by - now, result.admission.queued_for);
     result.can_end_in_time = can_still_end(inputs.expected_run, now + result.placement.longest_wait,
--- a/tests/auto/adapter/tst_platform_settings.cpp
+++ b/tests/auto/adapter/tst_platform_settings.cpp
@@ -6,6 +6,8 @@
 #include <rapidcheck.h>
 
 #include <string>
+#include <utility>
+#include <vector>
 
 using namespace carobfall;
 using namespace carobfall::platform;
@@ -64,6 +66,49 @@
     CHECK(unmet()[0].needed_ms == longest_run_after_contact_ms);
 }
 
+TEST_CASE("the shares of routes are decoded, and off without the object")
+{
+    json document = entry_settings_document();
+    const auto admission = [&] {
+        return parse_settings(document.dump(), process_role::entry).value().admission;
+    };
+    CHECK_FALSE(admission());
+    document["admission"] = {{"shares", {{"quote", 2.5}, {"booking", 1000}}}};
+    REQUIRE(admission());
+    CHECK(admission()->weight_of("quote") == 2.5);
+    CHECK(admission()->weight_of("booking") == 1000);
+    CHECK(admission()->weight_of("other") == 1);
+    CHECK(admission()->floor == 0.25);
+    document["admission"] = {{"shares", json::object()}, {"floor", 0}};
+    CHECK(admission()->floor == 0);
+}
+
+// Guards against an entry that runs with other shares than its operator has meant to set.
+TEST_CASE("malformed shares are refused with the field and a remedy")
+{
+    const std::vector<std::pair<json, std::string>> malformed = {
+        {nullptr, "admission.shares"},
+        {5, "admission.shares"},
+        {{{"floor", 0.5}}, "admission.shares"},
+        {{{"shares", {1, 2}}}, "admission.shares"},
+        {{{"shares", {{"quote", 0}}}}, "admission.shares.quote"},
+        {{{"shares", {{"quote", 1000.5}}}}, "admission.shares.quote"},
+        {{{"shares", {{"quote", "2"}}}}, "admission.shares.quote"},
+        {{{"shares", {{"", 2}}}}, "admission.shares"},
+        {{{"shares", json::object()}, {"floor", 1.01}}, "admission.floor"},
+        {{{"shares", json::object()}, {"floor", -0.1}}, "admission.floor"},
+        {{{"shares", json::object()}, {"floor", nullptr}}, "admission.floor"}};
+    for (const auto& [admission, field] : malformed) {
+        json document = entry_settings_document();
+        document["admission"] = admission;
+        const auto settings = parse_settings(document.dump(), process_role::entry);
+        REQUIRE_FALSE(settings);
+        CHECK(settings.error().kind == error_kind::invalid_request);
+        CHECK(settings.error().message.find(field) != std::string::npos);
+        CHECK_FALSE(settings.error().remedy.empty());
+    }
+}
+
 TEST_CASE("the settings of an agent contain the address of its worker")
 {
     json document = entry_settings_document();
--- a/tests/auto/jobs/load_replay.cpp
+++ b/tests/auto/jobs/load_replay.cpp
@@ -1,5 +1,6 @@
 #include "load_replay.h"
 
+#include "carobfall/jobs/admission_shares.h"
 #include "carobfall/jobs/agent_table.h"
 #include "carobfall/jobs/job_timing.h"
 #include "carobfall/jobs/run_time_estimator.h"
@@ -114,6 +115,7 @@
 struct replayed_entry {
     agent_table table{[](std::string_view) { return false; }};
     run_time_estimator run_times;
+    admission_shares shares;
     absl::Time last_immediate_start;
 };
 
@@ -121,7 +123,11 @@
 public:
     explicit simulation(const load_pattern& load)
         : load_(load), generator_(load.seed), agents_(load.workers.size()), entries_(load.entries)
-    {}
+    {
+        for (replayed_entry& entry : entries_) {
+            entry.shares.configure(load.admission);
+        }
+    }
 
     std::vector<replayed_result> run()
     {
@@ -243,10 +249,13 @@
         if (placement.longest_wait <= absl::ZeroDuration()) {
             entry.last_immediate_start = now_;
         }
-        job->refused = placement.agents.size() < job->request.task_count ||
-                       !admit(job->timing, job->request.priority, expected, placement.longest_wait,
-                              now_ - entry.last_immediate_start, now_, uniform())
-                            .admitted;
+        job->refused =
+            placement.agents.size() < job->request.task_count ||
+            !entry.shares
+                 .decide(job->request, job->timing,
+                         {expected, placement.longest_wait, now_ - entry.last_immediate_start},
+                         now_, uniform())
+                 .admitted;
         if (job->refused) {
             job->ended = true;
             return;
--- a/tests/auto/jobs/load_replay.h
+++ b/tests/auto/jobs/load_replay.h
@@ -1,9 +1,12 @@
 #pragma once
 
+#include "carobfall/jobs/admission_settings.h"
+
 #include <absl/time/time.h>
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -38,6 +41,7 @@
     std::int64_t mean_task_millicores{6200};
     absl::Duration report_interval{absl::Milliseconds(20)}; ///< of an agent to each entry
     std::uint64_t seed{1};
+    std::optional<admission_settings> admission; ///< shares of the routes; a kind is a route
 };
 
 struct replayed_result {
--- a/tests/auto/jobs/tst_placement_explanation.cpp
+++ b/tests/auto/jobs/tst_placement_explanation.cpp
@@ -46,7 +46,8 @@
 {
     std::mt19937_64 generator(seed);
     std::uniform_real_distribution<double> distribution(0.0, 1.0);
-    const placement_inputs inputs{agents, expected_run, now - absl::Seconds(1),
+    const admission_shares shares;
+    const placement_inputs inputs{agents, expected_run, now - absl::Seconds(1), shares,
                                   [](const std::string& name) {
                                       return absl::Milliseconds(static_cast<double>(name.size()));
                                   },
