Jobs: Compare waiting near the data with a start elsewhere

Cause: a constant factor of 1.5 only decided whether a task was late away from the rack of its data.

An order near the data allows the wait that is worthwhile (`longest_wait_ms`). The factor is read from `bounds.remote_slowdown`; a malformed value is an error at start. Orders and run time estimates of tasks away from their data take the factor into account. `tasks_placed` and `tasks_placed_total{data}` show the decision. The load replay has racks.

--- a/src/libs/carobfall/jobs/agent_table.cpp
+++ b/src/libs/carobfall/jobs/agent_table.cpp
@@ -40,7 +40,8 @@
     view.capacity = amounts_of(description.capacity());
 }
 
-void agent_table::report(const std::string& agent, const fleet::agent_status& status)
+void agent_table::report(const std::string& agent, const fleet::agent_status& status,
+                         absl::Time now)
 {
     const auto found = records_.find(agent);
     if (found == records_.end()) {
@@ -53,6 +54,7 @@
         known.unreported.pop_front();
     }
     agent_view& view = views_[known.position];
+    view.reported_at = now;
     view.usable = known.accepting && !is_out_(view.data_centre);
     view.load.free = amounts_of(status.free());
     view.load.waiting = waiting_profile::from_classes(
--- a/src/libs/carobfall/jobs/agent_table.h
+++ b/src/libs/carobfall/jobs/agent_table.h
@@ -29,7 +29,7 @@
     void describe(const fleet::agent_status& description);
     /// Updates room, queue, speed and failures of an agent that has been described. Reports of
     /// other agents are ignored.
-    void report(const std::string& agent, const fleet::agent_status& status);
+    void report(const std::string& agent, const fleet::agent_status& status, absl::Time now);
     /// Adds an order that was sent to the agent to its load.
     void add_order(const std::string& agent, const fleet::task_order& order);
     void remove(const std::string& agent);
--- a/src/libs/carobfall/jobs/entry_service.cpp
+++ b/src/libs/carobfall/jobs/entry_service.cpp
@@ -129,7 +129,7 @@
 
 void entry_service::adopt_status(connection& peer, const fleet::agent_status& status)
 {
-    table_.report(peer.agent, status);
+    table_.report(peer.agent, status, boot_now());
     if (!std::exchange(peer.accepting, status.accepting()) && peer.accepting) {
         log_.write(log_fields("agent_accepts")
                        .add("agent", peer.agent)
--- a/src/libs/carobfall/jobs/job_admission.cpp
+++ b/src/libs/carobfall/jobs/job_admission.cpp
@@ -21,9 +21,8 @@
 
 job_admission decide_admission(const job_request& request, const job_timing& timing,
                                absl::Duration expected_run, const job_placement& placement,
-                               absl::Time last_immediate_start,
-                               const admission_shares& shares, absl::Time now,
-                               const std::function<double()>& random)
+                               absl::Time last_immediate_start, const admission_shares& shares,
+                               absl::Time now, const std::function<double()>& random)
 {
     if (placement.agents.size() < request.task_count) {
         return {{false, retry_without_agents}, admission_reason::no_worker, absl::ZeroDuration()};
@@ -32,8 +31,8 @@
     const bool immediate = wait <= absl::ZeroDuration();
     job_admission result;
     result.queued_for = immediate ? absl::ZeroDuration() : now - last_immediate_start;
-    result.decision = shares.evaluate(request, timing, {expected_run, wait, result.queued_for},
-                                      now, random());
+    result.decision =
+        shares.evaluate(request, timing, {expected_run, wait, result.queued_for}, now, random());
     if (!result.decision.admitted) {
         result.reason = admission_reason::overloaded;
     } else if (!immediate) {
--- a/src/libs/carobfall/jobs/job_dispatcher.cpp
+++ b/src/libs/carobfall/jobs/job_dispatcher.cpp
@@ -14,6 +14,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <array>
 #include <map>
 #include <optional>
 #include <utility>
@@ -63,24 +64,16 @@
 
 std::string_view name_of(job_outcome outcome)
 {
-    switch (outcome) {
-    case job_outcome::succeeded:
-        return "succeeded";
-    case job_outcome::failed:
-        return "failed";
-    case job_outcome::not_run:
-        return "not_run";
-    case job_outcome::unknown:
-        break;
-    }
-    return "unknown";
+    constexpr std::array<std::string_view, 4> names = {"succeeded", "failed", "not_run", "unknown"};
+    return names.at(static_cast<std::size_t>(outcome));
 }
 
 } // namespace
 
 job_dispatcher::job_dispatcher(const asio::any_io_executor& executor, entry_service& agents,
-                               event_log& log, metrics_registry& metrics)
-    : executor_(executor), agents_(agents), log_(log), metrics_(metrics)
+                               event_log& log, metrics_registry& metrics,
+                               placement_settings settings)
+    : executor_(executor), agents_(agents), log_(log), metrics_(metrics), settings_(settings)
 {
     entry_service::hooks hooks;
     hooks.on_event = [this](const std::string& agent, const fleet::task_event& event) {
@@ -238,8 +231,9 @@
     }
     const auto unplaced = std::count_if(job.tasks.begin(), job.tasks.end(), is_unplaced);
     const task_time time = make_task_time(job.request, job.timing, job.expected_run, now);
-    return place_tasks(agents, job.request, time, static_cast<std::size_t>(unplaced),
-                       std::move(limits), [this] { return random(); });
+    return place_tasks(
+        agents, job.request, time, static_cast<std::size_t>(unplaced), std::move(limits),
+        [this] { return random(); }, settings_, now);
 }
 
 placement_explanation job_dispatcher::explain(const job_request& request,
@@ -247,9 +241,13 @@
                                               absl::Time now) const
 {
     const placement_inputs inputs{
-        agents_.agents().views(), run_times_.expected(request.route, request.declared_run_time),
-        last_immediate_start_, shares_,
-        [&](const std::string& agent) { return agents_.report_age(agent, now); }, random};
+        agents_.agents().views(),
+        run_times_.expected(request.route, request.declared_run_time),
+        last_immediate_start_,
+        shares_,
+        settings_,
+        [&](const std::string& agent) { return agents_.report_age(agent, now); },
+        random};
     return explain_placement(inputs, request, now);
 }
 
@@ -265,8 +263,7 @@
         if (!is_unplaced(job.tasks[index])) {
             continue;
         }
-        if (next == agents.size() ||
-            !order_task(job, index, agents[next], placement.waits[next], now)) {
+        if (next == agents.size() || !order_task(job, index, agents[next], placement, next, now)) {
             job.place_after = now + placement_retry_delay;
             break;
         }
@@ -278,25 +275,41 @@
     const auto agent_and_count = [](std::string* text, const auto& entry) {
         absl::StrAppend(text, entry.first, ":", entry.second);
     };
-    log_.write(log_fields("tasks_placed")
-                   .add("job", job.request.id)
-                   .add("agents", absl::StrJoin(placed, ",", agent_and_count))
-                   .add("wait_ms", absl::ToInt64Milliseconds(placement.longest_wait))
-                   .add("slack_ms", absl::ToInt64Milliseconds(job.timing.start_by - now))
-                   .add("usable_agents", agents_.usable_agents())
-                   .add("knowledge_ms", absl::ToInt64Milliseconds(agents_.oldest_report(now))),
-               now);
+    const auto ordered = static_cast<std::ptrdiff_t>(next);
+    const absl::Duration wait =
+        *std::max_element(placement.waits.begin(), placement.waits.begin() + ordered);
+    log_fields fields("tasks_placed");
+    fields.add("job", job.request.id)
+        .add("agents", absl::StrJoin(placed, ",", agent_and_count))
+        .add("wait_ms", absl::ToInt64Milliseconds(wait))
+        .add("slack_ms", absl::ToInt64Milliseconds(job.timing.start_by - now))
+        .add("usable_agents", agents_.usable_agents())
+        .add("knowledge_ms", absl::ToInt64Milliseconds(agents_.oldest_report(now)));
+    if (!job.request.data_rack.empty()) {
+        const auto away = static_cast<std::size_t>(
+            std::count(placement.away.begin(), placement.away.begin() + ordered, true));
+        fields.add("near", next - away)
+            .add("away", away)
+            .add("near_full_share", placement.near_full_share)
+            .add("far_full_share", placement.far_full_share);
+        metrics_.add("tasks_placed_total{data=\"near\"}", next - away);
+        metrics_.add("tasks_placed_total{data=\"away\"}", away);
+    }
+    log_.write(fields, now);
 }
 
 bool job_dispatcher::order_task(active_job& job, std::uint32_t index, const std::string& agent,
-                                absl::Duration expected_wait, absl::Time now)
+                                const job_placement& placement, std::size_t next, absl::Time now)
 {
     job_task& task = job.tasks[index];
     task.agent = agent;
     task.phase = job_task_phase::ordered;
+    task.away = placement.away[next];
     ++task.attempt;
-    return agents_.order(agent, make_task_order(job.request, job.timing, job.expected_run, index,
-                                                task.attempt, expected_wait, now));
+    const double slowdown = task.away ? settings_.remote_slowdown : 1;
+    return agents_.order(agent, make_task_order(job.request, job.timing,
+                                                job.expected_run * slowdown, index, task.attempt,
+                                                placement.worthwhile_waits[next], now));
 }
 
 void job_dispatcher::on_event(const std::string& agent, const fleet::task_event& event)
@@ -316,7 +329,8 @@
         task.phase = job_task_phase::done;
         if (event.run_ms() > 0) {
             run_times_.record(job.request.route, job.request.declared_run_time,
-                              absl::Milliseconds(event.run_ms()));
+                              absl::Milliseconds(event.run_ms()) /
+                                  (task.away ? settings_.remote_slowdown : 1));
         }
         break;
     case fleet::task_failed:
@@ -325,7 +339,7 @@
         job.too_many_failures |= ++task.failures >= job.request.max_attempts;
         break;
     case fleet::task_ended:
-        if (event.run_ms() > 0 && !agents_.is_slow(agent)) {
+        if (event.run_ms() > 0 && !task.away && !agents_.is_slow(agent)) {
             job.run_too_long = true;
         }
         [[fallthrough]];
--- a/src/libs/carobfall/jobs/job_dispatcher.h
+++ b/src/libs/carobfall/jobs/job_dispatcher.h
@@ -9,6 +9,7 @@
 #include "carobfall/jobs/job_timing.h"
 #include "carobfall/jobs/placement_explanation.h"
 #include "carobfall/jobs/run_time_estimator.h"
+#include "carobfall/jobs/task_placement.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/time/time.h>
@@ -40,6 +41,7 @@
     std::string agent;
     std::uint32_t attempt{0};
     std::uint32_t failures{0};
+    bool away{false}; ///< ordered away from the data that the job names
     absl::Time lost_at;
     absl::Time ended_by;
 };
@@ -70,7 +72,7 @@
 class job_dispatcher {
 public:
     job_dispatcher(const boost::asio::any_io_executor& executor, entry_service& agents,
-                   event_log& log, metrics_registry& metrics);
+                   event_log& log, metrics_registry& metrics, placement_settings settings = {});
 
     /// Sets how routes share the room while jobs are refused; without a value, shares are off.
     void configure_admission(std::optional<admission_settings> settings)
@@ -105,8 +107,9 @@
     /// Chooses agents for the unplaced tasks of the job.
     [[nodiscard]] job_placement choose_agents(const active_job& job, absl::Time now);
     void place(active_job& job, const job_placement& placement, absl::Time now);
+    /// `next`: number of the task in the placement.
     [[nodiscard]] bool order_task(active_job& job, std::uint32_t index, const std::string& agent,
-                                  absl::Duration expected_wait, absl::Time now);
+                                  const job_placement& placement, std::size_t next, absl::Time now);
     void on_event(const std::string& agent, const fleet::task_event& event);
     void on_lost(const std::string& agent, absl::Time last_frame_at);
     void log_release(const active_job& job, std::size_t index, absl::Time now);
@@ -123,6 +126,7 @@
     entry_service& agents_;
     event_log& log_;
     metrics_registry& metrics_;
+    placement_settings settings_;
     run_time_estimator run_times_;
     admission_shares shares_;
     absl::Time last_immediate_start_{absl::InfinitePast()}; ///< when a job could last start at once
--- a/src/libs/carobfall/jobs/placement_candidate.cpp
+++ b/src/libs/carobfall/jobs/placement_candidate.cpp
@@ -10,12 +10,6 @@
 namespace carobfall {
 namespace {
 
-// Run time on a rack without the data of the task, divided by the run time on a rack with the data.
-// The platform states this figure for its present deployments. It is only used to compare workers.
-constexpr double remote_data_factor = 1.5;
-// A delay within this share of the slack counts as on time. The rest allows for waits and run times
-// that are somewhat longer than estimated.
-constexpr double safe_share_of_slack = 0.6;
 // Lateness values that differ by less than this share count as equal, because run times are only
 // estimated.
 constexpr double score_tolerance = 0.05;
@@ -84,22 +78,29 @@
                : placement_obstacle::label_missing;
 }
 
+bool is_away_from_data(const agent_view& agent, const job_request& request)
+{
+    return !request.data_rack.empty() && agent.rack != request.data_rack;
+}
+
 placement_candidate evaluate_candidate(const agent_view& agent, const agent_load& load,
                                        const job_request& request, const task_time& time,
-                                       bool avoided, double random)
+                                       bool avoided, const placement_settings& settings,
+                                       double random)
 {
-    const bool remote = !request.data_rack.empty() && agent.rack != request.data_rack;
     placement_candidate result;
-    result.slowness = agent.slowness * (remote ? remote_data_factor : 1.0);
+    result.slowness =
+        agent.slowness * (is_away_from_data(agent, request) ? settings.remote_slowdown : 1.0);
     result.wait = expected_wait(agent.capacity, load, request.demand, time.rank);
-    absl::Duration delay =
-        result.wait + time.expected_run * (result.slowness - 1) +
+    result.losses =
         failing_penalty * agent.failure_share +
         interruption_delay * interruption_probability(agent.interruptions_per_s,
                                                       time.expected_run * result.slowness);
     if (avoided) {
-        delay += avoided_penalty;
+        result.losses += avoided_penalty;
     }
+    const absl::Duration delay =
+        result.wait + time.expected_run * (result.slowness - 1) + result.losses;
     result.lateness_ms = absl::ToDoubleMilliseconds(
         std::max(delay - safe_share_of_slack * time.slack, absl::ZeroDuration()));
     result.draw = weighted_draw(
--- a/src/libs/carobfall/jobs/placement_explanation.cpp
+++ b/src/libs/carobfall/jobs/placement_explanation.cpp
@@ -23,8 +23,8 @@
         added.has_data = request.data_rack.empty() || agent.rack == request.data_rack;
         added.report_age = inputs.report_age(agent.name);
         if (added.obstacle == placement_obstacle::none) {
-            added.candidate =
-                evaluate_candidate(agent, agent.load, request, time, false, same_random);
+            added.candidate = evaluate_candidate(agent, agent.load, request, time, false,
+                                                 inputs.settings, same_random);
         }
     }
     return result;
@@ -68,8 +68,8 @@
     placement_explanation result;
     result.timing = timing_of(request, inputs.expected_run, now);
     result.time = make_task_time(request, result.timing, inputs.expected_run, now);
-    result.placement =
-        place_tasks(inputs.agents, request, result.time, request.task_count, {}, inputs.random);
+    result.placement = place_tasks(inputs.agents, request, result.time, request.task_count, {},
+                                   inputs.random, inputs.settings, now);
     result.agents = evaluate_agents(inputs, request, result.time);
     for (const std::size_t position : result.placement.agents) {
         ++result.agents[position].tasks;
--- a/src/libs/carobfall/jobs/placement_explanation.h
+++ b/src/libs/carobfall/jobs/placement_explanation.h
@@ -20,6 +20,7 @@
     absl::Duration expected_run;     ///< the longest expected run time of a task
     absl::Time last_immediate_start; ///< when a job could last start at once
     const admission_shares& shares;
+    const placement_settings& settings;
     /// Returns the age of the last report of the agent with this name.
     std::function<absl::Duration(const std::string&)> report_age;
     std::function<double()> random; ///< 0 to 1
--- a/src/libs/carobfall/jobs/task_order.cpp
+++ b/src/libs/carobfall/jobs/task_order.cpp
@@ -8,8 +8,8 @@
 // Number of orders per task that agents may return because of a long queue. Each returned order
 // costs a round trip between machines.
 constexpr std::uint32_t returnable_orders = 3;
-// A wait may exceed the expected one by this time. On a full worker a run ends every 10 to 20 ms; a
-// shorter wait does not justify a round trip.
+// A wait may exceed the worthwhile one by this time. On a full worker a run ends every 10 to 20 ms;
+// a shorter wait does not justify a round trip.
 constexpr absl::Duration wait_tolerance = absl::Milliseconds(10);
 
 } // namespace
@@ -23,7 +23,7 @@
 
 fleet::task_order make_task_order(const job_request& request, const job_timing& timing,
                                   absl::Duration expected_run, std::uint32_t index,
-                                  std::uint32_t attempt, absl::Duration expected_wait,
+                                  std::uint32_t attempt, absl::Duration worthwhile_wait,
                                   absl::Time now)
 {
     const auto from_now = [now](absl::Time time) {
@@ -45,8 +45,8 @@
     order.set_late_start_by_ms(from_now(timing.late_start_by));
     order.set_give_up_ms(from_now(timing.give_up));
     if (attempt <= returnable_orders) {
-        order.set_longest_wait_ms(
-            static_cast<std::uint32_t>(absl::ToInt64Milliseconds(expected_wait + wait_tolerance)));
+        order.set_longest_wait_ms(static_cast<std::uint32_t>(
+            absl::ToInt64Milliseconds(worthwhile_wait + wait_tolerance)));
     }
     return order;
 }
--- a/src/libs/carobfall/jobs/task_order.h
+++ b/src/libs/carobfall/jobs/task_order.h
@@ -15,17 +15,18 @@
 [[nodiscard]] task_time make_task_time(const job_request& request, const job_timing& timing,
                                        absl::Duration expected_run, absl::Time now);
 
-/// Returns the order for one task of the job, sent at `now` to an agent where it is expected to
-/// wait for `expected_wait`.
+/// Returns the order for one task of the job, sent at `now` to an agent where it is better off
+/// than elsewhere if it waits for up to `worthwhile_wait`. That is the expected wait, or more near
+/// the data of the task. `expected_run`: at that agent.
 ///
 /// Several entries may place tasks at an agent at once. The agent returns a task whose wait has
-/// become longer than expected, and the entry places it again with later reports. After a few such
+/// become longer than that, and the entry places it again with later reports. After a few such
 /// orders the task stays where it is placed, so that it is not passed on indefinitely while all
 /// queues grow.
 [[nodiscard]] fleet::task_order make_task_order(const job_request& request,
                                                 const job_timing& timing,
                                                 absl::Duration expected_run, std::uint32_t index,
-                                                std::uint32_t attempt, absl::Duration expected_wait,
-                                                absl::Time now);
+                                                std::uint32_t attempt,
+                                                absl::Duration worthwhile_wait, absl::Time now);
 
 } // namespace carobfall
--- a/tests/auto/adapter/tst_platform_settings.cpp
+++ b/tests/auto/adapter/tst_platform_settings.cpp
@@ -109,6 +109,24 @@
     }
 }
 
+// Guards against placement by a factor that no platform means, such as a percentage.
+TEST_CASE("the slowdown away from the data is a number from 1 to 100, or 1.5 if it is missing")
+{
+    json document = entry_settings_document();
+    const auto parse = [&] { return parse_settings(document.dump(), process_role::entry); };
+    CHECK(parse().value().placement.remote_slowdown == 1.5);
+    for (const json& value : {json(1), json(2), json(3.5), json(100)}) {
+        document["bounds"] = {{"remote_slowdown", value}};
+        CHECK(parse().value().placement.remote_slowdown == value.get<double>());
+    }
+    for (const json& value : {json(0.99), json(-2), json(101), json("2"), json(nullptr)}) {
+        document["bounds"] = {{"remote_slowdown", value}};
+        REQUIRE_FALSE(parse());
+        CHECK(parse().error().message.find("bounds.remote_slowdown") != std::string::npos);
+        CHECK_FALSE(parse().error().remedy.empty());
+    }
+}
+
 TEST_CASE("the settings of an agent contain the address of its worker")
 {
     json document = entry_settings_document();
--- a/tests/auto/jobs/load_replay.cpp
+++ b/tests/auto/jobs/load_replay.cpp
@@ -50,6 +50,8 @@
     std::vector<std::uint32_t> attempts;
     absl::Duration expected;
     std::size_t done{0};
+    std::size_t near{0};
+    std::size_t away{0};
     bool ended{false};
     bool on_time{false};
     bool late{false};
@@ -173,6 +175,7 @@
             worker_announcement worker;
             worker.id = absl::StrCat("i-", i);
             worker.service = "adviser";
+            worker.rack = load_.workers[i].rack;
             worker.capacity = {load_.workers[i].cpu_millicores, 262144, 0};
             worker.started_unix_ms = 1;
             worker.sequence = 1;
@@ -231,6 +234,10 @@
         request.slack_factor = slack_factor;
         request.target = target;
         request.time_limit = base_time_limit + time_limit_factor * run;
+        if (!load_.data_shares.empty()) {
+            request.data_rack = rack_name(std::discrete_distribution<std::size_t>(
+                load_.data_shares.begin(), load_.data_shares.end())(generator_));
+        }
         jobs_.push_back(job);
         return job;
     }
@@ -243,9 +250,9 @@
             entry.run_times.expected(job->request.route, job->request.declared_run_time);
         job->timing = timing_of(job->request, expected, now_);
         const task_time time = make_task_time(job->request, job->timing, expected, now_);
-        const job_placement placement =
-            place_tasks(entry.table.views(), job->request, time, job->request.task_count, {},
-                        [this] { return uniform(); });
+        const job_placement placement = place_tasks(
+            entry.table.views(), job->request, time, job->request.task_count, {},
+            [this] { return uniform(); }, settings_, now_);
         if (placement.longest_wait <= absl::ZeroDuration()) {
             entry.last_immediate_start = now_;
         }
@@ -277,8 +284,9 @@
         for (const agent_view& agent : entry.table.views()) {
             limits.avoided.push_back(job->avoided.contains(std::stoul(agent.name)));
         }
-        const job_placement placement = place_tasks(entry.table.views(), job->request, time, 1,
-                                                    limits, [this] { return uniform(); });
+        const job_placement placement = place_tasks(
+            entry.table.views(), job->request, time, 1, limits, [this] { return uniform(); },
+            settings_, now_);
         order(job, index, placement, 0);
     }
 
@@ -289,8 +297,8 @@
             std::stoul(entries_[job->entry].table.views()[placement.agents[number]].name);
         job->agents[index] = agent;
         const fleet::task_order order =
-            make_task_order(job->request, job->timing, job->expected, index, ++job->attempts[index],
-                            placement.waits[number], now_);
+            make_task_order(job->request, job->timing, job->expected * slowdown(*job, agent), index,
+                            ++job->attempts[index], placement.worthwhile_waits[number], now_);
         entries_[job->entry].table.add_order(absl::StrCat(agent), order);
         at(now_ + message_delay, [this, agent, job, order] {
             ++agents_[agent].orders_received[job->entry];
@@ -299,13 +307,21 @@
         });
     }
 
+    [[nodiscard]] double slowdown(const replayed_job& job, std::size_t agent) const
+    {
+        const std::string& data_rack = job.request.data_rack;
+        return data_rack.empty() || data_rack == load_.workers[agent].rack ? 1
+                                                                           : load_.remote_slowdown;
+    }
+
     void advance(std::size_t agent)
     {
         worker_ledger& ledger = agents_[agent].ledger;
         while (const auto number = ledger.begin_next(now_, [](session_number) { return true; })) {
             const task_run run = run_of(*ledger.find(*number));
-            const replayed_job& job = *jobs_[std::stoul(run.job_id)];
-            const absl::Duration work = job.work[run.index];
+            replayed_job& job = *jobs_[std::stoul(run.job_id)];
+            ++(slowdown(job, agent) > 1 ? job.away : job.near);
+            const absl::Duration work = job.work[run.index] * slowdown(job, agent);
             const replayed_worker& worker = load_.workers[agent];
             const worker_pace pace{worker.slowness, worker.slow_factor, start_ + worker.slow_from,
                                    start_ + worker.slow_until};
@@ -361,7 +377,8 @@
         replayed_job& job = *shared;
         if (event.kind() == fleet::task_done && event.run_ms() > 0) {
             entries_[job.entry].run_times.record(job.request.route, job.request.declared_run_time,
-                                                 absl::Milliseconds(event.run_ms()));
+                                                 absl::Milliseconds(event.run_ms()) /
+                                                     slowdown(job, job.agents[event.index()]));
         }
         if (job.ended) {
             return;
@@ -408,7 +425,7 @@
         status.set_orders_received(agents_[agent].orders_received[entry]);
         describe_load(agents_[agent].ledger, now_, status);
         at(now_ + message_delay, [this, agent, entry, status] {
-            entries_[entry].table.report(absl::StrCat(agent), status);
+            entries_[entry].table.report(absl::StrCat(agent), status, now_);
         });
     }
 
@@ -440,6 +457,8 @@
             by_kind[job->kind].push_back(job.get());
             result.kind = load_.kinds[job->kind].name;
             ++result.jobs;
+            result.near += job->near;
+            result.away += job->away;
             result.on_time += job->on_time ? 1 : 0;
             result.late += job->late ? 1 : 0;
             result.refused += job->refused ? 1 : 0;
@@ -462,6 +481,7 @@
     }
 
     const load_pattern& load_;
+    const placement_settings settings_{load_.remote_slowdown};
     const absl::Time start_{absl::FromUnixSeconds(1000)};
     absl::Time now_{start_};
     std::mt19937_64 generator_;
@@ -484,11 +504,18 @@
     given_up += other.given_up;
     waited_too_long += other.waited_too_long;
     moves += other.moves;
+    near += other.near;
+    away += other.away;
     wide += other.wide;
     wide_on_time += other.wide_on_time;
     return *this;
 }
 
+std::string rack_name(std::size_t number)
+{
+    return absl::StrCat("rack-", number);
+}
+
 std::vector<replayed_result> replay(const load_pattern& load)
 {
     return simulation(load).run();
--- a/tests/auto/jobs/load_replay.h
+++ b/tests/auto/jobs/load_replay.h
@@ -29,6 +29,7 @@
     double slow_factor{1};
     absl::Duration slow_from{};
     absl::Duration slow_until{};
+    std::string rack{};
 };
 
 /// A load and the workers that serve it, in virtual time. Entries place tasks by reports that are
@@ -42,6 +43,8 @@
     absl::Duration report_interval{absl::Milliseconds(20)}; ///< of an agent to each entry
     std::uint64_t seed{1};
     std::optional<admission_settings> admission; ///< shares of the routes; a kind is a route
+    std::vector<double> data_shares; ///< shares of the jobs that have their data on rack 0, 1, ...
+    double remote_slowdown{1.5};
 };
 
 struct replayed_result {
@@ -53,6 +56,8 @@
     std::size_t given_up{0};
     std::size_t waited_too_long{0}; ///< given up because a task could not start in time
     std::size_t moves{0};           ///< waiting tasks that agents have returned
+    std::size_t near{0}; ///< runs in the rack of their data
+    std::size_t away{0};
     std::size_t wide{0};            ///< jobs among the tenth with the most tasks
     std::size_t wide_on_time{0};
 
@@ -67,6 +72,9 @@
     }
 };
 
+/// Name of a rack in `load_pattern`.
+[[nodiscard]] std::string rack_name(std::size_t number);
+
 /// Replays the load through the decisions of entries and agents. No worker is faulty: no answer is
 /// lost and no run fails.
 [[nodiscard]] std::vector<replayed_result> replay(const load_pattern& load);
--- a/tests/auto/jobs/tst_agent_table.cpp
+++ b/tests/auto/jobs/tst_agent_table.cpp
@@ -18,7 +18,7 @@
     status.set_accepting(true);
     status.mutable_free()->set_cpu_millicores(free_millicores);
     table.describe(status);
-    table.report(name, status);
+    table.report(name, status, absl::FromUnixSeconds(1000));
 }
 
 } // namespace
@@ -38,6 +38,7 @@
     CHECK(table.usable() == 3);
     CHECK(table.find("b") == nullptr);
     CHECK(table.find("a")->load.free.cpu_millicores == 1000);
+    CHECK(table.find("c")->reported_at == absl::FromUnixSeconds(1000));
     CHECK(table.find("c")->load.free.cpu_millicores == 3000);
     CHECK(table.find("d")->load.free.cpu_millicores == 4000);
     fleet::task_order order;
--- a/tests/auto/jobs/tst_entry_and_agent.cpp
+++ b/tests/auto/jobs/tst_entry_and_agent.cpp
@@ -39,6 +39,25 @@
     CHECK(agent.worker.lost_renewals == 0);
 }
 
+// Guards against decisions about the rack of the data that no operator can see.
+TEST_CASE("tasks near and away from their data are counted for jobs that name a rack")
+{
+    region test;
+    test.add_agent("a");
+    REQUIRE(test.run_until([&] { return test.entry.usable_agents() == 1; }));
+    const auto away = [&] { return test.metrics.counter("tasks_placed_total{data=\"away\"}"); };
+    std::optional<job_answer> answer;
+    test.submit("00000000000000aa", 2, answer);
+    REQUIRE(test.run_until([&] { return answer.has_value(); }));
+    CHECK(away() == 0);
+    answer.reset();
+    test.submit("00000000000000ab", 3, answer)->request.data_rack = "other";
+    REQUIRE(test.run_until([&] { return answer.has_value(); }));
+    CHECK(answer->outcome == job_outcome::succeeded);
+    CHECK(away() == 3);
+    CHECK(test.metrics.counter("tasks_placed_total{data=\"near\"}") == 0);
+}
+
 TEST_CASE("a job is refused immediately as not run if there are no agents")
 {
     region test;
--- a/tests/auto/jobs/tst_placement_explanation.cpp
+++ b/tests/auto/jobs/tst_placement_explanation.cpp
@@ -47,7 +47,12 @@
     std::mt19937_64 generator(seed);
     std::uniform_real_distribution<double> distribution(0.0, 1.0);
     const admission_shares shares;
-    const placement_inputs inputs{agents, expected_run, now - absl::Seconds(1), shares,
+    const placement_settings settings;
+    const placement_inputs inputs{agents,
+                                  expected_run,
+                                  now - absl::Seconds(1),
+                                  shares,
+                                  settings,
                                   [](const std::string& name) {
                                       return absl::Milliseconds(static_cast<double>(name.size()));
                                   },
@@ -88,9 +93,9 @@
         std::mt19937_64 same(seed);
         std::uniform_real_distribution<double> distribution(0.0, 1.0);
         const job_timing timing = timing_of(request, expected_run, now);
-        const job_placement placement =
-            place_tasks(agents, request, make_task_time(request, timing, expected_run, now),
-                        request.task_count, {}, [&] { return distribution(same); });
+        const job_placement placement = place_tasks(
+            agents, request, make_task_time(request, timing, expected_run, now), request.task_count,
+            {}, [&] { return distribution(same); }, {}, now);
         REQUIRE(explained.placement.agents == placement.agents);
         REQUIRE(explained.placement.waits == placement.waits);
         if (placement.agents.empty()) {
--- a/tests/auto/jobs/tst_task_placement.cpp
+++ b/tests/auto/jobs/tst_task_placement.cpp
@@ -12,6 +12,7 @@
 
 namespace {
 
+const absl::Time now = absl::FromUnixSeconds(1000);
 constexpr resource_amounts capacity{64000, 262144, 0};
 const task_time payout{absl::Milliseconds(900), absl::Milliseconds(580), absl::Milliseconds(780)};
 const task_time eligibility{absl::Milliseconds(60), absl::Milliseconds(80), absl::Milliseconds(80)};
@@ -49,7 +50,8 @@
                                         const job_request& request, const task_time& time,
                                         placement_limits limits = {})
 {
-    const job_placement placement = place_tasks(agents, request, time, 1, std::move(limits), half);
+    const job_placement placement =
+        place_tasks(agents, request, time, 1, std::move(limits), half, {}, now);
     return placement.agents.empty() ? std::nullopt : std::optional(placement.agents.front());
 }
 
@@ -109,8 +111,8 @@
     std::vector<int> tasks(agents.size());
     constexpr int placements = 2000;
     for (int i = 0; i < placements; ++i) {
-        const job_placement placement =
-            place_tasks(agents, job(), eligibility, 1, {}, [&] { return uniform(generator); });
+        const job_placement placement = place_tasks(
+            agents, job(), eligibility, 1, {}, [&] { return uniform(generator); }, {}, now);
         ++tasks[placement.agents.at(0)];
     }
     const auto even = placements / static_cast<int>(agents.size());
@@ -152,8 +154,8 @@
         agents[1].interruptions_per_s = second_rate;
         int placed = 0;
         for (int i = 0; i < 1000; ++i) {
-            const job_placement placement =
-                place_tasks(agents, job(), eligibility, 1, {}, [&] { return uniform(generator); });
+            const job_placement placement = place_tasks(
+                agents, job(), eligibility, 1, {}, [&] { return uniform(generator); }, {}, now);
             placed += placement.agents.front() == 0 ? 1 : 0;
         }
         return placed;
@@ -194,7 +196,7 @@
 TEST_CASE("waiting tasks are spread over workers that are equally full")
 {
     const std::vector<agent_view> agents{agent("one", 0), agent("two", 0), agent("three", 0)};
-    const job_placement placement = place_tasks(agents, job(), payout, 6, {}, half);
+    const job_placement placement = place_tasks(agents, job(), payout, 6, {}, half, {}, now);
     REQUIRE(placement.agents.size() == 6);
     for (std::size_t position = 0; position < agents.size(); ++position) {
         CHECK(std::count(placement.agents.begin(), placement.agents.end(), position) == 2);
@@ -210,6 +212,6 @@
     job_request request = job();
     request.demand.cpu_millicores = 0;
     CHECK(choose_agent(agents, request, eligibility) == 1);
-    CHECK(place_tasks({agents.data(), 1}, request, eligibility, 1, {}, half).longest_wait >
+    CHECK(place_tasks({agents.data(), 1}, request, eligibility, 1, {}, half, {}, now).longest_wait >
           absl::ZeroDuration());
 }
