Jobs: Let later orders return, and keep the log of jobs in its own class

Change: orders 4 to 6 may be returned after a fifth of the time that is left. job_log writes the lines on jobs; active_job has its own header.

--- a/src/libs/carobfall/jobs/job_admission.h
+++ b/src/libs/carobfall/jobs/job_admission.h
@@ -31,8 +31,8 @@
 
 /// Decides whether a job is admitted whose tasks would be placed as in `placement`. Load pattern:
 /// more jobs arrive than the workers can run. `last_immediate_start`: when a job could last start
-/// at once. `shares`: decides while jobs have to be refused; the job isn't counted there. `random` is
-/// as for `admit`.
+/// at once. `shares`: decides while jobs have to be refused; the job isn't counted there. `random`
+/// is as for `admit`.
 [[nodiscard]] job_admission decide_admission(const job_request& request, const job_timing& timing,
                                              absl::Duration expected_run,
                                              const job_placement& placement,
--- a/src/libs/carobfall/jobs/job_dispatcher.cpp
+++ b/src/libs/carobfall/jobs/job_dispatcher.cpp
@@ -2,19 +2,15 @@
 
 #include "carobfall/base/boot_clock.h"
 #include "carobfall/base/spawn.h"
-#include "carobfall/base/strings.h"
 #include "carobfall/jobs/admission_record.h"
 #include "carobfall/jobs/run_bounds.h"
 #include "carobfall/jobs/task_order.h"
 #include "carobfall/jobs/task_placement.h"
 
-#include <absl/strings/str_cat.h>
-#include <absl/strings/str_join.h>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
-#include <array>
 #include <map>
 #include <optional>
 #include <utility>
@@ -62,18 +58,17 @@
     return std::any_of(job.tasks.begin(), job.tasks.end(), is_unplaced);
 }
 
-std::string_view name_of(job_outcome outcome)
-{
-    constexpr std::array<std::string_view, 4> names = {"succeeded", "failed", "not_run", "unknown"};
-    return names.at(static_cast<std::size_t>(outcome));
-}
-
 } // namespace
 
 job_dispatcher::job_dispatcher(const asio::any_io_executor& executor, entry_service& agents,
                                event_log& log, metrics_registry& metrics,
                                placement_settings settings)
-    : executor_(executor), agents_(agents), log_(log), metrics_(metrics), settings_(settings)
+    : executor_(executor),
+      agents_(agents),
+      log_(log),
+      metrics_(metrics),
+      settings_(settings),
+      job_log_(log, metrics, agents)
 {
     entry_service::hooks hooks;
     hooks.on_event = [this](const std::string& agent, const fleet::task_event& event) {
@@ -113,7 +108,7 @@
                                   absl::Duration retry_after)
 {
     job_answer answer{job_outcome::not_run, std::move(reason), retry_after};
-    log_answer(job, answer, boot_now());
+    job_log_.answered(job, answer, boot_now());
     return answer;
 }
 
@@ -140,15 +135,7 @@
     if (admission.decision.admitted) {
         return std::nullopt;
     }
-    log_fields fields("job_refused");
-    fields.add("job", job.request.id)
-        .add("wait_ms", absl::ToInt64Milliseconds(wait))
-        .add("slack_ms", absl::ToInt64Milliseconds(job.timing.start_by - now))
-        .add("queued_for_ms", absl::ToInt64Milliseconds(admission.queued_for))
-        .add("usable_agents", agents_.usable_agents())
-        .add("knowledge_ms", absl::ToInt64Milliseconds(agents_.oldest_report(now)));
-    add_shares(fields, shares_.shares(now));
-    log_.write(fields, now);
+    job_log_.refused(job, admission, wait, shares_.shares(now), now);
     return refuse(job, std::move(reason), admission.decision.retry_after);
 }
 
@@ -272,30 +259,7 @@
     if (placed.empty()) {
         return;
     }
-    const auto agent_and_count = [](std::string* text, const auto& entry) {
-        absl::StrAppend(text, entry.first, ":", entry.second);
-    };
-    const auto ordered = static_cast<std::ptrdiff_t>(next);
-    const absl::Duration wait =
-        *std::max_element(placement.waits.begin(), placement.waits.begin() + ordered);
-    log_fields fields("tasks_placed");
-    fields.add("job", job.request.id)
-        .add("agents", absl::StrJoin(placed, ",", agent_and_count))
-        .add("wait_ms", absl::ToInt64Milliseconds(wait))
-        .add("slack_ms", absl::ToInt64Milliseconds(job.timing.start_by - now))
-        .add("usable_agents", agents_.usable_agents())
-        .add("knowledge_ms", absl::ToInt64Milliseconds(agents_.oldest_report(now)));
-    if (!job.request.data_rack.empty()) {
-        const auto away = static_cast<std::size_t>(
-            std::count(placement.away.begin(), placement.away.begin() + ordered, true));
-        fields.add("near", next - away)
-            .add("away", away)
-            .add("near_full_share", placement.near_full_share)
-            .add("far_full_share", placement.far_full_share);
-        metrics_.add("tasks_placed_total{data=\"near\"}", next - away);
-        metrics_.add("tasks_placed_total{data=\"away\"}", away);
-    }
-    log_.write(fields, now);
+    job_log_.placed(job, placed, placement, next, now);
 }
 
 bool job_dispatcher::order_task(active_job& job, std::uint32_t index, const std::string& agent,
@@ -400,27 +364,11 @@
         job_task& task = job.tasks[index];
         if (task.phase == job_task_phase::lost && task.ended_by <= now) {
             task.phase = job_task_phase::unplaced;
-            log_release(job, index, now);
+            job_log_.released(job, index, now);
         }
     }
 }
 
-void job_dispatcher::log_release(const active_job& job, std::size_t index, absl::Time now)
-{
-    const job_task& task = job.tasks[index];
-    const bool agent_reported = task.ended_by == absl::InfinitePast();
-    const std::string_view evidence = agent_reported ? "agent_settled" : "time_limit";
-    log_.write(log_fields("task_released")
-                   .add("job", job.request.id)
-                   .add("task", index)
-                   .add("attempt", task.attempt)
-                   .add("agent", task.agent)
-                   .add("evidence", evidence)
-                   .add("lost_ms_ago", absl::ToInt64Milliseconds(now - task.lost_at)),
-               now);
-    metrics_.add(absl::StrCat("tasks_released_total{evidence=\"", to_absl(evidence), "\"}"));
-}
-
 void job_dispatcher::abandon(active_job& job)
 {
     job.caller_gone = true;
@@ -475,7 +423,7 @@
     job_answer answer{outcome, std::move(reason),
                       outcome == job_outcome::not_run ? absl::Seconds(1 + random())
                                                       : absl::ZeroDuration()};
-    log_answer(*job, answer, boot_now());
+    job_log_.answered(*job, answer, boot_now());
     co_return answer;
 }
 
@@ -493,24 +441,4 @@
     jobs_.erase(id);
 }
 
-void job_dispatcher::log_answer(const active_job& job, const job_answer& answer, absl::Time now)
-{
-    log_.write(log_fields("job_answered")
-                   .add("job", job.request.id)
-                   .add("route", job.request.route)
-                   .add("outcome", name_of(answer.outcome))
-                   .add("reason", answer.reason)
-                   .add("tasks", job.tasks.size())
-                   .add("declared_ms", absl::ToInt64Milliseconds(job.request.declared_run_time))
-                   .add("expected_ms", absl::ToInt64Milliseconds(job.expected_run))
-                   .add("objective_ms", absl::ToInt64Milliseconds(job.timing.objective))
-                   .add("limit_ms", absl::ToInt64Milliseconds(job.request.time_limit))
-                   .add("took_ms", absl::ToInt64Milliseconds(now - job.arrival))
-                   .add("retry_after_ms", absl::ToInt64Milliseconds(answer.retry_after)),
-               now);
-    metrics_.add(absl::StrCat("jobs_total{outcome=\"", to_absl(name_of(answer.outcome)),
-                              "\",reason=\"", answer.reason, "\"}"));
-    metrics_.distribution("job_seconds").record(absl::ToDoubleSeconds(now - job.arrival));
-}
-
 } // namespace carobfall
--- a/src/libs/carobfall/jobs/job_dispatcher.h
+++ b/src/libs/carobfall/jobs/job_dispatcher.h
@@ -1,10 +1,11 @@
 #pragma once
 
-#include "carobfall/base/async_event.h"
 #include "carobfall/base/event_log.h"
 #include "carobfall/base/histogram.h"
+#include "carobfall/jobs/active_job.h"
 #include "carobfall/jobs/admission_shares.h"
 #include "carobfall/jobs/entry_service.h"
+#include "carobfall/jobs/job_log.h"
 #include "carobfall/jobs/job_request.h"
 #include "carobfall/jobs/job_timing.h"
 #include "carobfall/jobs/placement_explanation.h"
@@ -21,52 +22,12 @@
 #include <memory>
 #include <optional>
 #include <random>
-#include <set>
 #include <string>
 #include <utility>
 #include <vector>
 
 namespace carobfall {
 
-enum class job_task_phase {
-    unplaced,
-    ordered, ///< sent to an agent, which reports the end of the task
-    lost,    ///< its agent is lost; the task may run until `ended_by`
-    done,
-    given_up,
-};
-
-struct job_task {
-    job_task_phase phase{job_task_phase::unplaced};
-    std::string agent;
-    std::uint32_t attempt{0};
-    std::uint32_t failures{0};
-    bool away{false}; ///< ordered away from the data that the job names
-    absl::Time lost_at;
-    absl::Time ended_by;
-};
-
-/// A job in progress. It is kept after its answer until all of its runs have ended.
-struct active_job {
-    active_job(const boost::asio::any_io_executor& executor, job_request job)
-        : request(std::move(job)), changed(executor)
-    {}
-
-    job_request request;
-    job_timing timing;
-    absl::Time arrival;
-    absl::Duration expected_run;
-    std::vector<job_task> tasks;
-    std::set<std::string> avoided; ///< agents where a task has failed or waited too long
-    bool may_have_run{false};      ///< a task was ordered and not returned as not run
-    bool caller_gone{false};
-    bool too_many_failures{false};
-    bool too_many_orders{false};
-    bool run_too_long{false}; ///< a worker of normal speed could not finish a task in time
-    absl::Time place_after{absl::InfinitePast()};
-    async_event changed;
-};
-
 /// Runs jobs. Places the tasks of a job on agents, and again when an agent returns them or is lost.
 /// Ends the job when its answer is known or its caller has left.
 class job_dispatcher {
@@ -112,14 +73,12 @@
                                   const job_placement& placement, std::size_t next, absl::Time now);
     void on_event(const std::string& agent, const fleet::task_event& event);
     void on_lost(const std::string& agent, absl::Time last_frame_at);
-    void log_release(const active_job& job, std::size_t index, absl::Time now);
     void on_past_runs_ended(const std::string& agent);
     boost::asio::awaitable<void> remove_when_ended(std::shared_ptr<active_job> job);
     void remove(const std::string& id);
     void release_lost_tasks(active_job& job, absl::Time now);
     [[nodiscard]] absl::Time next_check(const active_job& job) const;
     job_answer refuse(const active_job& job, std::string reason, absl::Duration retry_after);
-    void log_answer(const active_job& job, const job_answer& answer, absl::Time now);
     double random() { return distribution_(generator_); }
 
     boost::asio::any_io_executor executor_;
@@ -127,6 +86,7 @@
     event_log& log_;
     metrics_registry& metrics_;
     placement_settings settings_;
+    job_log job_log_;
     run_time_estimator run_times_;
     admission_shares shares_;
     absl::Time last_immediate_start_{absl::InfinitePast()}; ///< when a job could last start at once
--- a/src/libs/carobfall/jobs/task_order.cpp
+++ b/src/libs/carobfall/jobs/task_order.cpp
@@ -2,12 +2,18 @@
 
 #include "carobfall/jobs/run_queue.h"
 
+#include <algorithm>
+
 namespace carobfall {
 namespace {
 
-// Number of orders per task that agents may return because of a long queue. Each returned order
-// costs a round trip between machines.
+// Number of orders per task that agents may return when the queue is longer than expected. Each
+// returned order costs a round trip between machines.
 constexpr std::uint32_t returnable_orders = 3;
+// Later orders up to this one are returned only if the wait takes up much of the time that is left.
+// A task whose last order can't be returned is lost with its job if the worker becomes slow.
+constexpr std::uint32_t last_returnable_order = 6;
+constexpr double later_wait_share = 0.2;
 // A wait may exceed the worthwhile one by this time. On a full worker a run ends every 10 to 20 ms;
 // a shorter wait does not justify a round trip.
 constexpr absl::Duration wait_tolerance = absl::Milliseconds(10);
@@ -44,9 +50,13 @@
     order.set_start_by_ms(from_now(timing.start_by));
     order.set_late_start_by_ms(from_now(timing.late_start_by));
     order.set_give_up_ms(from_now(timing.give_up));
-    if (attempt <= returnable_orders) {
-        order.set_longest_wait_ms(static_cast<std::uint32_t>(
-            absl::ToInt64Milliseconds(worthwhile_wait + wait_tolerance)));
+    absl::Duration longest_wait = worthwhile_wait + wait_tolerance;
+    if (attempt > returnable_orders) {
+        longest_wait = std::max(longest_wait, later_wait_share * (timing.late_start_by - now));
+    }
+    if (attempt <= last_returnable_order) {
+        order.set_longest_wait_ms(
+            static_cast<std::uint32_t>(absl::ToInt64Milliseconds(longest_wait)));
     }
     return order;
 }
--- a/tests/auto/jobs/load_replay.h
+++ b/tests/auto/jobs/load_replay.h
@@ -56,9 +56,9 @@
     std::size_t given_up{0};
     std::size_t waited_too_long{0}; ///< given up because a task could not start in time
     std::size_t moves{0};           ///< waiting tasks that agents have returned
-    std::size_t near{0}; ///< runs in the rack of their data
+    std::size_t near{0};            ///< runs in the rack of their data
     std::size_t away{0};
-    std::size_t wide{0};            ///< jobs among the tenth with the most tasks
+    std::size_t wide{0}; ///< jobs among the tenth with the most tasks
     std::size_t wide_on_time{0};
 
     replayed_result& operator+=(const replayed_result& other);
--- a/tests/auto/jobs/tst_task_order.cpp
+++ b/tests/auto/jobs/tst_task_order.cpp
@@ -34,6 +34,16 @@
     CHECK(order_with(last_attempt, absl::ZeroDuration()).longest_wait_ms() == 0);
 }
 
+// Load pattern: a worker becomes slow while a task waits there that other agents have returned.
+// Guards against a task that can't leave the queue any more.
+TEST_CASE("later orders allow a wait of a share of the time that is left")
+{
+    const std::uint32_t first = order_with(1, absl::ZeroDuration()).longest_wait_ms();
+    const std::uint32_t later = order_with(4, absl::ZeroDuration()).longest_wait_ms();
+    CHECK(later > first);
+    CHECK(later < order_with(4, absl::ZeroDuration()).late_start_by_ms() / 2);
+}
+
 // Guards against a task that starts on a worker of another kind than the one it was placed for.
 TEST_CASE("an order states the label that the worker must have")
 {
