Agent: Count the pace of runs only when it shows a clear change

Cause: workers that are always slower by 1.8 often showed a median above the fixed limit of 2.

Change: the pace counts when it differs from the present average by a factor of 1.7, either way, and with six runs at least.

--- a/src/libs/carobfall/jobs/worker_speed.cpp
+++ b/src/libs/carobfall/jobs/worker_speed.cpp
@@ -13,7 +13,11 @@
 constexpr absl::Duration half_life = absl::Seconds(2);
 constexpr double max_slowness = 10;
 // With fewer active runs, the run times of one job could decide.
-constexpr std::size_t min_paced_runs = 4;
+constexpr std::size_t min_paced_runs = 6;
+// The median of a few runs differs from the average by less than this factor, unless the speed has
+// changed. A limit for the pace alone would count only the longer half of the runs of a worker that
+// is always slow.
+constexpr double clear_change = 1.7;
 // Weight of the pace of the active runs in one report. A worker reports several times in a tenth of
 // a second.
 constexpr double pace_weight = 0.2;
@@ -42,7 +46,8 @@
     const auto middle =
         slowness_of_runs.begin() + static_cast<std::ptrdiff_t>(slowness_of_runs.size() / 2);
     std::nth_element(slowness_of_runs.begin(), middle, slowness_of_runs.end());
-    if (*middle > slow_worker_threshold || slowness(now) > slow_worker_threshold) {
+    const double change = *middle / slowness(now);
+    if (change > clear_change || change < 1 / clear_change) {
         add_sample(*middle, pace_weight, now);
     }
 }
--- a/src/libs/carobfall/jobs/worker_speed.h
+++ b/src/libs/carobfall/jobs/worker_speed.h
@@ -22,7 +22,7 @@
     /// Records a run that has ended.
     void record(absl::Duration run, absl::Duration expected, absl::Time now);
     /// Records how much slower than expected the active runs proceed, one value per run. Only a
-    /// large deviation of most of them counts, because expected run times are inaccurate.
+    /// large change for most of them counts, because expected run times are inaccurate.
     ///
     /// Load pattern: some workers become five times slower for some seconds. Runs then end five
     /// times more rarely, so that their ends alone would show it after seconds.
