--- a/src/libs/carobfall/jobs/agent_service.cpp
+++ b/src/libs/carobfall/jobs/agent_service.cpp
@@ -244,8 +244,13 @@
 {
     const absl::Time now = boot_now();
     operators_.confirm(stamp_of(frame));
-    if (frame.has_state() && operators_.adopt(std::move(*frame.mutable_state()))) {
-        log_.write(operators_.adopted_from(link.entry_name()), now);
+    operators_.observe(stamp_of(frame), now);
+    if (frame.has_state()) {
+        metrics_.add("operator_state_bytes_total{direction=\"received\",peer=\"entry\"}",
+                     frame.state().ByteSizeLong());
+        if (operators_.adopt(std::move(*frame.mutable_state()), now)) {
+            operators_.record_adoption(link.entry_name(), log_, metrics_, now);
+        }
     }
     if (frame.entries_size() > 0) {
         add_entries({frame.entries().begin(), frame.entries().end()});
@@ -439,6 +444,7 @@
     links_.for_each_open([&](entry_link& link) {
         if (!link.permits_starts(now) && link.close()) {
             log_.write(log_fields("entry_silent").add("address", link.address()), now);
+            metrics_.add("entries_silent_total");
             ledger_.drop_session(link.session(), link.permitted_until());
         }
     });
--- a/src/libs/carobfall/jobs/entry_service.cpp
+++ b/src/libs/carobfall/jobs/entry_service.cpp
@@ -84,8 +84,13 @@
     const operator_state_stamp received = stamp_of(frame);
     peer->stamp.update(received);
     operators_.confirm(received);
-    if (frame.has_state() && operators_.adopt(std::move(*frame.mutable_state()))) {
-        log_.write(operators_.adopted_from(peer->agent), now);
+    operators_.observe(received, now);
+    if (frame.has_state()) {
+        metrics_.add("operator_state_bytes_total{direction=\"received\",peer=\"agent\"}",
+                     frame.state().ByteSizeLong());
+        if (operators_.adopt(std::move(*frame.mutable_state()), now)) {
+            operators_.record_adoption(peer->agent, log_, metrics_, now);
+        }
     }
     for (const std::string& address : frame.entries()) {
         entries_.record(address, now);
@@ -195,7 +200,7 @@
                    .add("reason", reason)
                    .add("last_heard_ms_ago", absl::ToInt64Milliseconds(now - peer->last_frame_at)),
                now);
-    metrics_.add("agents_lost_total");
+    metrics_.add(absl::StrCat("agents_lost_total{reason=\"", reason, "\"}"));
     hooks_.on_lost(agent, peer->last_frame_at);
 }
 
@@ -254,6 +259,8 @@
     set_operator_state_stamp(frame, operators_.stamp());
     if (operators_.is_update_for(peer.stamp)) {
         *frame.mutable_state() = operators_.state();
+        metrics_.add("operator_state_bytes_total{direction=\"sent\",peer=\"agent\"}",
+                     operators_.state().ByteSizeLong());
         peer.stamp = operators_.stamp();
     }
     if (peer.entries_revision_sent < entries_.revision()) {
--- a/src/libs/carobfall/jobs/operator_view.cpp
+++ b/src/libs/carobfall/jobs/operator_view.cpp
@@ -25,7 +25,7 @@
 
 } // namespace
 
-bool operator_view::adopt(fleet::operator_state state)
+bool operator_view::adopt(fleet::operator_state state, absl::Time now)
 {
     if (state.version() <= state_.version()) {
         return false;
@@ -33,10 +33,13 @@
     const std::uint64_t digest = digest_of(state);
     if (version() > 0 && digest == digest_) {
         state_.set_version(state.version());
+        update_behind();
         return false;
     }
     state_ = std::move(state);
     digest_ = digest;
+    adopted_after_ = behind_for(now);
+    update_behind();
     index_routes();
     for (const listener& changed : listeners_) {
         changed();
@@ -48,30 +51,56 @@
 {
     if (version() > 0 && peer.digest == digest_) {
         state_.set_version(std::max(version(), peer.version));
+        update_behind();
     }
 }
 
+void operator_view::observe(const operator_state_stamp& peer, absl::Time now)
+{
+    if (peer.version > version() && (version() == 0 || peer.digest != digest_)) {
+        latest_known_ = std::max(latest_known_, peer.version);
+        behind_since_ = std::min(behind_since_, now);
+    }
+}
+
+void operator_view::update_behind()
+{
+    if (version() >= latest_known_) {
+        behind_since_ = absl::InfiniteFuture();
+    }
+}
+
+absl::Duration operator_view::behind_for(absl::Time now) const
+{
+    return std::max(now - behind_since_, absl::ZeroDuration());
+}
+
 bool operator_view::is_update_for(const operator_state_stamp& peer) const
 {
     return version() > peer.version && (peer.version == 0 || peer.digest != digest_);
 }
 
-log_fields operator_view::adopted_from(std::string_view source) const
+void operator_view::record_adoption(std::string_view source, event_log& log,
+                                    metrics_registry& metrics, absl::Time now) const
 {
-    log_fields fields("operator_state");
-    fields.add("source", source)
-        .add("version", state_.version())
-        .add("configuration", state_.configuration_version())
-        .add("routes", state_.routes_size())
-        .add("data_centres_out", state_.data_centres_out_size());
-    return fields;
+    const double behind_ms = absl::ToDoubleMilliseconds(adopted_after_);
+    log.write(log_fields("operator_state")
+                  .add("source", source)
+                  .add("version", state_.version())
+                  .add("configuration", state_.configuration_version())
+                  .add("routes", state_.routes_size())
+                  .add("data_centres_out", state_.data_centres_out_size())
+                  .add("behind_ms", static_cast<std::int64_t>(behind_ms)),
+              now);
+    metrics.distribution("operator_state_behind_ms").record(behind_ms);
 }
 
-std::string operator_view::state_text() const
+std::string operator_view::state_text(absl::Time now) const
 {
-    return absl::StrCat("configuration_version ", state_.configuration_version(),
-                        "\noperator_version ", version(), "\nroutes ", state_.routes_size(),
-                        "\ndata_centres_out ", state_.data_centres_out_size(), "\n");
+    return absl::StrCat(
+        "configuration_version ", state_.configuration_version(), "\noperator_version ", version(),
+        "\nroutes ", state_.routes_size(), "\ndata_centres_out ", state_.data_centres_out_size(),
+        "\noperator_state_behind_for_ms ", absl::ToInt64Milliseconds(behind_for(now)), "\n");
 }
 
 void operator_view::index_routes()
--- a/src/libs/carobfall/jobs/operator_view.h
+++ b/src/libs/carobfall/jobs/operator_view.h
@@ -1,9 +1,11 @@
 #pragma once
 
-#include "carobfall/base/log_fields.h"
+#include "carobfall/base/event_log.h"
+#include "carobfall/base/histogram.h"
 #include "carobfall/fleet/fleet.pb.h"
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/time/time.h>
 
 #include <cstdint>
 #include <functional>
@@ -47,17 +49,24 @@
     using listener = std::function<void()>;
 
     /// Adopts a later state. Returns false if `state` is not later or has the same content.
-    bool adopt(fleet::operator_state state);
+    bool adopt(fleet::operator_state state, absl::Time now);
     /// Adopts the version of a peer if it is later and the peer holds the same content.
     void confirm(const operator_state_stamp& peer);
     /// Whether a peer with the stamp `peer` needs the state of this process. A later version with
     /// the same content is not sent: after a restart of many processes each reads another version
     /// of the store, and every process would send its version to all others.
     [[nodiscard]] bool is_update_for(const operator_state_stamp& peer) const;
-    /// Returns the fields of the log line about the last adopted state and its `source`.
-    [[nodiscard]] log_fields adopted_from(std::string_view source) const;
+    /// Records that a peer holds the state `peer`: from then on this process counts as behind until
+    /// it holds that version.
+    void observe(const operator_state_stamp& peer, absl::Time now);
+    /// For how long this process has known of a later state with other content, 0 if it knows none.
+    [[nodiscard]] absl::Duration behind_for(absl::Time now) const;
+    /// Writes the log line and records the metrics of the last adopted state, received from
+    /// `source`.
+    void record_adoption(std::string_view source, event_log& log, metrics_registry& metrics,
+                         absl::Time now) const;
     /// Returns the gauges of the operator state as text, one per line.
-    [[nodiscard]] std::string state_text() const;
+    [[nodiscard]] std::string state_text(absl::Time now) const;
     void on_change(listener changed) { listeners_.push_back(std::move(changed)); }
 
     [[nodiscard]] const fleet::operator_state& state() const { return state_; }
@@ -71,9 +80,14 @@
 
 private:
     void index_routes();
+    /// Ends the time for which this process is behind once it holds the latest known version.
+    void update_behind();
 
     fleet::operator_state state_;
     std::uint64_t digest_{0};
+    std::uint64_t latest_known_{0};                   ///< latest version that a peer has told
+    absl::Time behind_since_{absl::InfiniteFuture()}; ///< infinite: not behind
+    absl::Duration adopted_after_; ///< for how long it was behind at the last adoption
     // Positions in `state_.routes()`, longest prefix first.
     absl::flat_hash_map<std::string, std::vector<int>> routes_by_host_;
     std::vector<listener> listeners_;
--- a/src/libs/carobfall/jobs/status_sender.cpp
+++ b/src/libs/carobfall/jobs/status_sender.cpp
@@ -83,6 +83,8 @@
     set_operator_state_stamp(frame, operators_.stamp());
     if (needs_operator_state(link)) {
         *frame.mutable_state() = operators_.state();
+        metrics_.add("operator_state_bytes_total{direction=\"sent\",peer=\"entry\"}",
+                     operators_.state().ByteSizeLong());
     }
     link.send(frame, now);
 }
--- a/tests/auto/adapter/tst_placement_query.cpp
+++ b/tests/auto/adapter/tst_placement_query.cpp
@@ -38,7 +38,7 @@
         route->set_name("r-1");
         route->set_host("a.example");
         route->set_prefix("/x/");
-        operators.adopt(state);
+        operators.adopt(state, absl::UnixEpoch());
     }
 
     async_http_response post(const std::string& address, const std::string& body,
--- a/tests/auto/jobs/tst_entry_and_agent.cpp
+++ b/tests/auto/jobs/tst_entry_and_agent.cpp
@@ -289,7 +289,7 @@
     state.set_version(9);
     state.set_configuration_version(3);
     state.add_data_centres_out("mapo");
-    REQUIRE(agent.operators.adopt(state));
+    REQUIRE(agent.operators.adopt(state, boot_now()));
     REQUIRE(test.run_until([&] { return test.operators.version() == 9; }));
     CHECK(test.entry.usable_agents() == 0);
     std::optional<job_answer> answer;
--- a/tests/auto/jobs/tst_operator_view.cpp
+++ b/tests/auto/jobs/tst_operator_view.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+const absl::Time start = absl::UnixEpoch();
+
 fleet::operator_state state(std::uint64_t version)
 {
     fleet::operator_state result;
@@ -29,9 +31,9 @@
     operator_view view;
     int changes = 0;
     view.on_change([&changes] { ++changes; });
-    CHECK(view.adopt(state(7)));
-    CHECK_FALSE(view.adopt(state(7)));
-    CHECK_FALSE(view.adopt(state(3)));
+    CHECK(view.adopt(state(7), start));
+    CHECK_FALSE(view.adopt(state(7), start));
+    CHECK_FALSE(view.adopt(state(3), start));
     CHECK(view.version() == 7);
     CHECK(changes == 1);
 }
@@ -41,7 +43,7 @@
     operator_view view;
     CHECK_FALSE(view.has_configuration());
     CHECK(view.find_route("advice.example", "/a/b/1") == nullptr);
-    REQUIRE(view.adopt(state(1)));
+    REQUIRE(view.adopt(state(1), start));
     CHECK(view.find_route("advice.example", "/a/b/1")->name() == "/a/b/");
     CHECK(view.find_route("advice.example", "/a/1")->name() == "/a/");
     CHECK(view.find_route("advice.example", "/d/1") == nullptr);
@@ -53,10 +55,10 @@
     operator_view view;
     fleet::operator_state out = state(2);
     out.add_data_centres_out("guro");
-    REQUIRE(view.adopt(out));
+    REQUIRE(view.adopt(out, start));
     CHECK(view.is_out("guro"));
     CHECK_FALSE(view.is_out("mapo"));
-    REQUIRE(view.adopt(state(3)));
+    REQUIRE(view.adopt(state(3), start));
     CHECK_FALSE(view.is_out("guro"));
 }
 
@@ -68,11 +70,11 @@
     operator_view view;
     int changes = 0;
     view.on_change([&changes] { ++changes; });
-    REQUIRE(view.adopt(state(7)));
+    REQUIRE(view.adopt(state(7), start));
     const operator_state_stamp before = view.stamp();
     fleet::operator_state same = state(7);
     same.set_version(9);
-    CHECK_FALSE(view.adopt(same));
+    CHECK_FALSE(view.adopt(same, start));
     CHECK(view.version() == 9);
     CHECK(changes == 1);
     CHECK_FALSE(view.is_update_for(before));
@@ -85,13 +87,13 @@
 TEST_CASE("the later version of a peer with the same content is adopted")
 {
     operator_view view;
-    REQUIRE(view.adopt(state(7)));
+    REQUIRE(view.adopt(state(7), start));
     view.confirm({20, view.stamp().digest});
     CHECK(view.version() == 20);
-    CHECK_FALSE(view.adopt(state(15)));
+    CHECK_FALSE(view.adopt(state(15), start));
     view.confirm({30, view.stamp().digest + 1});
     CHECK(view.version() == 20);
-    CHECK(view.adopt(state(21)));
+    CHECK(view.adopt(state(21), start));
 }
 
 TEST_CASE("a process without operator state adopts no version of a peer")
@@ -100,5 +102,25 @@
     view.confirm({20, 0});
     CHECK(view.version() == 0);
     CHECK_FALSE(view.is_update_for({}));
-    CHECK(view.adopt(state(1)));
+    CHECK(view.adopt(state(1), start));
+}
+
+// Guards against operators who can't tell whether a change is in force everywhere.
+TEST_CASE("a process counts as behind from the first stamp of a later state until it holds it")
+{
+    operator_view view;
+    event_log log("entry", "mapo");
+    metrics_registry metrics;
+    REQUIRE(view.adopt(state(7), start));
+    view.observe({9, view.stamp().digest}, start);
+    CHECK(view.behind_for(start + absl::Seconds(1)) == absl::ZeroDuration());
+    view.observe({9, view.stamp().digest + 1}, start + absl::Seconds(1));
+    view.observe({12, view.stamp().digest + 2}, start + absl::Seconds(2));
+    CHECK(view.behind_for(start + absl::Seconds(3)) == absl::Seconds(2));
+    REQUIRE(view.adopt(state(9), start + absl::Seconds(3)));
+    CHECK(view.behind_for(start + absl::Seconds(3)) == absl::Seconds(2));
+    REQUIRE(view.adopt(state(12), start + absl::Seconds(4)));
+    CHECK(view.behind_for(start + absl::Seconds(5)) == absl::ZeroDuration());
+    view.record_adoption("agent", log, metrics, start + absl::Seconds(4));
+    CHECK(metrics.distribution("operator_state_behind_ms").sum() == doctest::Approx(3000));
 }
