--- a/tests/auto/jobs/tst_lost_runs.cpp
+++ b/tests/auto/jobs/tst_lost_runs.cpp
@@ -1,4 +1,5 @@
 #include "region_fixture.h"
+#include "relay.h"
 
 #include "carobfall/jobs/run_bounds.h"
 
@@ -18,64 +19,6 @@
 
 constexpr const char* job_id = "00000000000000aa";
 
-/// Forwards connections of agents to an entry, and breaks them on request.
-class relay {
-public:
-    using shared_socket = std::shared_ptr<asio::ip::tcp::socket>;
-
-    relay(asio::io_context& context, const asio::ip::tcp::endpoint& address,
-          asio::ip::tcp::endpoint entry)
-        : context_(context), acceptor_(context, address), entry_(std::move(entry))
-    {
-        asio::co_spawn(context_, accept(), asio::detached);
-    }
-
-    /// Resets the connection that was made first.
-    void reset_first()
-    {
-        for (const shared_socket& socket : {agents_.front(), entries_.front()}) {
-            boost::system::error_code ignored; // the other side may have closed it already
-            socket->close(ignored);
-        }
-    }
-
-private:
-    asio::awaitable<void> accept()
-    {
-        while (true) {
-            auto agent = std::make_shared<asio::ip::tcp::socket>(
-                co_await acceptor_.async_accept(asio::use_awaitable));
-            auto entry = std::make_shared<asio::ip::tcp::socket>(context_);
-            co_await entry->async_connect(entry_, asio::use_awaitable);
-            agents_.push_back(agent);
-            entries_.push_back(entry);
-            asio::co_spawn(context_, forward(agent, entry), asio::detached);
-            asio::co_spawn(context_, forward(entry, agent), asio::detached);
-        }
-    }
-
-    static asio::awaitable<void> forward(shared_socket from, shared_socket to)
-    {
-        std::array<char, 4096> buffer{};
-        boost::system::error_code error;
-        while (!error) {
-            const std::size_t size = co_await from->async_read_some(
-                asio::buffer(buffer), asio::redirect_error(asio::use_awaitable, error));
-            if (!error) {
-                co_await asio::async_write(*to, asio::buffer(buffer, size),
-                                           asio::redirect_error(asio::use_awaitable, error));
-            }
-        }
-        to->close(error);
-    }
-
-    asio::io_context& context_;
-    asio::ip::tcp::acceptor acceptor_;
-    const asio::ip::tcp::endpoint entry_;
-    std::vector<shared_socket> agents_;  ///< sockets to the agents, in the order of connecting
-    std::vector<shared_socket> entries_; ///< sockets to the entry
-};
-
 /// A task that runs at agent "a" while agent "b" is available for a second run.
 struct running_task {
     explicit running_task(region& test) : first(test.add_agent("a")), region_(test)
