Adapter: Let a large answer of the store arrive as long as it makes progress

Callers saw an older configuration at entries with slow links. Cause: a read of the operators' rows had 700 ms and the feed its wait and 500 ms, whatever the size of the answer. With 1,440 routes an answer has some 490 KB in base64; over 19 Mbit/s that other traffic shares it takes longer, was dropped and was requested again from the start. The logs of four small entries show store_lost problem=no_answer 1.3 s after the routes were added, with a store that answers all others.

Writes and the calls to workers keep their limits.

--- a/src/libs/carobfall/base/async_http_client.cpp
+++ b/src/libs/carobfall/base/async_http_client.cpp
@@ -5,9 +5,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/message.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <algorithm>
@@ -23,6 +21,8 @@
 // A response of the store holds at most 1 MB of rows, encoded in base64 and JSON.
 constexpr std::uint64_t max_response_bytes = 8U << 20U;
 constexpr absl::Duration connect_timeout = absl::Milliseconds(300);
+// Longest time for a response that makes progress.
+constexpr absl::Duration response_time_limit = absl::Seconds(10);
 
 } // namespace
 
@@ -48,6 +48,24 @@
     co_return true;
 }
 
+asio::awaitable<bool> async_http_client::read_response(response_parser& parser,
+                                                       absl::Duration progress_timeout)
+{
+    boost::system::error_code error;
+    if (progress_timeout == absl::ZeroDuration()) {
+        co_await http::async_read(*stream_, buffer_, parser,
+                                  asio::redirect_error(asio::use_awaitable, error));
+        co_return !error;
+    }
+    const absl::Time give_up_at = boot_now() + response_time_limit;
+    while (!error && !parser.is_done() && boot_now() < give_up_at) {
+        co_await http::async_read_some(*stream_, buffer_, parser,
+                                       asio::redirect_error(asio::use_awaitable, error));
+        stream_->expires_after(timer_duration(progress_timeout));
+    }
+    co_return !error && parser.is_done();
+}
+
 asio::awaitable<http_exchange> async_http_client::call(const http_client_request& request)
 {
     http_exchange exchange;
@@ -72,11 +90,9 @@
         stream_.reset();
         co_return exchange;
     }
-    http::response_parser<http::string_body> parser;
+    response_parser parser;
     parser.body_limit(max_response_bytes);
-    co_await http::async_read(*stream_, buffer_, parser,
-                              asio::redirect_error(asio::use_awaitable, error));
-    if (error) {
+    if (!co_await read_response(parser, request.progress_timeout)) {
         stream_.reset();
         co_return exchange;
     }
--- a/src/libs/carobfall/base/async_http_client.h
+++ b/src/libs/carobfall/base/async_http_client.h
@@ -6,6 +6,8 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/verb.hpp>
 
 #include <memory>
@@ -21,8 +23,11 @@
     boost::beast::http::verb method{boost::beast::http::verb::get};
     std::string target;
     std::vector<std::pair<std::string, std::string>> headers;
-    std::string body;       ///< JSON; empty: none
-    absl::Duration timeout; ///< for the whole call
+    std::string body; ///< JSON; empty: none
+    /// For the whole call, or, with `progress_timeout`, until its response begins.
+    absl::Duration timeout;
+    /// Longest pause within the response. Zero: no limit but `timeout`.
+    absl::Duration progress_timeout;
 };
 
 enum class exchange_result {
@@ -48,7 +53,12 @@
     boost::asio::awaitable<http_exchange> call(const http_client_request& request);
 
 private:
+    using response_parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+
     boost::asio::awaitable<bool> connect(absl::Duration timeout, http_exchange& exchange);
+    /// Reads the response. False if it did not arrive in time.
+    boost::asio::awaitable<bool> read_response(response_parser& parser,
+                                               absl::Duration progress_timeout);
 
     boost::asio::any_io_executor executor_;
     const boost::asio::ip::tcp::endpoint server_;
