Jobs, Fleet: Fetch the operator state from one peer at a time, in parts

Cause: each process pushed the whole operator state to every peer whose frames showed an older one, and remembered what it had sent on that connection only. Frames that prove life waited behind the copies, links were given up as silent after 500 ms, were made again within 50 ms, and everything was sent again. The cost grew with entries x agents x size of the configuration.

Frames still tell version and digest of the state, but the content is requested: operator_state_fetcher asks one peer for one part of 16 KiB at a time, once the store has had 250 ms to deliver the state itself; another peer with the same digest continues where a silent one stopped. operator_state_provider serves four receivers at a time and tells others to ask elsewhere.

The checks of is_update_for in tst_operator_view now ask needs of the receiving side for the same cases.

--- a/src/libs/carobfall/fleet/frame_channel.h
+++ b/src/libs/carobfall/fleet/frame_channel.h
@@ -8,6 +8,7 @@
 #include <google/protobuf/message_lite.h>
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -38,7 +39,8 @@
 
 /// Each side sends a frame at least this often. A peer that has sent no frame for some hundred
 /// milliseconds is therefore considered lost.
-inline constexpr absl::Duration link_frame_interval = absl::Milliseconds(100);
+inline constexpr std::int64_t link_frame_interval_ms = 100;
+inline constexpr absl::Duration link_frame_interval = absl::Milliseconds(link_frame_interval_ms);
 
 /// Opens a channel between an entry and an agent and writes its queued messages until the
 /// connection ends. The connection also ends if the peer vanishes without closing it.
--- a/src/libs/carobfall/jobs/agent_service.cpp
+++ b/src/libs/carobfall/jobs/agent_service.cpp
@@ -45,16 +45,19 @@
       links_(executor, identity_.name, link_hooks()),
       worker_announced_(executor),
       report_ended_(executor),
-      status_sender_(identity_, ledger_, contact_, links_, operators, log, metrics, [this] {
-          return agent_condition{accepts_orders(), reconciled_ && !ledger_.has_past_runs()};
-      })
+      status_sender_(
+          identity_, ledger_, contact_, links_, operators, log, metrics,
+          [this] {
+              return agent_condition{accepts_orders(), reconciled_ && !ledger_.has_past_runs()};
+          }),
+      state_fetcher_(operators, random_position()),
+      state_provider_(operators)
 {
     operators_.on_change([this] {
-        const absl::Time now = boot_now();
         if (operators_.is_out(identity_.data_centre)) {
             ledger_.return_waiting_tasks("data_centre_out");
         }
-        status_sender_.send_operator_state(now);
+        status_sender_.mark_changed();
     });
 }
 
@@ -243,15 +246,7 @@
 void agent_service::on_frame(entry_link& link, fleet::entry_frame& frame)
 {
     const absl::Time now = boot_now();
-    operators_.confirm(stamp_of(frame));
-    operators_.observe(stamp_of(frame), now);
-    if (frame.has_state()) {
-        metrics_.add("operator_state_bytes_total{direction=\"received\",peer=\"entry\"}",
-                     frame.state().ByteSizeLong());
-        if (operators_.adopt(std::move(*frame.mutable_state()), now)) {
-            operators_.record_adoption(link.entry_name(), log_, metrics_, now);
-        }
-    }
+    exchange_operator_state(link, frame, now);
     if (frame.entries_size() > 0) {
         add_entries({frame.entries().begin(), frame.entries().end()});
     }
@@ -268,10 +263,45 @@
     advance(now);
 }
 
+void agent_service::exchange_operator_state(entry_link& link, const fleet::entry_frame& frame,
+                                            absl::Time now)
+{
+    state_fetcher_.on_stamp(link.session(), stamp_of(frame), now);
+    if (frame.has_wanted_state()) {
+        fleet::agent_frame reply;
+        *reply.mutable_state() = state_provider_.answer(link.session(), frame.wanted_state(), now);
+        count_sent_part(reply.state(), "entry", metrics_);
+        status_sender_.send(link, reply, now);
+    }
+    if (frame.has_state()) {
+        const state_part_outcome outcome =
+            state_fetcher_.on_part(link.session(), frame.state(), now);
+        count_received_part(frame.state(), outcome, "entry", metrics_);
+        if (outcome == state_part_outcome::adopted) {
+            operators_.record_adoption(link.entry_name(), log_, metrics_, now);
+        }
+    }
+    request_operator_state(now);
+}
+
+void agent_service::request_operator_state(absl::Time now)
+{
+    const std::optional<state_fetch> fetch = state_fetcher_.next_request(now);
+    entry_link* link = fetch ? links_.find(fetch->peer) : nullptr;
+    if (link == nullptr) {
+        return;
+    }
+    fleet::agent_frame frame;
+    *frame.mutable_wanted_state() = fetch->request;
+    status_sender_.send(*link, frame, now);
+}
+
 void agent_service::on_closed(session_number session, absl::Time permitted_until)
 {
     const absl::Time now = boot_now();
     log_.write(log_fields("entry_lost").add("session", session), now);
+    state_fetcher_.on_peer_lost(session);
+    state_provider_.on_peer_lost(session);
     ledger_.drop_session(session, std::min(now, permitted_until));
     advance(now);
 }
@@ -434,6 +464,7 @@
         if (ledger_.worker() && contact_.is_silent(now)) {
             mark_worker_unreachable("worker_silent", now);
         }
+        request_operator_state(now);
         advance(now);
         log_.flush();
     }
--- a/src/libs/carobfall/jobs/agent_service.h
+++ b/src/libs/carobfall/jobs/agent_service.h
@@ -6,6 +6,8 @@
 #include "carobfall/jobs/entry_link_set.h"
 #include "carobfall/jobs/incarnation_checker.h"
 #include "carobfall/jobs/lease_obstacle.h"
+#include "carobfall/jobs/operator_state_fetcher.h"
+#include "carobfall/jobs/operator_state_provider.h"
 #include "carobfall/jobs/operator_view.h"
 #include "carobfall/jobs/process_identity.h"
 #include "carobfall/jobs/report_schedule.h"
@@ -81,6 +83,9 @@
     void on_open(entry_link& link);
     void on_frame(entry_link& link, fleet::entry_frame& frame);
     void on_closed(session_number session, absl::Time permitted_until);
+    /// Answers a request of the entry for the operator state, or takes a part of it.
+    void exchange_operator_state(entry_link& link, const fleet::entry_frame& frame, absl::Time now);
+    void request_operator_state(absl::Time now);
     /// Sends the due start and stop orders to the worker and schedules the frames to entries.
     void advance(absl::Time now);
     /// Ends links to entries that no longer permit runs. Called before each extension of the lease,
@@ -118,6 +123,8 @@
     report_schedule reports_;
     async_event report_ended_;
     status_sender status_sender_;
+    operator_state_fetcher state_fetcher_;
+    operator_state_provider state_provider_;
 
     absl::Time incarnation_heard_at_{absl::InfinitePast()}; ///< its latest report, or its start
     bool reconciled_{false};     ///< a report has shown that no run of an earlier agent is left
--- a/src/libs/carobfall/jobs/entry_link.cpp
+++ b/src/libs/carobfall/jobs/entry_link.cpp
@@ -72,10 +72,8 @@
         permitted_until_ =
             std::max(permitted_until_, absl::FromUnixMicros(frame.echo_us()) + entry_permission);
         entry_name_ = frame.entry();
-        frame_received_ = true;
         last_contact_ = boot_now();
         orders_received_ += static_cast<std::uint64_t>(frame.orders_size());
-        entry_stamp_.update(stamp_of(frame));
         hooks_.on_frame(*this, frame);
     }
 }
@@ -91,8 +89,6 @@
             const absl::Time now = boot_now();
             session_ = hooks_.new_session();
             orders_received_ = 0;
-            entry_stamp_ = {};
-            frame_received_ = false;
             description_sent_ = 0;
             last_connected_ = now;
             permitted_until_ = now + entry_permission;
@@ -123,9 +119,6 @@
         return;
     }
     frame.set_sent_us(absl::ToUnixMicros(now));
-    if (frame.has_state()) {
-        entry_stamp_ = stamp_of(frame);
-    }
     channel_->send(frame);
     last_sent_ = now;
 }
--- a/src/libs/carobfall/jobs/entry_link.h
+++ b/src/libs/carobfall/jobs/entry_link.h
@@ -2,7 +2,6 @@
 
 #include "carobfall/fleet/fleet.pb.h"
 #include "carobfall/fleet/frame_channel.h"
-#include "carobfall/jobs/operator_view.h"
 #include "carobfall/jobs/worker_ledger.h"
 
 #include <absl/time/time.h>
@@ -53,8 +52,6 @@
     /// Whether the entry may order tasks on this link; sent with each status.
     [[nodiscard]] bool takes_orders() const { return takes_orders_; }
     void set_takes_orders(bool takes_orders) { takes_orders_ = takes_orders; }
-    /// Whether the entry has sent a frame on this connection.
-    [[nodiscard]] bool has_received_frame() const { return is_open() && frame_received_; }
     [[nodiscard]] session_number session() const { return session_; }
     [[nodiscard]] const std::string& address() const { return address_; }
     [[nodiscard]] const std::string& entry_name() const { return entry_name_; }
@@ -64,8 +61,6 @@
     /// is none.
     [[nodiscard]] std::uint64_t description_sent() const { return description_sent_; }
     void set_description_sent(std::uint64_t number) { description_sent_ = number; }
-    /// Version and digest of the operator state that the entry is known to hold.
-    [[nodiscard]] const operator_state_stamp& entry_stamp() const { return entry_stamp_; }
 
 private:
     boost::asio::awaitable<bool> connect(boost::asio::ip::tcp::socket& socket);
@@ -81,8 +76,6 @@
     absl::Time last_sent_{absl::InfinitePast()};
     absl::Time last_connected_{absl::InfinitePast()};
     std::uint64_t orders_received_{0};
-    operator_state_stamp entry_stamp_;
-    bool frame_received_{false};
     std::uint64_t description_sent_{0};
     absl::Time last_contact_;
     bool takes_orders_{true};
--- a/src/libs/carobfall/jobs/entry_service.cpp
+++ b/src/libs/carobfall/jobs/entry_service.cpp
@@ -33,13 +33,12 @@
       log_(log),
       metrics_(metrics),
       table_([this](std::string_view data_centre) { return operators_.is_out(data_centre); }),
+      state_fetcher_(operators, random_position()),
+      state_provider_(operators),
       own_address_(std::move(address))
 {
     entries_.record(own_address_, boot_now());
-    operators_.on_change([this] {
-        table_.refresh();
-        post_flush();
-    });
+    operators_.on_change([this] { table_.refresh(); });
 }
 
 void entry_service::start(const asio::ip::tcp::endpoint& address)
@@ -64,6 +63,7 @@
 asio::awaitable<void> entry_service::serve(asio::ip::tcp::socket socket)
 {
     auto peer = std::make_shared<connection>();
+    peer->number = ++last_connection_;
     peer->channel = open_frame_channel(std::move(socket));
     fleet::agent_frame frame;
     while (co_await peer->channel->read(frame)) {
@@ -81,17 +81,6 @@
     const absl::Time now = boot_now();
     peer->last_frame_at = now;
     peer->echo_us = std::max(peer->echo_us, frame.sent_us());
-    const operator_state_stamp received = stamp_of(frame);
-    peer->stamp.update(received);
-    operators_.confirm(received);
-    operators_.observe(received, now);
-    if (frame.has_state()) {
-        metrics_.add("operator_state_bytes_total{direction=\"received\",peer=\"agent\"}",
-                     frame.state().ByteSizeLong());
-        if (operators_.adopt(std::move(*frame.mutable_state()), now)) {
-            operators_.record_adoption(peer->agent, log_, metrics_, now);
-        }
-    }
     for (const std::string& address : frame.entries()) {
         entries_.record(address, now);
     }
@@ -108,6 +97,44 @@
     const auto known = agents_.find(peer->agent);
     if (known != agents_.end() && known->second == peer) {
         adopt_status(*peer, frame.status());
+        exchange_operator_state(*peer, frame, now);
+    }
+}
+
+void entry_service::exchange_operator_state(connection& peer, const fleet::agent_frame& frame,
+                                            absl::Time now)
+{
+    state_fetcher_.on_stamp(peer.number, stamp_of(frame), now);
+    if (frame.has_wanted_state()) {
+        *peer.pending.mutable_state() =
+            state_provider_.answer(peer.number, frame.wanted_state(), now);
+        peer.has_pending = true;
+        count_sent_part(peer.pending.state(), "agent", metrics_);
+        post_flush();
+    }
+    if (frame.has_state()) {
+        const state_part_outcome outcome = state_fetcher_.on_part(peer.number, frame.state(), now);
+        count_received_part(frame.state(), outcome, "agent", metrics_);
+        if (outcome == state_part_outcome::adopted) {
+            operators_.record_adoption(peer.agent, log_, metrics_, now);
+        }
+    }
+    request_operator_state(now);
+}
+
+void entry_service::request_operator_state(absl::Time now)
+{
+    const std::optional<state_fetch> fetch = state_fetcher_.next_request(now);
+    if (!fetch) {
+        return;
+    }
+    const auto asked = std::find_if(agents_.begin(), agents_.end(), [&](const auto& agent) {
+        return agent.second->number == fetch->peer;
+    });
+    if (asked != agents_.end()) {
+        *asked->second->pending.mutable_wanted_state() = fetch->request;
+        asked->second->has_pending = true;
+        post_flush();
     }
 }
 
@@ -192,6 +219,8 @@
     const std::shared_ptr<connection> peer = found->second;
     agents_.erase(found);
     peer->channel->close();
+    state_fetcher_.on_peer_lost(peer->number);
+    state_provider_.on_peer_lost(peer->number);
     table_.remove(agent);
     const absl::Time now = boot_now();
     log_.write(log_fields("agent_lost")
@@ -243,8 +272,7 @@
 void entry_service::flush(absl::Time now)
 {
     for (const auto& [name, peer] : agents_) {
-        if (peer->has_pending || operators_.is_update_for(peer->stamp) ||
-            peer->entries_revision_sent < entries_.revision() ||
+        if (peer->has_pending || peer->entries_revision_sent < entries_.revision() ||
             now - peer->last_sent >= link_frame_interval) {
             send(*peer, now);
         }
@@ -257,12 +285,6 @@
     frame.set_echo_us(peer.echo_us);
     frame.set_entry(name_);
     set_operator_state_stamp(frame, operators_.stamp());
-    if (operators_.is_update_for(peer.stamp)) {
-        *frame.mutable_state() = operators_.state();
-        metrics_.add("operator_state_bytes_total{direction=\"sent\",peer=\"agent\"}",
-                     operators_.state().ByteSizeLong());
-        peer.stamp = operators_.stamp();
-    }
     if (peer.entries_revision_sent < entries_.revision()) {
         for (const std::string& address : entries_.list()) {
             frame.add_entries(address);
@@ -291,6 +313,7 @@
         for (const std::string& name : silent) {
             drop_agent(name, "silent");
         }
+        request_operator_state(now);
         flush(now);
         log_.flush();
     }
--- a/src/libs/carobfall/jobs/entry_service.h
+++ b/src/libs/carobfall/jobs/entry_service.h
@@ -6,6 +6,8 @@
 #include "carobfall/fleet/frame_channel.h"
 #include "carobfall/jobs/agent_table.h"
 #include "carobfall/jobs/entry_addresses.h"
+#include "carobfall/jobs/operator_state_fetcher.h"
+#include "carobfall/jobs/operator_state_provider.h"
 #include "carobfall/jobs/operator_view.h"
 
 #include <absl/time/time.h>
@@ -64,6 +66,7 @@
 
 private:
     struct connection {
+        peer_number number{0};
         std::shared_ptr<frame_channel> channel;
         std::string agent; ///< empty until its description arrives
         std::string incarnation;
@@ -74,7 +77,6 @@
         absl::Time last_sent{absl::InfinitePast()};
         fleet::entry_frame pending;
         bool has_pending{false};
-        operator_state_stamp stamp;             ///< operator state that the agent is known to hold
         std::uint64_t entries_revision_sent{0}; ///< of the addresses sent to the agent
     };
 
@@ -84,6 +86,9 @@
     void adopt_description(const std::shared_ptr<connection>& peer,
                            const fleet::agent_status& description, absl::Time now);
     void adopt_status(connection& peer, const fleet::agent_status& status);
+    /// Answers a request of the agent for the operator state, or takes a part of it.
+    void exchange_operator_state(connection& peer, const fleet::agent_frame& frame, absl::Time now);
+    void request_operator_state(absl::Time now);
     void drop_agent(const std::string& agent, const std::string& reason);
     void post_flush();
     void flush(absl::Time now);
@@ -97,6 +102,9 @@
     hooks hooks_;
     std::map<std::string, std::shared_ptr<connection>> agents_; ///< by name
     agent_table table_;
+    operator_state_fetcher state_fetcher_;
+    operator_state_provider state_provider_;
+    peer_number last_connection_{0};
     const std::string own_address_;
     entry_addresses entries_;
     bool flush_posted_{false};
--- a/src/libs/carobfall/jobs/operator_view.cpp
+++ b/src/libs/carobfall/jobs/operator_view.cpp
@@ -12,14 +12,11 @@
 namespace {
 
 /// Digest that is the same in all processes, unlike the hashes of Abseil.
-std::uint64_t digest_of(const fleet::operator_state& state)
+std::uint64_t digest_of(const std::string& content)
 {
-    fleet::operator_state content = state;
-    content.clear_version();
-    const std::string bytes = content.SerializeAsString();
     constexpr std::uint64_t ecma_182 = 0x42F0E1EBA9EA3693;
     boost::crc_optimal<64, ecma_182> crc;
-    crc.process_bytes(bytes.data(), bytes.size());
+    crc.process_bytes(content.data(), content.size());
     return crc.checksum();
 }
 
@@ -27,16 +24,39 @@
 
 bool operator_view::adopt(fleet::operator_state state, absl::Time now)
 {
-    if (state.version() <= state_.version()) {
+    if (state.version() <= version()) {
         return false;
     }
-    const std::uint64_t digest = digest_of(state);
+    const std::uint64_t version = state.version();
+    state.clear_version();
+    std::string content = state.SerializeAsString();
+    state.set_version(version);
+    const std::uint64_t digest = digest_of(content);
+    return replace(std::move(state), std::move(content), digest, now);
+}
+
+bool operator_view::adopt_content(const std::string& content, const operator_state_stamp& stamp,
+                                  absl::Time now)
+{
+    fleet::operator_state state;
+    if (stamp.version <= version() || digest_of(content) != stamp.digest ||
+        !state.ParseFromString(content)) {
+        return false;
+    }
+    state.set_version(stamp.version);
+    return replace(std::move(state), content, stamp.digest, now);
+}
+
+bool operator_view::replace(fleet::operator_state state, std::string content, std::uint64_t digest,
+                            absl::Time now)
+{
     if (version() > 0 && digest == digest_) {
         state_.set_version(state.version());
         update_behind();
         return false;
     }
     state_ = std::move(state);
+    content_ = std::move(content);
     digest_ = digest;
     adopted_after_ = behind_for(now);
     update_behind();
@@ -57,7 +77,7 @@
 
 void operator_view::observe(const operator_state_stamp& peer, absl::Time now)
 {
-    if (peer.version > version() && (version() == 0 || peer.digest != digest_)) {
+    if (needs(peer)) {
         latest_known_ = std::max(latest_known_, peer.version);
         behind_since_ = std::min(behind_since_, now);
     }
@@ -75,9 +95,9 @@
     return std::max(now - behind_since_, absl::ZeroDuration());
 }
 
-bool operator_view::is_update_for(const operator_state_stamp& peer) const
+bool operator_view::needs(const operator_state_stamp& peer) const
 {
-    return version() > peer.version && (peer.version == 0 || peer.digest != digest_);
+    return peer.version > version() && (version() == 0 || peer.digest != digest_);
 }
 
 void operator_view::record_adoption(std::string_view source, event_log& log,
--- a/src/libs/carobfall/jobs/operator_view.h
+++ b/src/libs/carobfall/jobs/operator_view.h
@@ -19,14 +19,6 @@
 struct operator_state_stamp {
     std::uint64_t version{0}; ///< version of the store when the state was read
     std::uint64_t digest{0};  ///< of the content; a later version may have the same content
-
-    /// Replaces this stamp by one received from the process if the received version is later.
-    void update(const operator_state_stamp& received)
-    {
-        if (received.version > version) {
-            *this = received;
-        }
-    }
 };
 
 template <typename Frame>
@@ -50,12 +42,16 @@
 
     /// Adopts a later state. Returns false if `state` is not later or has the same content.
     bool adopt(fleet::operator_state state, absl::Time now);
+    /// Adopts the state of a peer with this stamp, from its `content`. Returns false also if the
+    /// content is damaged.
+    bool adopt_content(const std::string& content, const operator_state_stamp& stamp,
+                       absl::Time now);
     /// Adopts the version of a peer if it is later and the peer holds the same content.
     void confirm(const operator_state_stamp& peer);
-    /// Whether a peer with the stamp `peer` needs the state of this process. A later version with
-    /// the same content is not sent: after a restart of many processes each reads another version
-    /// of the store, and every process would send its version to all others.
-    [[nodiscard]] bool is_update_for(const operator_state_stamp& peer) const;
+    /// Whether this process needs the state of a peer with the stamp `peer`. A later version with
+    /// the same content is not needed: after a restart of many processes each reads another version
+    /// of the store, and every process would request the versions of all others.
+    [[nodiscard]] bool needs(const operator_state_stamp& peer) const;
     /// Records that a peer holds the state `peer`: from then on this process counts as behind until
     /// it holds that version.
     void observe(const operator_state_stamp& peer, absl::Time now);
@@ -70,6 +66,8 @@
     void on_change(listener changed) { listeners_.push_back(std::move(changed)); }
 
     [[nodiscard]] const fleet::operator_state& state() const { return state_; }
+    /// The state in serialized form, without the version.
+    [[nodiscard]] const std::string& content() const { return content_; }
     [[nodiscard]] std::uint64_t version() const { return state_.version(); }
     [[nodiscard]] operator_state_stamp stamp() const { return {state_.version(), digest_}; }
     [[nodiscard]] bool has_configuration() const { return state_.configuration_version() > 0; }
@@ -79,11 +77,14 @@
                                                  std::string_view path) const;
 
 private:
+    bool replace(fleet::operator_state state, std::string content, std::uint64_t digest,
+                 absl::Time now);
     void index_routes();
     /// Ends the time for which this process is behind once it holds the latest known version.
     void update_behind();
 
     fleet::operator_state state_;
+    std::string content_;
     std::uint64_t digest_{0};
     std::uint64_t latest_known_{0};                   ///< latest version that a peer has told
     absl::Time behind_since_{absl::InfiniteFuture()}; ///< infinite: not behind
--- a/src/libs/carobfall/jobs/status_sender.cpp
+++ b/src/libs/carobfall/jobs/status_sender.cpp
@@ -72,33 +72,13 @@
         static_cast<std::uint32_t>(contact_.interruptions_per_s(now) * 1000));
 }
 
-bool status_sender::needs_operator_state(const entry_link& link) const
-{
-    return link.has_received_frame() && operators_.is_update_for(link.entry_stamp());
-}
-
 void status_sender::send(entry_link& link, fleet::agent_frame& frame, absl::Time now)
 {
     fill_status(*frame.mutable_status(), link, now);
     set_operator_state_stamp(frame, operators_.stamp());
-    if (needs_operator_state(link)) {
-        *frame.mutable_state() = operators_.state();
-        metrics_.add("operator_state_bytes_total{direction=\"sent\",peer=\"entry\"}",
-                     operators_.state().ByteSizeLong());
-    }
     link.send(frame, now);
 }
 
-void status_sender::send_operator_state(absl::Time now)
-{
-    links_.for_each_open([&](entry_link& link) {
-        if (needs_operator_state(link)) {
-            fleet::agent_frame frame;
-            send(link, frame, now);
-        }
-    });
-}
-
 void status_sender::log_event(const session_event& event, absl::Time now)
 {
     log_.write(log_fields("task_ended")
--- a/src/libs/carobfall/jobs/status_sender.h
+++ b/src/libs/carobfall/jobs/status_sender.h
@@ -24,8 +24,8 @@
     bool operator==(const agent_condition&) const = default;
 };
 
-/// Sends the state of an agent to entries: the ends of tasks at once, room and condition after a
-/// change and at intervals, and the operator state to entries that don't hold it.
+/// Sends the state of an agent to entries: the ends of tasks at once, and room and condition after
+/// a change and at intervals.
 class status_sender {
 public:
     /// `condition`: called for each status; returns the current condition of the agent.
@@ -39,8 +39,6 @@
     void mark_changed() { changed_ = true; }
     /// Sends the status on one link, together with the rest of the frame.
     void send(entry_link& link, fleet::agent_frame& frame, absl::Time now);
-    /// Sends the operator state to entries that don't hold it.
-    void send_operator_state(absl::Time now);
     /// Sends the ends of tasks and every status that is due.
     void send_due(absl::Time now);
 
@@ -48,8 +46,6 @@
     /// Shortest interval at which a changed status is sent to entries without events.
     [[nodiscard]] absl::Duration status_interval() const;
     void fill_status(fleet::agent_status& status, entry_link& link, absl::Time now) const;
-    /// Whether the entry needs the operator state that this agent holds.
-    [[nodiscard]] bool needs_operator_state(const entry_link& link) const;
     void log_event(const session_event& event, absl::Time now);
     void log_decision(const ledger_decision& decision, absl::Time now);
 
--- a/tests/auto/jobs/tst_operator_view.cpp
+++ b/tests/auto/jobs/tst_operator_view.cpp
@@ -65,7 +65,7 @@
 // Guards against a flood of frames after a restart of all processes: each reads the store at
 // another version, and 100 of them passed on 2,100 states in the first second, which overloaded
 // small entries.
-TEST_CASE("a later version with the same content is not reported as a change nor sent to peers")
+TEST_CASE("a later version with the same content is not reported as a change nor needed by peers")
 {
     operator_view view;
     int changes = 0;
@@ -77,9 +77,16 @@
     CHECK_FALSE(view.adopt(same, start));
     CHECK(view.version() == 9);
     CHECK(changes == 1);
-    CHECK_FALSE(view.is_update_for(before));
-    CHECK(view.is_update_for({}));
-    CHECK(view.is_update_for({7, before.digest + 1}));
+    operator_view peer;
+    CHECK(peer.needs(view.stamp()));
+    REQUIRE(peer.adopt(state(7), start));
+    CHECK(peer.stamp().digest == before.digest);
+    CHECK_FALSE(peer.needs(view.stamp()));
+    fleet::operator_state other = state(7);
+    other.set_configuration_version(8);
+    operator_view differing_peer;
+    REQUIRE(differing_peer.adopt(other, start));
+    CHECK(differing_peer.needs(view.stamp()));
 }
 
 // Guards against an operator state that reverts: a process that receives no later reads would keep
@@ -101,7 +108,8 @@
     operator_view view;
     view.confirm({20, 0});
     CHECK(view.version() == 0);
-    CHECK_FALSE(view.is_update_for({}));
+    operator_view peer;
+    CHECK_FALSE(peer.needs(view.stamp()));
     CHECK(view.adopt(state(1), start));
 }
 
