--- a/tests/auto/adapter/tst_odd_documents.cpp
+++ b/tests/auto/adapter/tst_odd_documents.cpp
@@ -1,6 +1,7 @@
+#include "decoded_rows.h"
+
 #include "platform/job_server.h"
 #include "platform/json_fields.h"
-#include "platform/operator_state_reader.h"
 #include "platform/worker_announcement_store.h"
 #include "platform/worker_client.h"
 #include "platform/worker_listener.h"
@@ -15,6 +16,7 @@
 
 using namespace carobfall;
 using namespace carobfall::platform;
+using namespace carobfall::platform::test;
 using nlohmann::json;
 
 // Documents of other writers: numbers beyond the range of their type, deep nesting, odd bytes.
--- a/tests/auto/adapter/tst_operator_rows.cpp
+++ b/tests/auto/adapter/tst_operator_rows.cpp
@@ -1,4 +1,4 @@
-#include "platform/operator_state_reader.h"
+#include "decoded_rows.h"
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
@@ -8,6 +8,7 @@
 
 using namespace carobfall;
 using namespace carobfall::platform;
+using namespace carobfall::platform::test;
 
 namespace {
 
