--- a/tests/auto/adapter/tst_withheld_changes.cpp
+++ b/tests/auto/adapter/tst_withheld_changes.cpp
@@ -129,6 +129,29 @@
 
 } // namespace
 
+// Guards against peers that take the earlier configuration of a process that can't read the latest
+// one, for example because it is of an earlier version, for the later one.
+TEST_CASE("an unreadable configuration does not replace the one of a peer that could read it")
+{
+    test::reader_fixture<forgetful_store> test;
+    test.store.put_configuration(1);
+    test.start(absl::Milliseconds(100));
+    REQUIRE(test.run_until_configuration(1));
+    test.store.put("config", "{");
+    test.run_for(absl::Milliseconds(300));
+    fleet::operator_state of_peer;
+    of_peer.set_version(test.store.version());
+    of_peer.set_configuration_version(2);
+    CHECK(test.view.state().configuration_version() == 1);
+    CHECK(test.view.adopt(of_peer, boot_now()));
+    test.store.put("evacuate/guro", "{}");
+    CHECK(test.run_until([&] { return test.view.is_out("guro"); }, absl::Seconds(3)));
+    CHECK(test.view.state().configuration_version() == 2);
+    test.store.put_configuration(3);
+    CHECK(test.run_until_configuration(3));
+    CHECK(test.view.is_out("guro"));
+}
+
 TEST_CASE("a change that the feed withholds until it drops its history is read")
 {
     withheld_changes_fixture test;
