--- a/tests/process/platform_case.py
+++ b/tests/process/platform_case.py
@@ -42,6 +42,7 @@
 class PlatformCase(unittest.TestCase):
     store_type = Store
     seed_ip = "127.0.1.1"
+    entry_count, agent_count = ENTRIES, AGENTS
 
     def prepare(self):
         """Hook that runs after the stand-ins have started and before the programs start."""
@@ -49,23 +50,23 @@
     def setUp(self):
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="carobfall-platform-"))
         self.processes, self.workers = {}, []
-        ports = iter(free_ports(2 + ENTRIES * 3 + AGENTS * 2))
+        ports = iter(free_ports(2 + self.entry_count * 3 + self.agent_count * 2))
         self.link_port = next(ports)
         self.store = self.store_type(("127.0.0.1", next(ports)))
         self.store.put("op", "config", configuration(3, ["/check/"]))
         self.settings = {}
         self.entries = []
-        for i in range(ENTRIES):
+        for i in range(self.entry_count):
             name, ip = "entry-%d" % i, "127.0.1.%d" % (i + 1)
             front, ready, control = next(ports), next(ports), next(ports)
             self.entries.append((ip, front))
-            self.settings[name] = self.common(name, ip, ("mapo", "guro")[i]) | {
+            self.settings[name] = self.common(name, ip, ("mapo", "guro")[i % 2]) | {
                 "listen_addrs": {"front": "%s:%d" % (ip, front), "ready": "%s:%d" % (ip, ready),
                                  "control": "%s:%d" % (ip, control)}}
-        for i in range(AGENTS):
+        for i in range(self.agent_count):
             name, ip = "agent-%d" % i, "127.0.2.%d" % (i + 1)
             control, app = next(ports), next(ports)
-            zone = ("mapo", "guro", "guro")[i]
+            zone = ("mapo", "guro", "guro")[i % 3]
             self.settings[name] = self.common(name, ip, zone) | {
                 "listen_addrs": {"control": "%s:%d" % (ip, control)}, "app": "%s:%d" % (ip, app)}
             self.workers.append(Worker((ip, app), (ip, control), zone))
@@ -75,7 +76,7 @@
         self.addCleanup(self.clean_up)
         for entry in self.entries:
             self.wait_for(lambda e=entry: self.submit("%016x" % 1, e)[0] == 200, "entry serves")
-        self.wait_for(lambda: self.used_workers() == AGENTS, "tasks run on every worker")
+        self.wait_for(lambda: self.used_workers() == self.agent_count, "tasks run on every worker")
 
     def common(self, name, ip, zone):
         return {"node_name": name, "ip": ip, "zone": zone,
