Base: Count the time limit of a response from its first bytes

The limit of 10 s for a response that makes progress counted from the call. A feed call waits up to 7 s for a change, so that an agent had only 3 s left to read a large answer. The two cases of slow_store_answers pass.

--- a/src/libs/carobfall/base/async_http_client.cpp
+++ b/src/libs/carobfall/base/async_http_client.cpp
@@ -21,7 +21,7 @@
 // A response of the store holds at most 1 MB of rows, encoded in base64 and JSON.
 constexpr std::uint64_t max_response_bytes = 8U << 20U;
 constexpr absl::Duration connect_timeout = absl::Milliseconds(300);
-// Longest time for a response that makes progress.
+// Longest time for the rest of a response that makes progress.
 constexpr absl::Duration response_time_limit = absl::Seconds(10);
 
 } // namespace
@@ -57,10 +57,12 @@
                                   asio::redirect_error(asio::use_awaitable, error));
         co_return !error;
     }
-    const absl::Time give_up_at = boot_now() + response_time_limit;
+    absl::Time give_up_at = absl::InfiniteFuture();
     while (!error && !parser.is_done() && boot_now() < give_up_at) {
         co_await http::async_read_some(*stream_, buffer_, parser,
                                        asio::redirect_error(asio::use_awaitable, error));
+        // The time for the response counts from its first bytes: a feed call waits for them.
+        give_up_at = std::min(give_up_at, boot_now() + response_time_limit);
         stream_->expires_after(timer_duration(progress_timeout));
     }
     co_return !error && parser.is_done();
