Jobs: Pause before the next request after a refused part

While all peers of a process serve others, it asked each of them in turn at the pace of their frames: with 70 agents up to some thousand requests a second, on the smallest links. It now pauses 20 ms after a refusal or a malformed part. A refusal is a field of its own: a state without content, before the first configuration, was taken for one and requested without end. The peers that hold a later state are looked through only when a request is due, not for each frame.

--- a/src/libs/carobfall/jobs/operator_state_fetcher.cpp
+++ b/src/libs/carobfall/jobs/operator_state_fetcher.cpp
@@ -92,11 +92,15 @@
 
 std::optional<state_fetch> operator_state_fetcher::next_request(absl::Time now)
 {
-    std::erase_if(sources_, [this](const auto& source) { return !view_.needs(source.second); });
-    if (awaits_part_ && now - asked_at_ >= state_part_timeout) {
+    const bool is_waiting = awaits_part_ && now - asked_at_ < state_part_timeout;
+    if (is_waiting || now < next_request_at_ || view_.behind_for(now) < store_precedence) {
+        return std::nullopt;
+    }
+    if (awaits_part_) {
         on_peer_lost(asked_peer_); // it becomes a source again with its next frame
     }
-    if (sources_.empty() || awaits_part_ || view_.behind_for(now) < store_precedence) {
+    std::erase_if(sources_, [this](const auto& source) { return !view_.needs(source.second); });
+    if (sources_.empty()) {
         return std::nullopt;
     }
     asked_peer_ = select_source();
@@ -122,13 +126,14 @@
         sources_[peer] = {part.version(), part.digest()};
     } else if (outcome != state_part_outcome::adopted) {
         on_peer_lost(peer);
+        next_request_at_ = now + state_retry_pause;
     }
     return outcome;
 }
 
 state_part_outcome operator_state_fetcher::store(const fleet::state_part& part, absl::Time now)
 {
-    if (part.size() == 0) {
+    if (part.refused()) {
         return state_part_outcome::refused;
     }
     if (!view_.needs({part.version(), part.digest()})) {
@@ -136,8 +141,9 @@
     }
     select_state(part.digest());
     const std::size_t size = content_.size() + part.content().size();
-    if (part.size() > max_state_bytes || part.offset() != content_.size() ||
-        part.content().empty() || size > part.size()) {
+    const bool is_empty = part.content().empty() && part.size() > 0;
+    if (part.size() > max_state_bytes || part.offset() != content_.size() || is_empty ||
+        size > part.size()) {
         return state_part_outcome::malformed;
     }
     content_ += part.content();
--- a/src/libs/carobfall/jobs/operator_state_fetcher.h
+++ b/src/libs/carobfall/jobs/operator_state_fetcher.h
@@ -68,6 +68,7 @@
     peer_number asked_peer_{0};
     absl::Time asked_at_;
     bool awaits_part_{false};
+    absl::Time next_request_at_{absl::InfinitePast()};
     std::uint64_t digest_{0}; ///< of the state that `content_` is the beginning of
     std::string content_;
 };
--- a/src/libs/carobfall/jobs/operator_state_provider.cpp
+++ b/src/libs/carobfall/jobs/operator_state_provider.cpp
@@ -30,6 +30,7 @@
     const std::size_t offset = continues ? request.offset() : 0;
     part.set_offset(static_cast<std::uint32_t>(offset));
     if (!admit(peer, now)) {
+        part.set_refused(true);
         return part;
     }
     part.set_size(static_cast<std::uint32_t>(content.size()));
--- a/src/libs/carobfall/jobs/state_transfer_bounds.h
+++ b/src/libs/carobfall/jobs/state_transfer_bounds.h
@@ -23,6 +23,8 @@
 inline constexpr std::int64_t max_state_receivers = 4;
 /// A peer that sends no part for this long is replaced by another one.
 inline constexpr std::int64_t state_part_timeout_ms = 300;
+/// Pause after a peer has refused to send a part. Limits the requests while all peers refuse.
+inline constexpr std::int64_t state_retry_pause_ms = 20;
 /// Time after the first sign of a later state in which only the store may deliver it. In normal
 /// operation each process reads it from the store.
 inline constexpr std::int64_t store_precedence_ms = 250;
@@ -56,6 +58,7 @@
 }
 
 inline constexpr absl::Duration state_part_timeout = absl::Milliseconds(state_part_timeout_ms);
+inline constexpr absl::Duration state_retry_pause = absl::Milliseconds(state_retry_pause_ms);
 inline constexpr absl::Duration store_precedence = absl::Milliseconds(store_precedence_ms);
 
 static_assert(slowest_part_ms < state_part_timeout_ms);
