Tests: Give each process test addresses of its own

Cause: all tests of the programs of platform/ used 127.0.1.N and 127.0.2.N, with ports that the kernel had chosen on 127.0.0.1 and that were free again until the programs started; two deployments with 35 ports each have one in common in about 4 of 100 pairs, worked out from 28,232 ports.

Each test process now has networks of its own in 127.100.0.0 to 127.239.249.0, drawn from its process id. The logs of the first failure were not kept, so that its cause is inferred from the symptom. process_platform_path (12 cases) passes beside process_lost_runs.

--- a/tests/process/platform_case.py
+++ b/tests/process/platform_case.py
@@ -10,7 +10,7 @@
 import unittest
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "standins" / "fleet"))
-from peers import Store, Worker, send  # noqa: E402
+from peers import AGENT_NET, ENTRY_NET, Store, Worker, send  # noqa: E402
 
 BUILD = pathlib.Path(os.environ["CAROBFALL_BUILD"]) / "platform"
 HOST = "advice.example"
@@ -41,7 +41,7 @@
 
 class PlatformCase(unittest.TestCase):
     store_type = Store
-    seed_ip = "127.0.1.1"
+    seed_ip = ENTRY_NET + "1"
     entry_count, agent_count = ENTRIES, AGENTS
 
     def prepare(self):
@@ -57,14 +57,14 @@
         self.settings = {}
         self.entries = []
         for i in range(self.entry_count):
-            name, ip = "entry-%d" % i, "127.0.1.%d" % (i + 1)
+            name, ip = "entry-%d" % i, ENTRY_NET + str(i + 1)
             front, ready, control = next(ports), next(ports), next(ports)
             self.entries.append((ip, front))
             self.settings[name] = self.common(name, ip, ("mapo", "guro")[i % 2]) | {
                 "listen_addrs": {"front": "%s:%d" % (ip, front), "ready": "%s:%d" % (ip, ready),
                                  "control": "%s:%d" % (ip, control)}}
         for i in range(self.agent_count):
-            name, ip = "agent-%d" % i, "127.0.2.%d" % (i + 1)
+            name, ip = "agent-%d" % i, AGENT_NET + str(i + 1)
             control, app = next(ports), next(ports)
             zone = ("mapo", "guro", "guro")[i % 3]
             self.settings[name] = self.common(name, ip, zone) | {
--- a/tests/process/test_lost_runs.py
+++ b/tests/process/test_lost_runs.py
@@ -13,7 +13,8 @@
 import unittest
 
 from platform_case import AGENTS, ENTRIES, HOST, PlatformCase, send
-from relay import ENTRY_NET, RELAY_NET, Relay, RelayStore
+from peers import ENTRY_NET, RELAY_NET
+from relay import Relay, RelayStore
 
 SEED = int(os.environ.get("CAROBFALL_SEED", "14"))
 RANDOM_SECONDS = float(os.environ.get("CAROBFALL_RANDOM_SECONDS", "16"))
--- a/tests/standins/fleet/peers.py
+++ b/tests/standins/fleet/peers.py
@@ -6,6 +6,7 @@
 import base64
 import http.client
 import json
+import os
 import random
 import socket
 import sys
@@ -15,6 +16,19 @@
 from urllib.parse import parse_qs, urlsplit
 
 
+def network(first):
+    """Prefix of loopback addresses for this test process: 127.FIRST.x to 127.(FIRST + 39).x.
+
+    Tests run side by side, and their ports, which the kernel chooses, may be the same.
+    """
+    slot, last = divmod(os.getpid() % 10000, 250)
+    return "127.%d.%d." % (first + slot, last)
+
+
+# Of the same length, since `Relay` replaces one by the other within frames.
+ENTRY_NET, RELAY_NET, AGENT_NET = network(100), network(150), network(200)
+
+
 class JsonHandler(BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
     disable_nagle_algorithm = True
--- a/tests/standins/fleet/relay.py
+++ b/tests/standins/fleet/relay.py
@@ -4,9 +4,7 @@
 import struct
 import threading
 
-from peers import Store
-
-ENTRY_NET, RELAY_NET = "127.0.1.", "127.0.3."
+from peers import ENTRY_NET, RELAY_NET, Store
 
 
 class RelayStore(Store):
