Jobs: Let a process without a state fetch its first one sooner

An entry that restarts while the store refuses it got its first configuration from the first agent that connected. Since it waits 250 ms for the store, it refused callers (no_configuration) for that long. A process without any state now waits 100 ms: the store delivers a large state to all but the slowest links within that time. Found by reading; the bound of a relayed change is unaffected. Guarded by a case of tst_operator_state_fetcher, whose fixture now starts with an earlier state.

--- a/src/libs/carobfall/jobs/operator_state_fetcher.cpp
+++ b/src/libs/carobfall/jobs/operator_state_fetcher.cpp
@@ -93,7 +93,9 @@
 std::optional<state_fetch> operator_state_fetcher::next_request(absl::Time now)
 {
     const bool is_waiting = awaits_part_ && now - asked_at_ < state_part_timeout;
-    if (is_waiting || now < next_request_at_ || view_.behind_for(now) < store_precedence) {
+    const absl::Duration precedence =
+        view_.version() == 0 ? first_state_precedence : store_precedence;
+    if (is_waiting || now < next_request_at_ || view_.behind_for(now) < precedence) {
         return std::nullopt;
     }
     if (awaits_part_) {
--- a/src/libs/carobfall/jobs/state_transfer_bounds.h
+++ b/src/libs/carobfall/jobs/state_transfer_bounds.h
@@ -28,6 +28,8 @@
 /// Time after the first sign of a later state in which only the store may deliver it. In normal
 /// operation each process reads it from the store.
 inline constexpr std::int64_t store_precedence_ms = 250;
+/// The same time for a process that holds no state yet. Until then it serves nobody.
+inline constexpr std::int64_t first_state_precedence_ms = 100;
 /// Largest state in bytes that a process accepts.
 inline constexpr std::int64_t max_state_bytes = 4 << 20;
 
@@ -60,6 +62,8 @@
 inline constexpr absl::Duration state_part_timeout = absl::Milliseconds(state_part_timeout_ms);
 inline constexpr absl::Duration state_retry_pause = absl::Milliseconds(state_retry_pause_ms);
 inline constexpr absl::Duration store_precedence = absl::Milliseconds(store_precedence_ms);
+inline constexpr absl::Duration first_state_precedence =
+    absl::Milliseconds(first_state_precedence_ms);
 
 static_assert(slowest_part_ms < state_part_timeout_ms);
 static_assert(slowest_relay_ms(large_state_bytes) < configuration_apply_ms);
--- a/tests/auto/jobs/tst_operator_state_fetcher.cpp
+++ b/tests/auto/jobs/tst_operator_state_fetcher.cpp
@@ -33,7 +33,10 @@
     operator_state_provider provider{view};
 };
 
+/// A process that holds an earlier state.
 struct fetcher_fixture {
+    fetcher_fixture() { REQUIRE(view.adopt(state(1, 1), start)); }
+
     /// Sends requests to the holder until there is none. Returns their number.
     int fetch_all(holder& peer, absl::Time now)
     {
@@ -67,6 +70,17 @@
     CHECK(test.view.state().routes_size() == 1000);
 }
 
+// Guards against callers that are refused longer than necessary after a restart without the store.
+TEST_CASE("a process without a state leaves the store less time to deliver the first one")
+{
+    operator_view view;
+    operator_state_fetcher fetcher(view, [](std::size_t) { return 0; });
+    const holder peer(state(7));
+    fetcher.on_stamp(1, peer.view.stamp(), start);
+    CHECK_FALSE(fetcher.next_request(start + first_state_precedence - absl::Milliseconds(1)));
+    CHECK(fetcher.next_request(start + first_state_precedence));
+}
+
 TEST_CASE("nothing is fetched once the store has delivered the state")
 {
     fetcher_fixture test;
@@ -194,7 +208,7 @@
         expected = state_part_outcome::outdated;
     }
     CHECK(test.fetcher.on_part(1, part, store_late) == expected);
-    CHECK(test.view.version() == 0);
+    CHECK(test.view.version() == 1);
     const absl::Time retry_at = store_late + state_retry_pause;
     const auto next = test.fetcher.next_request(retry_at);
     REQUIRE(next);
