--- a/src/libs/carobfall/jobs/operator_state_fetcher.cpp
+++ b/src/libs/carobfall/jobs/operator_state_fetcher.cpp
@@ -123,7 +123,7 @@
         return state_part_outcome::unexpected;
     }
     awaits_part_ = false;
-    const state_part_outcome outcome = store(part, now);
+    const state_part_outcome outcome = append(part, now);
     if (outcome == state_part_outcome::stored) {
         sources_[peer] = {part.version(), part.digest()};
     } else if (outcome != state_part_outcome::adopted) {
@@ -133,7 +133,7 @@
     return outcome;
 }
 
-state_part_outcome operator_state_fetcher::store(const fleet::state_part& part, absl::Time now)
+state_part_outcome operator_state_fetcher::append(const fleet::state_part& part, absl::Time now)
 {
     if (part.refused()) {
         return state_part_outcome::refused;
--- a/src/libs/carobfall/jobs/operator_state_fetcher.h
+++ b/src/libs/carobfall/jobs/operator_state_fetcher.h
@@ -60,7 +60,8 @@
     [[nodiscard]] peer_number select_source() const;
     /// Continues with the state that has this digest.
     void select_state(std::uint64_t digest);
-    [[nodiscard]] state_part_outcome store(const fleet::state_part& part, absl::Time now);
+    /// Appends the part to `content_`, and adopts the state after its last part.
+    [[nodiscard]] state_part_outcome append(const fleet::state_part& part, absl::Time now);
 
     operator_view& view_;
     const position_source choose_;
