--- a/review/standins-3/deployment.py
+++ b/review/standins-3/deployment.py
@@ -23,7 +23,7 @@
 
 PROGRAMS = REPOSITORY / "target" / "platform"
 HOST = "nony24.example"
-PREFIX = "/lohu930/"
+PREFIX, OTHER_PREFIX = "/lohu930/", "/pule252/"
 SERVICE = "adviser"  # the stand-in workers announce this service
 ZONE = "gangnam-hall"
 BOUNDS = {"contact_ms": 3000, "ack_ms": 4000, "drain_ms": 2000, "grace_s": 6, "loss_slack_ms": 200,
@@ -34,6 +34,16 @@
 BROKEN, HELD, NOT_RUN = 1, 0, 2
 
 
+class TimedStore(Store):
+    """The stand-in store with the answer time of the site: "4 ms an answer"."""
+
+    ANSWER_S = 0.004
+
+    def read(self, query):
+        time.sleep(self.ANSWER_S)
+        return super().read(query)
+
+
 class CaseError(Exception):
     """The case could not run."""
 
@@ -48,14 +58,15 @@
     return ports
 
 
-def configuration(version, timeout_ms):
-    route = {"name": "r-wrr6x73", "host": HOST, "prefix": PREFIX, "type": "non_idempotent",
-             "timeout_ms": timeout_ms, "target_completion_ms": 60, "priority": 0,
-             "service": SERVICE, "max_attempts": 3, "slack_factor": 1.6}
+def configuration(version, timeout_ms, prefixes=(PREFIX, OTHER_PREFIX)):
+    routes = [{"name": "r" + prefix.strip("/"), "host": HOST, "prefix": prefix,
+               "type": "non_idempotent", "timeout_ms": timeout_ms, "target_completion_ms": 60,
+               "priority": 0, "service": SERVICE, "max_attempts": 3, "slack_factor": 1.6}
+              for prefix in prefixes]
     service = {"name": SERVICE, "health_check_path": "/health", "max_connections": 64,
                "protocol": "h1", "tls": False, "cold_start_s": 0.0, "cold_per_s": 0.0,
                "enforces_capacity": True, "standby": False}
-    return json.dumps({"version": version, "routes": [route], "services": [service],
+    return json.dumps({"version": version, "routes": routes, "services": [service],
                        "limits": {"max_header_bytes": 16384, "max_body_bytes": 262144,
                                   "header_timeout_ms": 3000, "idle_timeout_ms": 15000}})
 
@@ -70,7 +81,7 @@
         ports = iter(free_ports(3 + entries * 3 + agents * 2))
         self.link_port = next(ports)
         next(ports)
-        self.store = Store(("127.0.0.1", next(ports)))
+        self.store = TimedStore(("127.0.0.1", next(ports)))
         self.store.put("op", "config", configuration(7, timeout_ms))
         for i in range(entries):
             name, ip = "edge-%s-%d" % (ZONE, i + 1), ENTRY_NET + str(i + 1)
@@ -108,9 +119,14 @@
     def at(self, monotonic):
         return monotonic - self.begun
 
-    def start(self, name):
+    def write_settings(self, name):
         path = self.directory / (name + ".json")
-        path.write_text(json.dumps(self.settings[name]))
+        path.with_suffix(".new").write_text(json.dumps(self.settings[name]))
+        path.with_suffix(".new").replace(path)
+        return path
+
+    def start(self, name):
+        path = self.write_settings(name)
         role = "entry" if name.startswith("edge") else "agent"
         program = PROGRAMS / ("carobfall-platform-" + role)
         if not program.exists():
@@ -121,6 +137,12 @@
                 env={"CAROBFALL_SETTINGS": str(path), "PATH": os.environ["PATH"]})
         self.record("started %s" % name)
 
+    def start_again(self, name, delay_s):
+        """What the platform does after a process has ended."""
+        self.processes[name].wait()
+        time.sleep(delay_s)
+        self.start(name)
+
     def start_all(self):
         for name in self.settings:
             self.start(name)
