--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,5 +1,4 @@
-"""After a restart of all processes, one heartbeat without `born` takes a worker out of use for good."""
-import json
+"""Workers that started again while the store was down are out of use after a restart of all processes."""
 import pathlib
 import signal
 import sys
@@ -8,13 +7,15 @@
 
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "standins-3"))
-from deployment import BROKEN, HELD, PREFIX, CaseError, Client, run_case, send  # noqa: E402
+from deployment import BROKEN, HELD, PREFIX, CaseError, Client, run_case  # noqa: E402
 
 RECOVERY_S = 12
 DOWN_S = 1.0
 TRAFFIC_AFTER_S = 6.0  # beyond recovery_s
 DEADLINE_MS = 1500
-RETRY_S = 0.005
+FIRST_LIFE_S = 36  # of the workers; the later lives are shorter
+OUTAGE_S = 4.5
+CALM_S = 4.0
 
 
 class Traffic:
@@ -46,46 +47,53 @@
         return statuses.count(200), len(statuses)
 
 
-def send_odd_heartbeat(deployment, worker):
-    """One heartbeat of another writer, without `born`. It is sent until the agent has taken it: the
-    sender can't reach the agent while its process is down."""
-    document = worker.heartbeat()
-    worker.sequence -= 1
-    del document["born"]
-    while True:
-        status, body, _ = send(worker.agent_address, "POST",
-                               "/api/Instances.Heartbeat/" + worker.id, document, timeout=2)
-        if status is not None:
-            deployment.record("another writer's heartbeat to the agent of %s: %s, %s" % (
-                worker.id, status, json.dumps(document)))
-            return
-        time.sleep(RETRY_S)
+def lose_power(deployment):
+    """All machines lose power. The workers start again under their ids, a little after the agents."""
+    deployment.record("all machines lose power")
+    workers = [threading.Thread(target=worker.restart, args=(DOWN_S + 0.3,))
+               for worker in deployment.workers]
+    for worker in workers:
+        worker.start()
+    kill_all(deployment)
+    time.sleep(DOWN_S)
+    start_all(deployment)
+    for worker in workers:
+        worker.join()
+
+
+def kill_all(deployment):
+    for name in deployment.processes:
+        deployment.signal(name, signal.SIGKILL)
+    for process in deployment.processes.values():
+        process.wait()
+
+
+def start_all(deployment):
+    for name in deployment.settings:
+        deployment.start(name)
 
 
 def play(deployment, trouble):
-    for worker in deployment.workers:
-        worker.run_ms = 100
-    time.sleep(4)
+    time.sleep(FIRST_LIFE_S)
+    if trouble:
+        deployment.record("the store refuses all calls")
+        deployment.store.refusing = True
+        time.sleep(0.5)
+        lose_power(deployment)
+        time.sleep(OUTAGE_S - 0.5 - DOWN_S)
+        deployment.store.refusing = False
+        deployment.record("the store answers again")
+    time.sleep(CALM_S)
     begun = time.monotonic()
     traffic = Traffic(deployment)
     time.sleep(4)
     fault = time.monotonic()
     deployment.record("the final fault: all processes of the system are killed")
-    for name in deployment.processes:
-        deployment.signal(name, signal.SIGKILL)
-    for process in deployment.processes.values():
-        process.wait()
-    writers = [threading.Thread(target=send_odd_heartbeat, args=(deployment, worker), daemon=True)
-               for worker in deployment.workers] if trouble else []
-    for writer in writers:
-        writer.start()
+    kill_all(deployment)
     time.sleep(DOWN_S)
-    for name in deployment.settings:
-        deployment.start(name)
+    start_all(deployment)
     back = time.monotonic()
-    for writer in writers:
-        writer.join(5)
-    time.sleep(max(0, back + RECOVERY_S + TRAFFIC_AFTER_S + 2 - time.monotonic()))
+    time.sleep(RECOVERY_S + TRAFFIC_AFTER_S + 2)
     traffic.stopped = True
     before, sent_before = traffic.served(begun, fault - 1.5)
     after, sent_after = traffic.served(back + RECOVERY_S, back + RECOVERY_S + TRAFFIC_AFTER_S)
--- a/review/standins-3/deployment.py
+++ b/review/standins-3/deployment.py
@@ -44,6 +44,27 @@
         return super().read(query)
 
 
+class TimedWorker(Worker):
+    """The stand-in worker with the usual time between heartbeats (heartbeat_ms, 1,500)."""
+
+    HEARTBEAT_S = 1.5
+
+    def send_heartbeats(self):
+        while not self.stopped:
+            if not self.dark and time.monotonic() >= self.heartbeats_from:
+                send(self.agent_address, "POST", "/api/Instances.Heartbeat/" + self.id,
+                     self.heartbeat())
+            self.wait_for_heartbeat(self.HEARTBEAT_S)
+
+    def wait_for_heartbeat(self, seconds):
+        """Ends early when a life begins: a worker announces itself at once."""
+        life, end = self.lives, time.monotonic() + seconds
+        while time.monotonic() < end and not self.stopped:
+            if self.lives != life and not self.dark:
+                return
+            time.sleep(0.02)
+
+
 class CaseError(Exception):
     """The case could not run."""
 
@@ -96,7 +117,7 @@
             self.settings[name] = self.common(name, "side", ip) | {
                 "listen_addrs": {"control": "%s:%d" % (ip, control)}, "app": "%s:%d" % (ip, app),
                 "service": SERVICE}
-            worker = Worker((ip, app), (ip, control), ZONE)
+            worker = TimedWorker((ip, app), (ip, control), ZONE)
             worker.run_ms = run_ms
             self.workers.append(worker)
 
